--- /dev/null
+++ b/caller/caller_test.go
@@ -0,0 +1,436 @@
+package caller_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"github.com/monsoontiller/monsoontiller/caller"
+	"github.com/monsoontiller/monsoontiller/contract"
+	"github.com/monsoontiller/monsoontiller/endpoint"
+	"github.com/monsoontiller/monsoontiller/endpoint/endpointtest"
+	"github.com/monsoontiller/monsoontiller/fault"
+	"github.com/monsoontiller/monsoontiller/route"
+	"github.com/monsoontiller/monsoontiller/session"
+)
+
+const (
+	customer = "baird-lennox"
+	database = "candidates-1"
+)
+
+const contractText = `customer = "baird-lennox"
+drain_timeout = "5s"
+[[database]]
+name = "candidates-1"
+group = "candidates-1"
+`
+
+// directory is a fixed caller.Directory with one database.
+type directory struct {
+	binding caller.Binding
+}
+
+func (d directory) Find(c, db string) (caller.Binding, error) {
+	if c != customer || db != database {
+		return caller.Binding{}, fault.New(fault.Config{Kind: fault.KindNotFound, Message: "no such database", Remedy: "check the contract"})
+	}
+	return d.binding, nil
+}
+
+// recorder counts results.
+type recorder struct {
+	mu      sync.Mutex
+	results []caller.Result
+}
+
+func (r *recorder) Record(one caller.Result) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.results = append(r.results, one)
+}
+
+func (r *recorder) last() caller.Result {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.results[len(r.results)-1]
+}
+
+// proxy is one instance under test.
+type proxy struct {
+	server   *caller.Server
+	group    *endpoint.Group
+	recorder *recorder
+	stop     context.CancelFunc
+	ended    chan error
+}
+
+// options vary a test's set-up.
+type options struct {
+	lag      time.Duration
+	limit    int
+	contract string
+	delay    time.Duration
+}
+
+func startGroup(t *testing.T, o options) *endpointtest.Group {
+	t.Helper()
+	g := endpointtest.NewGroup(endpointtest.GroupConfig{Name: "candidates-1", Lag: o.lag, ConnectDelay: o.delay})
+	ctx, cancel := context.WithCancel(context.Background())
+	done, err := g.Start(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return g
+}
+
+func startProxy(t *testing.T, number uint8, stand *endpointtest.Group, o options) *proxy {
+	t.Helper()
+	if o.contract == "" {
+		o.contract = contractText
+	}
+	if o.limit == 0 {
+		o.limit = 4
+	}
+	c, err := contract.Parse([]byte(o.contract))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var members []endpoint.Address
+	for _, m := range stand.Members() {
+		members = append(members, endpoint.Address{Endpoint: m.Name(), Address: m.Address()})
+	}
+	g := endpoint.NewGroup(endpoint.GroupConfig{
+		Name:          "candidates-1",
+		Members:       members,
+		ProbeInterval: 50 * time.Millisecond,
+		ProbeTimeout:  200 * time.Millisecond,
+		Permit:        800 * time.Millisecond,
+		Limit:         o.limit,
+		Dial: func(ctx context.Context, address, db string) (*endpoint.Conn, error) {
+			return endpoint.Dial(ctx, endpoint.DialConfig{
+				Address: address, User: "monsoontiller", Database: db,
+				Application: fmt.Sprintf("instance-%d", number), Timeout: time.Second,
+			})
+		},
+	})
+	tokens, err := session.NewCodec(session.CodecConfig{Key: []byte("0123456789abcdef")})
+	if err != nil {
+		t.Fatal(err)
+	}
+	d, _ := c.Database(database)
+	rec := &recorder{}
+	s, err := caller.NewServer(caller.Config{
+		Address:        "127.0.0.1:0",
+		InstanceNumber: number,
+		Directory: directory{binding: caller.NewBinding(caller.BindingConfig{
+			Contract: c, Database: d, Group: g, Account: caller.NewAccount(c.Retries()),
+		})},
+		Recorder: rec,
+		Tokens:   tokens,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	p := &proxy{server: s, group: g, recorder: rec, stop: cancel, ended: make(chan error, 1)}
+	groupCtx, stopGroup := context.WithCancel(context.Background())
+	groupEnd := make(chan error, 1)
+	go func() { groupEnd <- g.Run(groupCtx) }()
+	go func() { p.ended <- s.Run(ctx, c.DrainTimeout) }()
+	t.Cleanup(func() {
+		cancel()
+		<-p.ended
+		stopGroup()
+		<-groupEnd
+	})
+	return p
+}
+
+func (p *proxy) url() string {
+	return fmt.Sprintf("postgres://%s@%s/%s?sslmode=disable", customer, p.server.Address(), database)
+}
+
+func connect(t *testing.T, p *proxy, extra string) *pgx.Conn {
+	t.Helper()
+	c, err := pgx.Connect(context.Background(), p.url()+extra)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close(context.Background()) })
+	return c
+}
+
+func exec(t *testing.T, c *pgx.Conn, sql string, args ...any) {
+	t.Helper()
+	if _, err := c.Exec(context.Background(), sql, args...); err != nil {
+		t.Fatalf("%s: %v", sql, err)
+	}
+}
+
+func value(t *testing.T, c *pgx.Conn, sql string, args ...any) string {
+	t.Helper()
+	var v string
+	err := c.QueryRow(context.Background(), sql, args...).Scan(&v)
+	if err != nil && !errors.Is(err, pgx.ErrNoRows) {
+		t.Fatalf("%s: %v", sql, err)
+	}
+	return v
+}
+
+func TestReadYourWritesOnAnotherProxyWithoutToken(t *testing.T) {
+	o := options{lag: 2 * time.Second}
+	stand := startGroup(t, o)
+	one := startProxy(t, 1, stand, o)
+	two := startProxy(t, 2, stand, o)
+
+	unrelated := connect(t, two, "&monsoontiller.class=read")
+	value(t, unrelated, "SELECT value FROM kv WHERE key = 'lesson'")
+
+	writer := connect(t, one, "")
+	exec(t, writer, "INSERT INTO kv VALUES ('lesson', 'booked')")
+	writer.Close(context.Background())
+
+	again := connect(t, two, "&monsoontiller.class=read")
+	if got := value(t, again, "SELECT value FROM kv WHERE key = 'lesson'"); got != "booked" {
+		t.Errorf("the session read %q after it wrote booked", got)
+	}
+	if target := two.recorder.last().Target(); target != route.TargetPrimary {
+		t.Errorf("the read was served by target %v while every replica is behind", target)
+	}
+	if got := value(t, unrelated, "SELECT value FROM kv WHERE key = 'lesson'"); got != "" {
+		t.Errorf("an unrelated session's read gave %q; it should have come from a replica", got)
+	}
+	if target := two.recorder.last().Target(); target != route.TargetReplica {
+		t.Errorf("an unrelated session's read went to target %v", target)
+	}
+	value(t, unrelated, "/*max_staleness='10s'*/ SELECT value FROM kv WHERE key = 'lesson'")
+	if target := two.recorder.last().Target(); target != route.TargetReplica {
+		t.Errorf("a read that accepts 10s went to target %v", target)
+	}
+}
+
+func TestTokenCarriesTheFloor(t *testing.T) {
+	o := options{lag: 20 * time.Millisecond}
+	stand := startGroup(t, o)
+	one := startProxy(t, 1, stand, o)
+	two := startProxy(t, 2, stand, o)
+	writer := connect(t, one, "")
+	exec(t, writer, "INSERT INTO kv VALUES ('a', '1')")
+	token := writer.PgConn().ParameterStatus("monsoontiller.token")
+	if token == "" {
+		t.Fatal("no token was reported after a write")
+	}
+	reader := connect(t, two, "&monsoontiller.class=read&monsoontiller.token="+token)
+	if got := value(t, reader, "SELECT value FROM kv WHERE key = 'a'"); got != "1" {
+		t.Errorf("read %q with the token, want 1", got)
+	}
+}
+
+func TestForgedTokenIsRefused(t *testing.T) {
+	stand := startGroup(t, options{})
+	p := startProxy(t, 1, stand, options{})
+	_, err := pgx.Connect(context.Background(), p.url()+"&monsoontiller.token=AAAA")
+	if code(err) != "28000" {
+		t.Errorf("a forged token gave %v, want SQLSTATE 28000", err)
+	}
+}
+
+func code(err error) string {
+	var e *pgconn.PgError
+	if errors.As(err, &e) {
+		return e.Code
+	}
+	return ""
+}
+
+func TestTransactionsNeverMixOnOneConnection(t *testing.T) {
+	o := options{limit: 2}
+	stand := startGroup(t, o)
+	p := startProxy(t, 1, stand, o)
+	const callers, rounds = 4, 10
+	errs := make(chan error, callers)
+	for i := range callers {
+		c := connect(t, p, "")
+		go func() { errs <- transfer(c, i, rounds) }()
+	}
+	for range callers {
+		if err := <-errs; err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+// transfer checks in each transaction that it sees its own changes and nothing of another's.
+func transfer(c *pgx.Conn, id, rounds int) error {
+	ctx := context.Background()
+	for n := range rounds {
+		tx, err := c.Begin(ctx)
+		if err != nil {
+			return err
+		}
+		key := fmt.Sprintf("k-%d-%d", id, n)
+		if _, err := tx.Exec(ctx, "INSERT INTO kv VALUES ($1, $2)", key, "open"); err != nil {
+			return err
+		}
+		var v string
+		if err := tx.QueryRow(ctx, "SELECT value FROM kv WHERE key = $1", key).Scan(&v); err != nil {
+			return fmt.Errorf("own change not seen: %w", err)
+		}
+		if n%2 == 0 {
+			err = tx.Commit(ctx)
+		} else {
+			err = tx.Rollback(ctx)
+		}
+		if err != nil {
+			return err
+		}
+		err = c.QueryRow(ctx, "SELECT value FROM kv WHERE key = $1", key).Scan(&v)
+		if committed := n%2 == 0; committed != (err == nil) {
+			return fmt.Errorf("round %d: committed %v, read gave %v", n, committed, err)
+		}
+	}
+	return nil
+}
+
+func TestSettingsNeverReachAnotherCaller(t *testing.T) {
+	o := options{limit: 2}
+	stand := startGroup(t, o)
+	p := startProxy(t, 1, stand, o)
+	one := connect(t, p, "")
+	two := connect(t, p, "")
+	exec(t, one, "SET search_path = 'one'", pgx.QueryExecModeSimpleProtocol)
+	for range 3 {
+		if got := value(t, two, "SHOW search_path"); got != "" {
+			t.Fatalf("a caller met another's setting %q", got)
+		}
+		if got := value(t, one, "SHOW search_path"); got != "one" {
+			t.Fatalf("a caller lost its setting: %q", got)
+		}
+	}
+}
+
+func TestGracefulShutdownFinishesTheTransaction(t *testing.T) {
+	stand := startGroup(t, options{})
+	p := startProxy(t, 1, stand, options{})
+	c := connect(t, p, "")
+	idle := connect(t, p, "")
+	tx, err := c.Begin(context.Background())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := tx.Exec(context.Background(), "INSERT INTO kv VALUES ('deposit', '20')"); err != nil {
+		t.Fatal(err)
+	}
+	p.stop()
+	_, err = idle.Exec(context.Background(), "INSERT INTO kv VALUES ('late', '1')")
+	if err == nil {
+		t.Error("a new request was taken during the drain")
+	}
+	if err := tx.Commit(context.Background()); err != nil {
+		t.Errorf("the open transaction was cut: %v", err)
+	}
+	if err := <-p.ended; err != nil {
+		t.Errorf("shutdown: %v", err)
+	}
+	p.ended <- nil
+	if s := stand.Members()[0].Status(); s.Point().Position() != 1 {
+		t.Errorf("log position %v, want 1: exactly the open transaction", s.Point())
+	}
+}
+
+func TestCancelReachesOnlyItsStatement(t *testing.T) {
+	stand := startGroup(t, options{})
+	p := startProxy(t, 1, stand, options{})
+	slow := connect(t, p, "")
+	other := connect(t, p, "")
+	result := make(chan error, 1)
+	go func() {
+		_, err := slow.Exec(context.Background(), "SELECT pg_sleep(20)")
+		result <- err
+	}()
+	waitUntil(t, func() bool {
+		if err := slow.PgConn().CancelRequest(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+		exec(t, other, "SELECT 1")
+		select {
+		case err := <-result:
+			if code(err) != "57014" {
+				t.Fatalf("the canceled statement gave %v", err)
+			}
+			return true
+		default:
+			return false
+		}
+	})
+	exec(t, slow, "SELECT 1")
+}
+
+// waitUntil polls a condition for at most ten seconds.
+func waitUntil(t *testing.T, done func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(10 * time.Second)
+	tick := time.NewTicker(5 * time.Millisecond)
+	defer tick.Stop()
+	for !done() {
+		if time.Now().After(deadline) {
+			t.Fatal("the condition did not come true within 10s")
+		}
+		<-tick.C
+	}
+}
+
+func TestCopyIsRefusedCleanly(t *testing.T) {
+	stand := startGroup(t, options{})
+	p := startProxy(t, 1, stand, options{})
+	c := connect(t, p, "")
+	_, err := c.Exec(context.Background(), "COPY kv FROM STDIN")
+	if code(err) != "0A000" {
+		t.Errorf("COPY gave %v, want SQLSTATE 0A000", err)
+	}
+	exec(t, c, "SELECT 1")
+}
+
+func TestSilentConnectionsAreReplaced(t *testing.T) {
+	o := options{contract: contractText + "[limits]\nidle_check = \"1ns\"\n"}
+	stand := startGroup(t, o)
+	p := startProxy(t, 1, stand, o)
+	c := connect(t, p, "")
+	exec(t, c, "INSERT INTO kv VALUES ('a', '1')")
+	for _, m := range stand.Members() {
+		m.Silence()
+	}
+	exec(t, c, "INSERT INTO kv VALUES ('b', '1')")
+	if got := value(t, c, "SELECT count(*) FROM kv"); got != "2" {
+		t.Errorf("count = %s, want 2", got)
+	}
+}
+
+func TestWrongProtocolVersionIsRefused(t *testing.T) {
+	stand := startGroup(t, options{})
+	p := startProxy(t, 1, stand, options{})
+	nc, err := net.Dial("tcp", p.server.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	if _, err := nc.Write([]byte{0, 0, 0, 9, 0, 2, 0, 0, 0}); err != nil {
+		t.Fatal(err)
+	}
+	answer := make([]byte, 1)
+	if _, err := nc.Read(answer); err != nil || answer[0] != 'E' {
+		t.Errorf("protocol 2 gave %q, %v; want an error message", answer, err)
+	}
+}
--- /dev/null
+++ b/caller/exchange.go
@@ -0,0 +1,306 @@
+package caller
+
+import (
+	"net"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/monsoontiller/monsoontiller/endpoint"
+	"github.com/monsoontiller/monsoontiller/fault"
+	"github.com/monsoontiller/monsoontiller/group"
+	"github.com/monsoontiller/monsoontiller/retry"
+	"github.com/monsoontiller/monsoontiller/route"
+)
+
+// flushBytes is how much of an answer is collected before it is passed on.
+const flushBytes = 64 << 10
+
+// exchangeConfig describes one attempt at a unit on one connection.
+type exchangeConfig struct {
+	group     *endpoint.Group
+	conn      *endpoint.Conn
+	client    net.Conn
+	unit      *unit
+	settings  *settings
+	request   route.Request
+	onReplica bool
+	pinned    bool
+	skipping  bool
+	deadline  time.Time
+	out       []byte
+}
+
+// exchange sends a unit over one connection and relays the answer.
+type exchange struct {
+	exchangeConfig
+	plan      plan
+	sentAt    time.Time
+	sent      bool
+	began     bool
+	completed bool
+	txStatus  byte
+	committed group.Status
+	hasStatus bool
+	failure   retry.Failure
+	tags      []string
+	clientErr error
+	refused   bool
+	aborted   bool
+}
+
+func newExchange(cfg exchangeConfig) *exchange {
+	return &exchange{exchangeConfig: cfg, plan: plan{conn: cfg.conn}, txStatus: 'I'}
+}
+
+// attempt returns the exchange as the retry rules see it.
+func (x *exchange) attempt() retry.Attempt {
+	return retry.Attempt{
+		Failure:     x.failure,
+		SentBytes:   x.sent,
+		AnswerBegan: x.began,
+		InSequence:  x.pinned,
+	}
+}
+
+// run sends the unit and relays its answer up to, but not including, the last flush.
+//
+// It reports whether the answer is whole; otherwise failure says why. The
+// connection can be used again only if reusable reports true.
+func (x *exchange) run() (whole bool) {
+	if err := x.send(); err != nil {
+		x.failure = retry.FailureLost
+		return false
+	}
+	for len(x.plan.steps) > 0 {
+		s := x.plan.steps[0]
+		x.plan.steps = x.plan.steps[1:]
+		if err := x.step(s); err != nil {
+			x.failure = retry.FailureLost
+			return false
+		}
+	}
+	x.conn.SetAnsweredAt(time.Now())
+	return !x.refused
+}
+
+func (x *exchange) send() error {
+	if err := x.queue(); err != nil {
+		return err
+	}
+	if err := x.conn.SetDeadline(x.deadline); err != nil {
+		return err
+	}
+	x.sentAt = time.Now()
+	sent, err := x.conn.Flush()
+	x.sent = sent
+	return err
+}
+
+func (x *exchange) queue() error {
+	if !x.pinned {
+		if err := x.plan.restore(x.settings); err != nil {
+			return err
+		}
+	}
+	if x.onReplica && !x.pinned {
+		if err := x.plan.status(stepPosition); err != nil {
+			return err
+		}
+	}
+	if err := x.plan.unit(x.unit); err != nil {
+		return err
+	}
+	if x.skipping {
+		x.aborted = x.plan.skip()
+	}
+	if x.onReplica || x.unit.end() == opFlush {
+		return nil
+	}
+	return x.plan.status(stepCommitted)
+}
+
+// step reads and relays the answer to one step.
+func (x *exchange) step(s step) error {
+	switch s.kind {
+	case stepLocal:
+		x.out = append(x.out, s.local...)
+		return nil
+	case stepRestore:
+		return x.readHidden()
+	case stepPosition:
+		return x.readPosition()
+	case stepCommitted:
+		return x.readCommitted()
+	}
+	return x.relay(s)
+}
+
+// relay passes messages on until the step's answer is complete.
+func (x *exchange) relay(s step) error {
+	for {
+		msg, err := x.conn.Receive()
+		if err != nil {
+			return err
+		}
+		done, err := x.relayOne(s, msg)
+		if err != nil || done {
+			return err
+		}
+	}
+}
+
+func (x *exchange) relayOne(s step, msg pgproto3.BackendMessage) (done bool, err error) {
+	switch m := msg.(type) {
+	case *pgproto3.ErrorResponse:
+		return x.relayError(s, m)
+	case *pgproto3.ReadyForQuery:
+		x.txStatus = m.TxStatus
+		return true, x.pass(msg)
+	case *pgproto3.CommandComplete:
+		x.completed = true
+		x.tags = append(x.tags, string(m.CommandTag))
+		return s.kind == stepOne, x.pass(msg)
+	case *pgproto3.CopyInResponse, *pgproto3.CopyBothResponse:
+		return false, errCopy()
+	case *pgproto3.ParseComplete, *pgproto3.CloseComplete:
+		if s.kind == stepHidden {
+			return true, nil
+		}
+		return true, x.pass(msg)
+	case *pgproto3.BindComplete, *pgproto3.NoData, *pgproto3.PortalSuspended, *pgproto3.EmptyQueryResponse:
+		return s.kind == stepOne, x.pass(msg)
+	case *pgproto3.RowDescription:
+		return s.kind == stepOne, x.pass(msg)
+	}
+	return false, x.pass(msg)
+}
+
+// relayError notes a refusal that lets the request run elsewhere, or passes the error on unchanged.
+func (x *exchange) relayError(s step, m *pgproto3.ErrorResponse) (done bool, err error) {
+	if m.Code == codeReadOnly && !x.completed && !x.began && !x.pinned {
+		x.refused = true
+		x.failure = retry.FailureReadOnly
+	}
+	if s.prepares != "" {
+		x.conn.RemovePrepared(s.prepares)
+	}
+	if s.kind != stepReady {
+		x.aborted = x.plan.skip()
+		return true, x.pass(m)
+	}
+	return false, x.pass(m)
+}
+
+// codeReadOnly is the SQLSTATE of a write that an endpoint refused without running it.
+const codeReadOnly = "25006"
+
+// pass encodes a message for the caller and passes on what has collected when it is large.
+func (x *exchange) pass(msg pgproto3.BackendMessage) error {
+	if x.refused {
+		return nil
+	}
+	out, err := msg.Encode(x.out)
+	if err != nil {
+		return err
+	}
+	x.out = out
+	if len(x.out) < flushBytes {
+		return nil
+	}
+	if !x.onReplica && !x.group.PermitValid() {
+		return errPermitLapsed()
+	}
+	return x.flush()
+}
+
+func errPermitLapsed() error {
+	return fault.New(fault.Config{
+		Kind:    fault.KindNoPrimary,
+		Message: "the primary's permit lapsed while it answered",
+		Remedy:  "try again in a few seconds",
+	})
+}
+
+// flush writes what has collected to the caller.
+func (x *exchange) flush() error {
+	if len(x.out) == 0 {
+		return nil
+	}
+	x.began = true
+	_, err := x.client.Write(x.out)
+	x.out = x.out[:0]
+	x.clientErr = err
+	return err
+}
+
+// readHidden swallows the answer to a restoring statement; its error makes the connection useless.
+func (x *exchange) readHidden() error {
+	for {
+		msg, err := x.conn.Receive()
+		if err != nil {
+			return err
+		}
+		switch m := msg.(type) {
+		case *pgproto3.ErrorResponse:
+			return unrestorable(m)
+		case *pgproto3.ReadyForQuery:
+			return nil
+		}
+	}
+}
+
+func unrestorable(m *pgproto3.ErrorResponse) error {
+	return fault.New(fault.Config{
+		Kind:    fault.KindUnavailable,
+		Message: "session settings cannot be restored: " + m.Code + " " + m.Message,
+		Remedy:  "check the SET statements and startup parameters of the session",
+	})
+}
+
+// readStatus reads the answer to a status query; ok is false when the endpoint refused it.
+func (x *exchange) readStatus() (s group.Status, ok bool, err error) {
+	for {
+		msg, err := x.conn.Receive()
+		if err != nil {
+			return s, false, err
+		}
+		switch m := msg.(type) {
+		case *pgproto3.DataRow:
+			if s, err = endpoint.ParseStatus(m); err != nil {
+				return s, false, err
+			}
+			ok = true
+		case *pgproto3.ReadyForQuery:
+			return s, ok, nil
+		}
+	}
+}
+
+// readPosition judges the replica's position and, if it does not do, drops the answer that follows.
+func (x *exchange) readPosition() error {
+	s, ok, err := x.readStatus()
+	if err != nil {
+		return err
+	}
+	if ok && x.group.Verify(x.sentAt, s, x.request) == route.VerdictServe {
+		return nil
+	}
+	x.refused = true
+	x.failure = retry.FailureBehind
+	return nil
+}
+
+// readCommitted takes the primary's status after the unit.
+func (x *exchange) readCommitted() error {
+	s, ok, err := x.readStatus()
+	if err != nil {
+		return err
+	}
+	x.committed = s
+	x.hasStatus = ok
+	if ok {
+		x.group.Observe(x.sentAt, s)
+	}
+	return nil
+}
--- /dev/null
+++ b/caller/finish.go
@@ -0,0 +1,161 @@
+package caller
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/monsoontiller/monsoontiller/fault"
+	"github.com/monsoontiller/monsoontiller/retry"
+)
+
+// finish completes a unit whose exchange has ended: it may acknowledge it, and hands the connection back.
+func (s *callerSession) finish(ctx context.Context, r *request, x *exchange, whole bool) error {
+	s.out = x.out
+	if !whole {
+		s.dropFailed(x)
+		if x.clientErr != nil {
+			return errClientGone
+		}
+		return retry.Judge(time.Now(), retry.Request{Deadline: r.deadline}, x.attempt()).Error(x.attempt())
+	}
+	s.txStatus = x.txStatus
+	s.skipping = x.aborted
+	s.inSequence = x.txStatus != 'I' || s.unit.end() == opFlush
+	if !s.onReplica {
+		if err := s.acknowledge(ctx, r, x); err != nil {
+			s.discard()
+			return err
+		}
+	}
+	s.keepState(x)
+	s.handBack()
+	return nil
+}
+
+// discard gives up the connection for good; a session in a transaction cannot go on without it.
+func (s *callerSession) discard() {
+	s.setActive(nil)
+	s.connPool.Discard(s.conn)
+	s.conn = nil
+}
+
+// acknowledge raises the floor and waits until the answer may be given to the caller.
+func (s *callerSession) acknowledge(ctx context.Context, r *request, x *exchange) error {
+	g := x.group
+	if err := g.AwaitPermit(ctx, r.deadline); err != nil {
+		return unacknowledged(err)
+	}
+	if !x.hasStatus {
+		return nil
+	}
+	if !g.Leads(x.committed) {
+		return unacknowledged(nil)
+	}
+	if s.mayHaveWritten(r, x) {
+		s.state.Raise(x.committed.Point(), time.Now())
+		s.reportToken()
+		if s.binding.Contract().Writes().Replicated() {
+			if err := g.AwaitReplicated(ctx, x.committed.Point(), r.deadline); err != nil {
+				return unacknowledged(err)
+			}
+		}
+	}
+	if !g.PermitValid() {
+		return unacknowledged(nil)
+	}
+	return nil
+}
+
+// mayHaveWritten reports whether the unit can have committed a change.
+func (s *callerSession) mayHaveWritten(r *request, x *exchange) bool {
+	if x.txStatus != 'I' {
+		return false
+	}
+	return !r.marks.reads() || x.pinned
+}
+
+func unacknowledged(cause error) error {
+	return fault.New(fault.Config{
+		Kind:    fault.KindOutcomeUnknown,
+		Message: "the primary was not confirmed when it answered; the request may or may not have run",
+		Remedy:  "read back the result before entering the request again",
+		Cause:   cause,
+	})
+}
+
+// keepState notes what the unit did to the state of its connection.
+func (s *callerSession) keepState(x *exchange) {
+	switch s.unit.effect {
+	case effectReplay:
+		if x.pinned || s.inSequence || !x.succeeded() || !s.settings.add(s.unit.text) {
+			s.kept = true
+			return
+		}
+		s.conn.SetStateKey(s.settings.key)
+	case effectReset:
+		if !x.succeeded() {
+			return
+		}
+		s.settings.clear()
+		s.conn.ForgetPrepared()
+		s.conn.SetStateKey(0)
+		clear(s.statements)
+	case effectPin:
+		s.kept = true
+	}
+}
+
+// succeeded reports whether the unit's only statement ran to its end as a simple query.
+func (x *exchange) succeeded() bool {
+	return len(x.tags) == 1 && x.unit.end() == opQuery
+}
+
+// handBack returns the connection unless a transaction or the session's state holds on to it.
+func (s *callerSession) handBack() {
+	if s.inSequence || s.kept {
+		return
+	}
+	s.setActive(nil)
+	s.connPool.Release(s.conn)
+	s.conn = nil
+}
+
+// reads reports whether the marks promise that nothing is changed.
+func (m Marks) reads() bool { return m.Class() != 0 }
+
+func appendError(out []byte, severity string, e *fault.Error) []byte {
+	return appendMessage(out, &pgproto3.ErrorResponse{
+		Severity:            severity,
+		SeverityUnlocalized: severity,
+		Code:                e.Kind().SQLState(),
+		Message:             strings.ToValidUTF8(e.Message(), "?"),
+		Hint:                e.Remedy(),
+	})
+}
+
+func appendReady(out []byte, status byte) []byte {
+	return appendMessage(out, &pgproto3.ReadyForQuery{TxStatus: status})
+}
+
+func appendMessage(out []byte, msg pgproto3.BackendMessage) []byte {
+	encoded, err := msg.Encode(out)
+	if err != nil {
+		return out
+	}
+	return encoded
+}
+
+// readyLength is the encoded length of ReadyForQuery.
+const readyLength = 6
+
+// insertBeforeReady places msg ahead of the ReadyForQuery that ends out.
+func insertBeforeReady(out []byte, msg pgproto3.BackendMessage) []byte {
+	if len(out) < readyLength || out[len(out)-readyLength] != 'Z' {
+		return out
+	}
+	ready := append([]byte(nil), out[len(out)-readyLength:]...)
+	return append(appendMessage(out[:len(out)-readyLength], msg), ready...)
+}
--- /dev/null
+++ b/caller/state.go
@@ -0,0 +1,165 @@
+package caller
+
+import (
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/monsoontiller/monsoontiller/fault"
+)
+
+// effect says what a statement does to the state of its connection.
+type effect uint8
+
+const (
+	// effectNone leaves the connection as it was.
+	effectNone effect = iota
+	// effectReplay changes settings in a way that can be repeated elsewhere.
+	effectReplay
+	// effectReset clears the settings.
+	effectReset
+	// effectPin leaves state that only this connection has.
+	effectPin
+)
+
+// pinWords mark statements that leave state which cannot be replayed.
+var pinWords = []string{"advisory_lock", "set_config", " temp ", " temporary ", "with hold"}
+
+// effectOf judges sql by its leading word and by words that name state.
+//
+// It errs towards effectPin: a pinned session costs a connection, a missed one
+// would show a caller another's state.
+func effectOf(sql string) effect {
+	body := stripLeadingComments(sql)
+	word := leadingWord(body)
+	switch word {
+	case "select", "insert", "update", "delete", "create", "with", "call", "do", "declare":
+		return effectOfBody(body)
+	case "set":
+		if strings.ContainsRune(strings.TrimRight(body, "; \t\r\n"), ';') {
+			return effectPin
+		}
+		return effectOfSet(body)
+	case "reset":
+		return effectReplay
+	case "discard":
+		return effectReset
+	case "listen", "unlisten", "prepare", "deallocate", "load":
+		return effectPin
+	}
+	return effectOfBody(body)
+}
+
+func effectOfSet(body string) effect {
+	lower := strings.ToLower(body)
+	if strings.HasPrefix(lower, "set local") || strings.HasPrefix(lower, "set transaction") {
+		return effectNone
+	}
+	return effectReplay
+}
+
+func effectOfBody(body string) effect {
+	lower := strings.ToLower(body)
+	for _, w := range pinWords {
+		if strings.Contains(lower, w) {
+			return effectPin
+		}
+	}
+	if at := strings.IndexByte(lower, ';'); at >= 0 && strings.TrimSpace(lower[at+1:]) != "" {
+		return effectOfRest(lower[at+1:])
+	}
+	return effectNone
+}
+
+// effectOfRest judges the statements after the first of a multi-statement text.
+func effectOfRest(rest string) effect {
+	if effectOf(rest) == effectNone {
+		return effectNone
+	}
+	return effectPin
+}
+
+// isCopy reports whether any statement of sql starts with COPY.
+func isCopy(sql string) bool {
+	if len(sql) < len("copy") {
+		return false
+	}
+	for _, part := range strings.Split(sql, ";") {
+		if leadingWord(stripLeadingComments(part)) == "copy" {
+			return true
+		}
+	}
+	return false
+}
+
+func errCopy() error {
+	return fault.New(fault.Config{
+		Kind:    fault.KindUnsupported,
+		Message: "COPY is not carried; the request did not run",
+		Remedy:  "use INSERT with several rows, or copy over a direct connection to the endpoint",
+	})
+}
+
+func stripLeadingComments(sql string) string {
+	for {
+		sql = strings.TrimLeft(sql, " \t\r\n;(")
+		switch {
+		case strings.HasPrefix(sql, "/*"):
+			_, after, ok := strings.Cut(sql, "*/")
+			if !ok {
+				return ""
+			}
+			sql = after
+		case strings.HasPrefix(sql, "--"):
+			_, after, ok := strings.Cut(sql, "\n")
+			if !ok {
+				return ""
+			}
+			sql = after
+		default:
+			return sql
+		}
+	}
+}
+
+const maxLeadingWord = 16
+
+// leadingWord returns the first word of sql in lower case.
+func leadingWord(sql string) string {
+	end := 0
+	for end < len(sql) && end < maxLeadingWord && isLetter(sql[end]) {
+		end++
+	}
+	return strings.ToLower(sql[:end])
+}
+
+func isLetter(c byte) bool { return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') }
+
+// settings is the list of SET statements that give a session its state.
+type settings struct {
+	statements []string
+	key        uint64
+}
+
+// maxSettings is the most statements that are replayed for one session.
+const maxSettings = 64
+
+// add appends a statement and reports whether the session stays replayable.
+func (s *settings) add(sql string) bool {
+	if len(s.statements) >= maxSettings {
+		return false
+	}
+	s.statements = append(s.statements, sql)
+	d := xxhash.New()
+	for _, one := range s.statements {
+		_, _ = d.WriteString(one)
+		_, _ = d.Write([]byte{0})
+	}
+	s.key = d.Sum64()
+	return true
+}
+
+func (s *settings) clear() {
+	s.statements = nil
+	s.key = 0
+}
--- /dev/null
+++ b/contract/book.go
@@ -0,0 +1,68 @@
+package contract
+
+import "sort"
+
+// Revision numbers the versions of one customer's contract, from 1.
+type Revision uint64
+
+// Entry is one revision of one customer's contract.
+type Entry struct {
+	customer string
+	revision Revision
+	text     []byte
+	contract *Contract
+}
+
+// NewEntry parses text as the given revision; it fails as Parse does.
+func NewEntry(revision Revision, text []byte) (Entry, error) {
+	c, err := Parse(text)
+	if err != nil {
+		return Entry{}, err
+	}
+	return Entry{customer: c.Customer(), revision: revision, text: append([]byte(nil), text...), contract: c}, nil
+}
+
+// Customer returns the customer's name.
+func (e Entry) Customer() string { return e.customer }
+
+// Revision returns the revision's number.
+func (e Entry) Revision() Revision { return e.revision }
+
+// Text returns the contract's TOML text.
+func (e Entry) Text() []byte { return append([]byte(nil), e.text...) }
+
+// Contract returns the parsed contract.
+func (e Entry) Contract() *Contract { return e.contract }
+
+// Book keeps the newest known revision of each contract; it is not safe for concurrent use.
+type Book struct {
+	entries map[string]Entry
+}
+
+// NewBook returns an empty book.
+func NewBook() *Book { return &Book{entries: map[string]Entry{}} }
+
+// Apply takes e if its revision is higher than the one held and reports whether it did.
+func (b *Book) Apply(e Entry) bool {
+	if held, ok := b.entries[e.customer]; ok && held.revision >= e.revision {
+		return false
+	}
+	b.entries[e.customer] = e
+	return true
+}
+
+// Get returns the entry of a customer.
+func (b *Book) Get(customer string) (e Entry, ok bool) {
+	e, ok = b.entries[customer]
+	return e, ok
+}
+
+// List returns all entries in the order of the customers' names.
+func (b *Book) List() []Entry {
+	out := make([]Entry, 0, len(b.entries))
+	for _, e := range b.entries {
+		out = append(out, e)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].customer < out[j].customer })
+	return out
+}
--- /dev/null
+++ b/endpoint/conn.go
@@ -0,0 +1,215 @@
+package endpoint
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/monsoontiller/monsoontiller/fault"
+)
+
+// DialConfig says how to open a connection to an endpoint.
+type DialConfig struct {
+	Address     string
+	User        string
+	Password    string
+	Database    string
+	Application string
+	TLS         *tls.Config
+	Timeout     time.Duration
+}
+
+// Conn is one connection to an endpoint; it is not safe for concurrent use, but for Close and Cancel.
+type Conn struct {
+	nc         net.Conn
+	frontend   *pgproto3.Frontend
+	address    string
+	key        string
+	pid        uint32
+	secret     []byte
+	parameters []pgproto3.ParameterStatus
+	answeredAt time.Time
+	prepared   *statementCache
+	stateKey   uint64
+	canceled   bool
+	out        []byte
+}
+
+// Dial opens and authenticates a connection; it fails with KindUnavailable, or KindOverloaded when the endpoint is full.
+func Dial(ctx context.Context, cfg DialConfig) (*Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, cfg.Timeout)
+	defer cancel()
+	nc, err := dialTCP(ctx, cfg)
+	if err != nil {
+		return nil, unreachable(cfg.Address, err)
+	}
+	c := &Conn{
+		nc:       nc,
+		frontend: pgproto3.NewFrontend(nc, nc),
+		address:  cfg.Address,
+		key:      cfg.Database,
+		prepared: newStatementCache(),
+	}
+	stop := context.AfterFunc(ctx, func() { nc.SetDeadline(time.Unix(1, 0)) })
+	err = c.startup(cfg)
+	if !stop() && err == nil {
+		err = ctx.Err()
+	}
+	if err != nil {
+		nc.Close()
+		return nil, err
+	}
+	return c, nil
+}
+
+func unreachable(address string, cause error) error {
+	return fault.New(fault.Config{
+		Kind:    fault.KindUnavailable,
+		Message: "endpoint " + address + " cannot be reached",
+		Remedy:  "try again; if it lasts, look at the endpoint and the network to it",
+		Cause:   cause,
+	})
+}
+
+// startup sends the startup message and reads up to the first ReadyForQuery.
+func (c *Conn) startup(cfg DialConfig) error {
+	c.frontend.Send(&pgproto3.StartupMessage{
+		ProtocolVersion: pgproto3.ProtocolVersion30,
+		Parameters: map[string]string{
+			"user":             cfg.User,
+			"database":         cfg.Database,
+			"application_name": cfg.Application,
+		},
+	})
+	if err := c.frontend.Flush(); err != nil {
+		return unreachable(cfg.Address, err)
+	}
+	for {
+		msg, err := c.frontend.Receive()
+		if err != nil {
+			return unreachable(cfg.Address, err)
+		}
+		ready, err := c.startupMessage(cfg, msg)
+		if err != nil || ready {
+			return err
+		}
+	}
+}
+
+func (c *Conn) startupMessage(cfg DialConfig, msg pgproto3.BackendMessage) (ready bool, err error) {
+	switch m := msg.(type) {
+	case *pgproto3.AuthenticationSASL:
+		return false, c.authenticate(cfg)
+	case *pgproto3.AuthenticationCleartextPassword:
+		c.frontend.Send(&pgproto3.PasswordMessage{Password: cfg.Password})
+		return false, c.frontend.Flush()
+	case *pgproto3.ParameterStatus:
+		c.parameters = append(c.parameters, *m)
+	case *pgproto3.BackendKeyData:
+		c.pid = m.ProcessID
+		c.secret = append([]byte(nil), m.SecretKey...)
+	case *pgproto3.ErrorResponse:
+		return false, refusedStartup(cfg.Address, m)
+	case *pgproto3.ReadyForQuery:
+		return true, nil
+	}
+	return false, nil
+}
+
+func refusedStartup(address string, m *pgproto3.ErrorResponse) error {
+	kind := fault.KindUnavailable
+	if m.Code == fault.KindOverloaded.SQLState() {
+		kind = fault.KindOverloaded
+	}
+	return fault.New(fault.Config{
+		Kind:    kind,
+		Message: "endpoint " + address + " refused the connection: " + m.Code + " " + m.Message,
+		Remedy:  "check the endpoint's user, database and connection limit in the contract",
+	})
+}
+
+// Address returns the endpoint's host:port.
+func (c *Conn) Address() string { return c.address }
+
+// Key returns the pool key, which is the database name.
+func (c *Conn) Key() string { return c.key }
+
+// Parameters returns the parameters that the endpoint reported at startup.
+func (c *Conn) Parameters() []pgproto3.ParameterStatus { return c.parameters }
+
+// AnsweredAt returns when the endpoint last answered on this connection.
+func (c *Conn) AnsweredAt() time.Time { return c.answeredAt }
+
+// SetAnsweredAt records that the endpoint answered at now.
+func (c *Conn) SetAnsweredAt(now time.Time) { c.answeredAt = now }
+
+// StateKey identifies the session settings in force on the connection; 0 means none.
+func (c *Conn) StateKey() uint64 { return c.stateKey }
+
+// SetStateKey records the session settings in force on the connection.
+func (c *Conn) SetStateKey(key uint64) { c.stateKey = key }
+
+// Queue appends a message to what the next Flush sends.
+func (c *Conn) Queue(msg pgproto3.FrontendMessage) error {
+	out, err := msg.Encode(c.out)
+	if err != nil {
+		return fault.New(fault.Config{
+			Kind:    fault.KindProtocol,
+			Message: "a message cannot be encoded",
+			Remedy:  "make the statement or its parameters smaller",
+			Cause:   err,
+		})
+	}
+	c.out = out
+	return nil
+}
+
+// QueueRaw appends an encoded message to what the next Flush sends.
+func (c *Conn) QueueRaw(encoded []byte) { c.out = append(c.out, encoded...) }
+
+// Flush sends what was queued; sent reports whether a byte may have left.
+func (c *Conn) Flush() (sent bool, err error) {
+	n, err := c.nc.Write(c.out)
+	c.out = c.out[:0]
+	return n > 0, err
+}
+
+// Receive returns the endpoint's next message, valid until the next call.
+func (c *Conn) Receive() (pgproto3.BackendMessage, error) { return c.frontend.Receive() }
+
+// SetDeadline bounds reads and writes; the zero time removes the bound.
+func (c *Conn) SetDeadline(t time.Time) error { return c.nc.SetDeadline(t) }
+
+// Close ends the connection without waiting.
+func (c *Conn) Close() error { return c.nc.Close() }
+
+// Canceled reports whether a cancel request was ever sent for this connection.
+func (c *Conn) Canceled() bool { return c.canceled }
+
+// MarkCanceled records that a cancel request may still arrive, so that the connection is not shared again.
+func (c *Conn) MarkCanceled() { c.canceled = true }
+
+// Cancel asks the endpoint to cancel what runs on the connection and returns once the endpoint has taken the request.
+func (c *Conn) Cancel(ctx context.Context) error {
+	var d net.Dialer
+	nc, err := d.DialContext(ctx, "tcp", c.address)
+	if err != nil {
+		return unreachable(c.address, err)
+	}
+	defer nc.Close()
+	stop := context.AfterFunc(ctx, func() { nc.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	msg := &pgproto3.CancelRequest{ProcessID: c.pid, SecretKey: c.secret}
+	encoded, err := msg.Encode(nil)
+	if err != nil {
+		return unreachable(c.address, err)
+	}
+	if _, err := nc.Write(encoded); err != nil {
+		return unreachable(c.address, err)
+	}
+	_, _ = nc.Read(make([]byte, 1))
+	return nil
+}
--- /dev/null
+++ b/endpoint/connections.go
@@ -0,0 +1,286 @@
+package endpoint
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/monsoontiller/monsoontiller/fault"
+	"github.com/monsoontiller/monsoontiller/pool"
+)
+
+// ConnectionsConfig describes the connections of one endpoint.
+type ConnectionsConfig struct {
+	Endpoint string
+	Limit    int
+	Dial     func(ctx context.Context, key string) (*Conn, error)
+}
+
+// Connections shares the connections of one endpoint between sessions; it is safe for concurrent use.
+type Connections struct {
+	endpoint   string
+	dial       func(ctx context.Context, key string) (*Conn, error)
+	mu         sync.Mutex
+	pool       *pool.Pool[*Conn, *waiter]
+	generation uint64
+	inUse      map[*Conn]uint64
+}
+
+// waiter is one session that waits for a connection.
+type waiter struct {
+	key   string
+	grant chan pool.Grant[*Conn]
+}
+
+// Key returns the pool key that the waiter needs.
+func (w *waiter) Key() string { return w.key }
+
+// NewConnections returns an empty set of connections.
+func NewConnections(cfg ConnectionsConfig) *Connections {
+	return &Connections{
+		endpoint: cfg.Endpoint,
+		dial:     cfg.Dial,
+		pool:     pool.New[*Conn, *waiter](pool.Config{Limit: cfg.Limit}),
+		inUse:    map[*Conn]uint64{},
+	}
+}
+
+// Request says who asks for a connection and how long it may wait.
+type Request struct {
+	Customer   string
+	Database   string
+	QueueLimit int
+	Deadline   time.Time
+	MaxIdle    time.Duration
+}
+
+// Acquire returns a connection for the request.
+//
+// It fails with KindOverloaded when the customer's queue is full, with
+// KindTimeout when the deadline passes, and with the dial's error.
+func (c *Connections) Acquire(ctx context.Context, r Request) (*Conn, error) {
+	for {
+		conn, err := c.acquire(ctx, r)
+		if err != nil {
+			return nil, err
+		}
+		if c.usable(ctx, conn, r) {
+			return conn, nil
+		}
+		c.Discard(conn)
+		c.suspectIdle()
+	}
+}
+
+func (c *Connections) acquire(ctx context.Context, r Request) (*Conn, error) {
+	w := &waiter{key: r.Database, grant: make(chan pool.Grant[*Conn], 1)}
+	c.mu.Lock()
+	g := c.pool.Acquire(pool.Ask[*waiter]{
+		Customer:   r.Customer,
+		Key:        r.Database,
+		Waiter:     w,
+		QueueLimit: r.QueueLimit,
+		Deadline:   r.Deadline,
+	})
+	c.mu.Unlock()
+	switch g.Action {
+	case pool.ActionRefuse:
+		return nil, c.full(r)
+	case pool.ActionWait:
+		return c.wait(ctx, r, w)
+	}
+	return c.take(ctx, r.Database, g)
+}
+
+func (c *Connections) wait(ctx context.Context, r Request, w *waiter) (*Conn, error) {
+	timer := time.NewTimer(time.Until(r.Deadline))
+	defer timer.Stop()
+	select {
+	case g := <-w.grant:
+		return c.take(ctx, r.Database, g)
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	c.mu.Lock()
+	queued := c.pool.Cancel(r.Customer, w)
+	c.mu.Unlock()
+	if !queued {
+		c.giveBack(w)
+	}
+	return nil, fault.New(fault.Config{
+		Kind:    fault.KindTimeout,
+		Message: "no connection to " + c.endpoint + " came free in time; the request did not run",
+		Remedy:  "try again in a second, or raise the contract's connections or queue_timeout",
+	})
+}
+
+// giveBack returns a grant that arrived as its waiter gave up.
+func (c *Connections) giveBack(w *waiter) {
+	select {
+	case g := <-w.grant:
+		closeAll(g.Close)
+		if g.Action == pool.ActionUse {
+			c.put(g.Conn)
+			return
+		}
+		c.discardCount()
+	default:
+	}
+}
+
+func (c *Connections) full(r Request) error {
+	return fault.New(fault.Config{
+		Kind:    fault.KindOverloaded,
+		Message: "the queue of customer " + r.Customer + " for " + c.endpoint + " is full; the request did not run",
+		Remedy:  "try again in a second, or raise the contract's connections or queue_length",
+	})
+}
+
+// take turns a grant into a connection, dialing when the grant says so.
+func (c *Connections) take(ctx context.Context, key string, g pool.Grant[*Conn]) (*Conn, error) {
+	closeAll(g.Close)
+	c.mu.Lock()
+	generation := c.generation
+	c.mu.Unlock()
+	conn := g.Conn
+	if g.Action == pool.ActionOpen {
+		opened, err := c.dial(ctx, key)
+		if err != nil {
+			c.discardCount()
+			return nil, err
+		}
+		opened.SetAnsweredAt(time.Now())
+		conn = opened
+	}
+	c.mu.Lock()
+	c.inUse[conn] = generation
+	c.mu.Unlock()
+	return conn, nil
+}
+
+// usable checks a connection that has been idle for longer than r allows.
+func (c *Connections) usable(ctx context.Context, conn *Conn, r Request) bool {
+	if time.Since(conn.AnsweredAt()) <= r.MaxIdle {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, validationTimeout)
+	defer cancel()
+	if _, err := conn.Status(ctx); err != nil {
+		return false
+	}
+	conn.SetAnsweredAt(time.Now())
+	return true
+}
+
+// validationTimeout bounds the check of an idle connection.
+const validationTimeout = 300 * time.Millisecond
+
+// Release returns a connection that is in its initial state.
+func (c *Connections) Release(conn *Conn) {
+	c.mu.Lock()
+	generation := c.inUse[conn]
+	stale := generation != c.generation
+	c.mu.Unlock()
+	if stale || conn.Canceled() {
+		c.Discard(conn)
+		return
+	}
+	c.mu.Lock()
+	delete(c.inUse, conn)
+	c.mu.Unlock()
+	c.put(conn)
+}
+
+func (c *Connections) put(conn *Conn) {
+	c.mu.Lock()
+	wakes, closes := c.pool.Release(time.Now(), conn, conn.Key())
+	c.mu.Unlock()
+	wake(wakes)
+	closeAll(closes)
+}
+
+// Discard closes a connection whose state is not known.
+func (c *Connections) Discard(conn *Conn) {
+	conn.Close()
+	c.mu.Lock()
+	delete(c.inUse, conn)
+	c.mu.Unlock()
+	c.discardCount()
+}
+
+func (c *Connections) discardCount() {
+	c.mu.Lock()
+	wakes := c.pool.Discard(time.Now())
+	c.mu.Unlock()
+	wake(wakes)
+}
+
+// suspectIdle closes the idle connections after one of them was found silent.
+func (c *Connections) suspectIdle() {
+	c.mu.Lock()
+	conns := c.pool.TakeIdle()
+	c.mu.Unlock()
+	closeAll(conns)
+}
+
+// CloseAll drops the idle connections and marks those in use to be closed on release; breakNow also closes the latter.
+func (c *Connections) CloseAll(breakNow bool) {
+	c.mu.Lock()
+	c.generation++
+	conns := c.pool.TakeIdle()
+	if breakNow {
+		for conn := range c.inUse {
+			conns = append(conns, conn)
+		}
+	}
+	c.mu.Unlock()
+	closeAll(conns)
+}
+
+// SetLimit changes how many connections this instance may hold.
+func (c *Connections) SetLimit(limit int) {
+	c.mu.Lock()
+	wakes, closes := c.pool.SetLimit(time.Now(), limit)
+	c.mu.Unlock()
+	wake(wakes)
+	closeAll(closes)
+}
+
+// Usage describes how an endpoint's connections are used.
+type Usage struct {
+	limit   int
+	open    int
+	idle    int
+	waiting int
+}
+
+// Limit returns how many connections this instance may hold.
+func (u Usage) Limit() int { return u.limit }
+
+// Open returns how many connections are open.
+func (u Usage) Open() int { return u.open }
+
+// Idle returns how many connections are open and unused.
+func (u Usage) Idle() int { return u.idle }
+
+// Waiting returns how many requests wait for a connection.
+func (u Usage) Waiting() int { return u.waiting }
+
+// Usage returns how the connections are used now.
+func (c *Connections) Usage() Usage {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return Usage{limit: c.pool.Limit(), open: c.pool.Open(), idle: c.pool.Idle(), waiting: c.pool.Waiting()}
+}
+
+func wake(wakes []pool.Wake[*Conn, *waiter]) {
+	for _, w := range wakes {
+		w.Waiter.grant <- w.Grant
+	}
+}
+
+func closeAll(conns []*Conn) {
+	for _, conn := range conns {
+		conn.Close()
+	}
+}
--- /dev/null
+++ b/endpoint/group.go
@@ -0,0 +1,301 @@
+package endpoint
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/monsoontiller/monsoontiller/fault"
+	"github.com/monsoontiller/monsoontiller/group"
+	"github.com/monsoontiller/monsoontiller/route"
+)
+
+// Address says where a member of a group listens.
+type Address struct {
+	Endpoint string
+	Address  string
+}
+
+// GroupConfig describes the watch over one database group.
+type GroupConfig struct {
+	Name          string
+	Members       []Address
+	ProbeInterval time.Duration
+	ProbeTimeout  time.Duration
+	Permit        time.Duration
+	Limit         int
+	Dial          func(ctx context.Context, address, database string) (*Conn, error)
+	Clock         func() time.Time
+}
+
+// Group watches one database group and shares its connections; it is safe for concurrent use.
+type Group struct {
+	cfg         GroupConfig
+	mu          sync.Mutex
+	tracker     *route.Tracker
+	changed     chan struct{}
+	connections map[string]*Connections
+	kicks       map[string]chan struct{}
+	lastError   map[string]error
+}
+
+// probeConnections is the number of connections to each member that serve probes only.
+const probeConnections = 1
+
+// NewGroup returns a group that knows nothing until Run probes it.
+func NewGroup(cfg GroupConfig) *Group {
+	if cfg.Clock == nil {
+		cfg.Clock = time.Now
+	}
+	g := &Group{
+		cfg:         cfg,
+		changed:     make(chan struct{}),
+		connections: map[string]*Connections{},
+		kicks:       map[string]chan struct{}{},
+		lastError:   map[string]error{},
+	}
+	var names []string
+	for _, m := range cfg.Members {
+		names = append(names, m.Endpoint)
+		g.kicks[m.Endpoint] = make(chan struct{}, 1)
+		g.connections[m.Endpoint] = NewConnections(ConnectionsConfig{
+			Endpoint: m.Endpoint,
+			Limit:    max(0, cfg.Limit-probeConnections),
+			Dial: func(ctx context.Context, key string) (*Conn, error) {
+				return cfg.Dial(ctx, m.Address, key)
+			},
+		})
+	}
+	g.tracker = route.NewTracker(route.TrackerConfig{Group: cfg.Name, Endpoints: names})
+	return g
+}
+
+// Name returns the group's name.
+func (g *Group) Name() string { return g.cfg.Name }
+
+// Members returns the addresses of the members.
+func (g *Group) Members() []Address { return append([]Address(nil), g.cfg.Members...) }
+
+// Connections returns the connections of one member, or nil for an unknown name.
+func (g *Group) Connections(endpoint string) *Connections { return g.connections[endpoint] }
+
+// SetLimit changes how many connections to each member this instance may hold, probes included.
+func (g *Group) SetLimit(limit int) {
+	for _, c := range g.connections {
+		c.SetLimit(max(0, limit-probeConnections))
+	}
+}
+
+// View calls f with the tracker under the group's lock; f must not block.
+func (g *Group) View(f func(t *route.Tracker)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	f(g.tracker)
+}
+
+// Observe takes a status that was asked for at sentAt and acts on a change of term.
+func (g *Group) Observe(sentAt time.Time, s group.Status) {
+	g.mu.Lock()
+	changed := g.tracker.Observe(sentAt, g.cfg.Clock(), s)
+	g.broadcastLocked()
+	g.mu.Unlock()
+	if changed {
+		g.dropOldTerm()
+	}
+}
+
+// Verify judges a replica's position ahead of a read.
+func (g *Group) Verify(sentAt time.Time, s group.Status, r route.Request) route.Verdict {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	before := g.tracker.ConfirmedAt()
+	v := g.tracker.Verify(sentAt, g.cfg.Clock(), s, r)
+	if g.tracker.ConfirmedAt().After(before) {
+		g.broadcastLocked()
+	}
+	return v
+}
+
+// dropOldTerm closes the connections that were opened in an earlier term.
+func (g *Group) dropOldTerm() {
+	for _, c := range g.connections {
+		c.CloseAll(false)
+	}
+}
+
+func (g *Group) broadcastLocked() {
+	close(g.changed)
+	g.changed = make(chan struct{})
+}
+
+// PermitValid reports whether the primary may be used and answers of it acknowledged at this moment.
+func (g *Group) PermitValid() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.permitLocked()
+}
+
+func (g *Group) permitLocked() bool {
+	confirmed := g.tracker.ConfirmedAt()
+	return !confirmed.IsZero() && g.cfg.Clock().Sub(confirmed) < g.cfg.Permit
+}
+
+// AwaitPermit waits until the primary may be used; it fails with KindNoPrimary at the deadline.
+func (g *Group) AwaitPermit(ctx context.Context, deadline time.Time) error {
+	return g.await(ctx, deadline, g.permitLocked)
+}
+
+// AwaitFloor returns a position of the primary that was probed at or after since, under a valid permit.
+func (g *Group) AwaitFloor(ctx context.Context, since, deadline time.Time) (group.Point, time.Time, error) {
+	var point group.Point
+	var at time.Time
+	err := g.await(ctx, deadline, func() bool {
+		point, at = g.tracker.PrimarySample()
+		return !at.Before(since) && !point.IsZero() && g.permitLocked()
+	})
+	return point, at, err
+}
+
+// await probes until ready, called under the lock, reports true.
+func (g *Group) await(ctx context.Context, deadline time.Time, ready func() bool) error {
+	timer := time.NewTimer(deadline.Sub(g.cfg.Clock()))
+	defer timer.Stop()
+	for {
+		g.mu.Lock()
+		ok := ready()
+		changed := g.changed
+		g.mu.Unlock()
+		if ok {
+			return nil
+		}
+		g.kick()
+		select {
+		case <-changed:
+		case <-timer.C:
+			return g.noPrimary(nil)
+		case <-ctx.Done():
+			return g.noPrimary(ctx.Err())
+		}
+	}
+}
+
+func (g *Group) noPrimary(cause error) error {
+	return fault.New(fault.Config{
+		Kind:    fault.KindNoPrimary,
+		Message: "no primary of group " + g.cfg.Name + " is confirmed by a second member",
+		Remedy:  "try again in a few seconds; `monsoontiller explain` names the members that do not answer",
+		Cause:   cause,
+	})
+}
+
+// kick asks every prober to probe now.
+func (g *Group) kick() {
+	for _, k := range g.kicks {
+		select {
+		case k <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// Run probes the members until ctx ends.
+func (g *Group) Run(ctx context.Context) error {
+	ends := make(chan error, len(g.cfg.Members))
+	for _, m := range g.cfg.Members {
+		go func() { ends <- g.probeLoop(ctx, m) }()
+	}
+	for range g.cfg.Members {
+		if err := <-ends; err != nil {
+			return err
+		}
+	}
+	g.dropOldTerm()
+	return nil
+}
+
+// probeLoop probes one member at every interval and on every kick.
+func (g *Group) probeLoop(ctx context.Context, m Address) error {
+	ticker := time.NewTicker(g.cfg.ProbeInterval)
+	defer ticker.Stop()
+	var conn *Conn
+	for {
+		conn = g.probe(ctx, m, conn)
+		select {
+		case <-ticker.C:
+		case <-g.kicks[m.Endpoint]:
+			g.pace(ctx, conn)
+		case <-ctx.Done():
+			if conn != nil {
+				conn.Close()
+			}
+			return nil
+		}
+	}
+}
+
+// pace keeps kicks from redialing an unreachable member without pause.
+func (g *Group) pace(ctx context.Context, conn *Conn) {
+	if conn != nil {
+		return
+	}
+	select {
+	case <-time.After(redialPause):
+	case <-ctx.Done():
+	}
+}
+
+// redialPause is the least time between two dials of an unreachable member.
+const redialPause = 20 * time.Millisecond
+
+// probe asks the member for its status over conn, dialing first if conn is nil, and returns the connection for the next probe.
+func (g *Group) probe(ctx context.Context, m Address, conn *Conn) *Conn {
+	ctx, cancel := context.WithTimeout(ctx, g.cfg.ProbeTimeout)
+	defer cancel()
+	var err error
+	if conn == nil {
+		conn, err = g.cfg.Dial(ctx, m.Address, "")
+	}
+	if err != nil {
+		g.failed(m.Endpoint, err)
+		return nil
+	}
+	sentAt := g.cfg.Clock()
+	s, err := conn.Status(ctx)
+	if err != nil {
+		conn.Close()
+		g.failed(m.Endpoint, err)
+		return nil
+	}
+	g.mu.Lock()
+	delete(g.lastError, m.Endpoint)
+	g.mu.Unlock()
+	g.Observe(sentAt, s)
+	return conn
+}
+
+func (g *Group) failed(endpoint string, err error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.lastError[endpoint] = err
+	g.tracker.SetDown(endpoint, true)
+	g.broadcastLocked()
+}
+
+// LastError returns why the newest probe of an endpoint failed, or nil.
+func (g *Group) LastError(endpoint string) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.lastError[endpoint]
+}
+
+// Leads reports whether s comes from the primary of the newest term known.
+func (g *Group) Leads(s group.Status) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return s.Role() == group.RolePrimary && s.Endpoint() == g.tracker.Primary() && s.Point().Term() == g.tracker.Term()
+}
+
+// AwaitReplicated waits until a replica in the term of point has reached it; it fails with KindNoPrimary at the deadline.
+func (g *Group) AwaitReplicated(ctx context.Context, point group.Point, deadline time.Time) error {
+	return g.await(ctx, deadline, func() bool { return g.tracker.Replicated(point) })
+}
--- /dev/null
+++ b/endpoint/scram.go
@@ -0,0 +1,59 @@
+package endpoint
+
+import (
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/monsoontiller/monsoontiller/fault"
+	"github.com/monsoontiller/monsoontiller/scram"
+)
+
+// authenticate runs SCRAM-SHA-256 as a client.
+func (c *Conn) authenticate(cfg DialConfig) error {
+	exchange, err := scram.NewClient(scram.ClientConfig{User: cfg.User, Password: cfg.Password})
+	if err != nil {
+		return err
+	}
+	c.frontend.Send(&pgproto3.SASLInitialResponse{
+		AuthMechanism: scram.Mechanism,
+		Data:          []byte(exchange.First()),
+	})
+	if err := c.frontend.Flush(); err != nil {
+		return unreachable(cfg.Address, err)
+	}
+	msg, err := c.frontend.Receive()
+	if err != nil {
+		return unreachable(cfg.Address, err)
+	}
+	challenge, ok := msg.(*pgproto3.AuthenticationSASLContinue)
+	if !ok {
+		return unexpectedAuth(cfg.Address, msg)
+	}
+	final, err := exchange.Final(string(challenge.Data))
+	if err != nil {
+		return err
+	}
+	c.frontend.Send(&pgproto3.SASLResponse{Data: []byte(final)})
+	if err := c.frontend.Flush(); err != nil {
+		return unreachable(cfg.Address, err)
+	}
+	msg, err = c.frontend.Receive()
+	if err != nil {
+		return unreachable(cfg.Address, err)
+	}
+	signature, ok := msg.(*pgproto3.AuthenticationSASLFinal)
+	if !ok {
+		return unexpectedAuth(cfg.Address, msg)
+	}
+	return exchange.Verify(string(signature.Data))
+}
+
+func unexpectedAuth(address string, msg pgproto3.BackendMessage) error {
+	if m, ok := msg.(*pgproto3.ErrorResponse); ok {
+		return refusedStartup(address, m)
+	}
+	return fault.New(fault.Config{
+		Kind:    fault.KindProtocol,
+		Message: "endpoint " + address + " broke off SCRAM authentication",
+		Remedy:  "check the user and password of the database in the contract",
+	})
+}
--- /dev/null
+++ b/endpoint/status.go
@@ -0,0 +1,108 @@
+package endpoint
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/monsoontiller/monsoontiller/fault"
+	"github.com/monsoontiller/monsoontiller/group"
+)
+
+// StatusQuery asks a member for its status.
+const StatusQuery = "SELECT endpoint_status()"
+
+// statusColumns is the number of columns in a status row.
+const statusColumns = 7
+
+// ParseStatus returns the status in a row of endpoint_status(); it fails with KindProtocol.
+func ParseStatus(row *pgproto3.DataRow) (group.Status, error) {
+	if len(row.Values) != statusColumns {
+		return group.Status{}, badStatus(fmt.Errorf("%d columns, want %d", len(row.Values), statusColumns))
+	}
+	var numbers [3]uint64
+	for i := range numbers {
+		n, err := strconv.ParseUint(string(row.Values[2+i]), 10, 64)
+		if err != nil {
+			return group.Status{}, badStatus(err)
+		}
+		numbers[i] = n
+	}
+	history, err := group.ParseHistory(string(row.Values[6]))
+	if err != nil {
+		return group.Status{}, badStatus(err)
+	}
+	return group.NewStatus(group.StatusConfig{
+		Endpoint: string(row.Values[0]),
+		Role:     group.ParseRole(string(row.Values[1])),
+		Point:    group.NewPoint(group.Term(numbers[0]), group.Position(numbers[1])),
+		Promised: group.Term(numbers[2]),
+		Attempt:  string(row.Values[5]),
+		History:  history,
+	}), nil
+}
+
+func badStatus(cause error) error {
+	return fault.New(fault.Config{
+		Kind:    fault.KindProtocol,
+		Message: "an endpoint's status cannot be read",
+		Remedy:  "install the platform's endpoint functions of this release on the endpoint",
+		Cause:   cause,
+	})
+}
+
+// Status asks the endpoint for its status.
+func (c *Conn) Status(ctx context.Context) (group.Status, error) {
+	return c.ask(ctx, StatusQuery)
+}
+
+// Fence asks the endpoint to promise term to attempt and returns the status that follows.
+func (c *Conn) Fence(ctx context.Context, term group.Term, attempt string) (group.Status, error) {
+	return c.ask(ctx, fmt.Sprintf("SELECT endpoint_fence(%d, %s)", term, quote(attempt)))
+}
+
+// Promote asks the endpoint to lead term for attempt and returns the status that follows.
+func (c *Conn) Promote(ctx context.Context, term group.Term, attempt string) (group.Status, error) {
+	return c.ask(ctx, fmt.Sprintf("SELECT endpoint_promote(%d, %s)", term, quote(attempt)))
+}
+
+func quote(text string) string { return "'" + strings.ReplaceAll(text, "'", "''") + "'" }
+
+// ask runs a query that answers with one status row; after an error the connection must be closed.
+func (c *Conn) ask(ctx context.Context, sql string) (group.Status, error) {
+	stop := context.AfterFunc(ctx, func() { c.nc.SetDeadline(time.Unix(1, 0)) })
+	s, err := c.askRow(sql)
+	if !stop() && err == nil {
+		err = ctx.Err()
+	}
+	return s, err
+}
+
+func (c *Conn) askRow(sql string) (group.Status, error) {
+	if err := c.Queue(&pgproto3.Query{String: sql}); err != nil {
+		return group.Status{}, err
+	}
+	if _, err := c.Flush(); err != nil {
+		return group.Status{}, unreachable(c.address, err)
+	}
+	var status group.Status
+	var failure error
+	for {
+		msg, err := c.Receive()
+		if err != nil {
+			return group.Status{}, unreachable(c.address, err)
+		}
+		switch m := msg.(type) {
+		case *pgproto3.DataRow:
+			status, failure = ParseStatus(m)
+		case *pgproto3.ErrorResponse:
+			failure = refusedStartup(c.address, m)
+		case *pgproto3.ReadyForQuery:
+			return status, failure
+		}
+	}
+}
--- /dev/null
+++ b/endpoint/tcp.go
@@ -0,0 +1,72 @@
+package endpoint
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	keepAliveIdle     = 5 * time.Second
+	keepAliveInterval = 2 * time.Second
+	keepAliveCount    = 3
+	userTimeout       = 10 * time.Second
+)
+
+// dialTCP connects with keepalive and TCP_USER_TIMEOUT set, so that a peer that vanished is noticed.
+func dialTCP(ctx context.Context, cfg DialConfig) (net.Conn, error) {
+	d := net.Dialer{
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable:   true,
+			Idle:     keepAliveIdle,
+			Interval: keepAliveInterval,
+			Count:    keepAliveCount,
+		},
+		Control: setUserTimeout,
+	}
+	nc, err := d.DialContext(ctx, "tcp", cfg.Address)
+	if err != nil || cfg.TLS == nil {
+		return nc, err
+	}
+	return startTLS(ctx, nc, cfg)
+}
+
+func setUserTimeout(_, _ string, rc syscall.RawConn) error {
+	var optErr error
+	err := rc.Control(func(fd uintptr) {
+		optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+	})
+	return errors.Join(err, optErr)
+}
+
+var sslRequest = []byte{0, 0, 0, 8, 4, 210, 22, 47}
+
+// startTLS asks the endpoint for TLS and fails when it declines.
+func startTLS(ctx context.Context, nc net.Conn, cfg DialConfig) (net.Conn, error) {
+	stop := context.AfterFunc(ctx, func() { nc.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	answer := make([]byte, 1)
+	if _, err := nc.Write(sslRequest); err != nil {
+		nc.Close()
+		return nil, err
+	}
+	if _, err := nc.Read(answer); err != nil {
+		nc.Close()
+		return nil, err
+	}
+	if answer[0] != 'S' {
+		nc.Close()
+		return nil, errors.New("the endpoint does not offer TLS; enable it there or unset endpoint_ca")
+	}
+	tc := tls.Client(nc, cfg.TLS)
+	if err := tc.HandshakeContext(ctx); err != nil {
+		nc.Close()
+		return nil, err
+	}
+	return tc, nil
+}
--- /dev/null
+++ b/group/history.go
@@ -0,0 +1,156 @@
+package group
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// MaxHistory is the number of term starts that a History retains.
+const MaxHistory = 32
+
+// TermStart records the position at which a term began.
+type TermStart struct {
+	term  Term
+	start Position
+}
+
+// NewTermStart returns the record that term began at start.
+func NewTermStart(term Term, start Position) TermStart {
+	return TermStart{term: term, start: start}
+}
+
+// Term returns the term that began.
+func (s TermStart) Term() Term { return s.term }
+
+// Start returns the position at which the term began.
+func (s TermStart) Start() Position { return s.start }
+
+// History lists term starts in ascending order of term, at most MaxHistory of them.
+//
+// The oldest retained entry bounds what can be said: nothing is known of terms before it.
+type History struct {
+	starts []TermStart
+}
+
+// NewHistory returns a history of starts, which must ascend by term.
+func NewHistory(starts ...TermStart) History {
+	if len(starts) > MaxHistory {
+		starts = starts[len(starts)-MaxHistory:]
+	}
+	return History{starts: append([]TermStart(nil), starts...)}
+}
+
+// Current returns the newest term in the history, or 0 when it is empty.
+func (h History) Current() Term {
+	if len(h.starts) == 0 {
+		return 0
+	}
+	return h.starts[len(h.starts)-1].term
+}
+
+// Starts returns a copy of the retained term starts.
+func (h History) Starts() []TermStart { return append([]TermStart(nil), h.starts...) }
+
+// With returns the history extended by a newer term, or h itself if s is not newer.
+func (h History) With(s TermStart) History {
+	if s.term <= h.Current() {
+		return h
+	}
+	return NewHistory(append(h.Starts(), s)...)
+}
+
+// Fate says what became of a log point in later terms.
+type Fate uint8
+
+// The fates of a point.
+const (
+	// FateSurvived means that the current term's log holds the point.
+	FateSurvived Fate = iota
+	// FateLost means that the point lies past the end of its term.
+	FateLost
+	// FateAhead means that the point names a term newer than the history.
+	FateAhead
+	// FateForgotten means that the point is older than the history retains.
+	FateForgotten
+)
+
+// Resolve carries point p into the newest term of the history.
+//
+// The result is meaningful only for FateSurvived: the same position in the
+// current term, whose log shares its prefix with every earlier term up to that
+// term's end.
+func (h History) Resolve(p Point) (Point, Fate) {
+	current := h.Current()
+	switch {
+	case p.IsZero():
+		return NewPoint(current, 0), FateSurvived
+	case p.term == current:
+		return p, FateSurvived
+	case p.term > current:
+		return Point{}, FateAhead
+	}
+	return h.resolveOlder(p)
+}
+
+func (h History) resolveOlder(p Point) (Point, Fate) {
+	if h.starts[0].term > p.term {
+		return Point{}, FateForgotten
+	}
+	for _, s := range h.starts {
+		if s.term <= p.term {
+			continue
+		}
+		if p.position > s.start {
+			return Point{}, FateLost
+		}
+		return NewPoint(h.Current(), p.position), FateSurvived
+	}
+	return Point{}, FateForgotten
+}
+
+// String returns the history as comma-separated "term:start" pairs.
+func (h History) String() string {
+	parts := make([]string, 0, len(h.starts))
+	for _, s := range h.starts {
+		parts = append(parts, fmt.Sprintf("%d:%d", s.term, s.start))
+	}
+	return strings.Join(parts, ",")
+}
+
+// ParseHistory returns the history written by History.String; it fails on any other text.
+func ParseHistory(text string) (History, error) {
+	if text == "" {
+		return History{}, nil
+	}
+	var starts []TermStart
+	var last Term
+	for _, part := range strings.Split(text, ",") {
+		s, err := parseTermStart(part)
+		if err != nil {
+			return History{}, err
+		}
+		if s.term <= last {
+			return History{}, fmt.Errorf("term history %q does not ascend; the endpoint must report terms in order", text)
+		}
+		last = s.term
+		starts = append(starts, s)
+	}
+	return NewHistory(starts...), nil
+}
+
+func parseTermStart(text string) (TermStart, error) {
+	termText, startText, ok := strings.Cut(text, ":")
+	if !ok {
+		return TermStart{}, fmt.Errorf("term start %q has no colon; the endpoint must report term:start", text)
+	}
+	term, err := strconv.ParseUint(termText, 10, 64)
+	if err != nil {
+		return TermStart{}, fmt.Errorf("term start %q: term is not a number: %w", text, err)
+	}
+	start, err := strconv.ParseUint(startText, 10, 64)
+	if err != nil {
+		return TermStart{}, fmt.Errorf("term start %q: start is not a number: %w", text, err)
+	}
+	return NewTermStart(Term(term), Position(start)), nil
+}
--- /dev/null
+++ b/retry/budget.go
@@ -0,0 +1,66 @@
+package retry
+
+import "time"
+
+// BudgetConfig sets how many retries a budget allows.
+type BudgetConfig struct {
+	Ratio     float64
+	PerSecond float64
+	Burst     float64
+}
+
+// Budget limits retries to a share of requests plus a small constant rate; it is not safe for concurrent use.
+type Budget struct {
+	cfg    BudgetConfig
+	tokens float64
+	last   time.Time
+}
+
+// NewBudget returns a full budget.
+func NewBudget(cfg BudgetConfig) *Budget {
+	return &Budget{cfg: cfg, tokens: cfg.Burst}
+}
+
+// Request credits the budget for one new request.
+func (b *Budget) Request() { b.add(b.cfg.Ratio) }
+
+// Allow takes one retry from the budget at now and reports whether there was one.
+func (b *Budget) Allow(now time.Time) bool {
+	if !b.last.IsZero() {
+		b.add(now.Sub(b.last).Seconds() * b.cfg.PerSecond)
+	}
+	b.last = now
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+func (b *Budget) add(tokens float64) {
+	b.tokens = min(b.tokens+tokens, b.cfg.Burst)
+}
+
+// BackoffConfig bounds the wait between attempts.
+type BackoffConfig struct {
+	First time.Duration
+	Max   time.Duration
+}
+
+// Backoff computes waits that double up to a maximum, with full jitter.
+type Backoff struct {
+	cfg BackoffConfig
+}
+
+// NewBackoff returns a backoff within cfg.
+func NewBackoff(cfg BackoffConfig) Backoff { return Backoff{cfg: cfg} }
+
+// Wait returns the wait before attempt number n, counted from 1, for a random number in [0, 1).
+func (b Backoff) Wait(n int, random float64) time.Duration {
+	ceiling := b.cfg.First
+	for i := 1; i < n && ceiling < b.cfg.Max; i++ {
+		ceiling *= 2
+	}
+	ceiling = min(ceiling, b.cfg.Max)
+	return time.Duration(random * float64(ceiling))
+}
--- /dev/null
+++ b/route/decide.go
@@ -0,0 +1,169 @@
+package route
+
+import (
+	"time"
+
+	"github.com/monsoontiller/monsoontiller/group"
+)
+
+// Class says whether a request may change data.
+type Class uint8
+
+// The classes of a request; an unmarked request is a write.
+const (
+	ClassWrite Class = iota
+	ClassRead
+)
+
+// Request is what a routing decision depends on.
+type Request struct {
+	Class        Class
+	Floor        group.Point
+	FloorAt      time.Time
+	MaxStaleness time.Duration
+	WaitBudget   time.Duration
+}
+
+// Target says what kind of endpoint a decision names.
+type Target uint8
+
+// The targets of a decision.
+const (
+	// TargetNone means that nothing can serve the request now.
+	TargetNone Target = iota
+	// TargetPrimary is the primary of the newest term.
+	TargetPrimary
+	// TargetReplica is a replica whose position the caller must verify.
+	TargetReplica
+)
+
+// Decision names the endpoint for a request and how long to wait before asking it.
+type Decision struct {
+	target   Target
+	endpoint string
+	wait     time.Duration
+}
+
+// NewDecision returns a decision for policies outside this package.
+func NewDecision(target Target, endpoint string, wait time.Duration) Decision {
+	return Decision{target: target, endpoint: endpoint, wait: wait}
+}
+
+// Target returns the kind of endpoint.
+func (d Decision) Target() Target { return d.target }
+
+// Endpoint returns the endpoint's name, or "" for TargetNone.
+func (d Decision) Endpoint() string { return d.endpoint }
+
+// Wait returns how long to wait before the request is sent.
+func (d Decision) Wait() time.Duration { return d.wait }
+
+// Policy decides where a request goes.
+type Policy interface {
+	// Decide returns the endpoint for r as known at now.
+	Decide(now time.Time, t *Tracker, r Request) Decision
+}
+
+// Floor is the policy that sends a read to the replica that satisfies it soonest.
+type Floor struct{}
+
+// catchUpMargin is added to a predicted catch-up time.
+const catchUpMargin = 500 * time.Microsecond
+
+// Decide returns the least loaded replica that satisfies r now or within its wait budget, else the primary.
+func (Floor) Decide(now time.Time, t *Tracker, r Request) Decision {
+	if r.Class == ClassRead {
+		if d, ok := bestReplica(now, t, r); ok {
+			return d
+		}
+	}
+	return toPrimary(t)
+}
+
+func toPrimary(t *Tracker) Decision {
+	if t.primary == "" || t.members[t.primary].leaving {
+		return Decision{}
+	}
+	return Decision{target: TargetPrimary, endpoint: t.primary}
+}
+
+func bestReplica(now time.Time, t *Tracker, r Request) (Decision, bool) {
+	var best Decision
+	var bestLoad int
+	for _, name := range t.order {
+		m := t.members[name]
+		if name == t.primary || !t.usable(m) {
+			continue
+		}
+		wait, ok := t.readyIn(now, m, r)
+		if !ok || wait > r.WaitBudget {
+			continue
+		}
+		better := best.target == TargetNone || wait < best.wait || (wait == best.wait && m.load < bestLoad)
+		if better {
+			best = Decision{target: TargetReplica, endpoint: name, wait: wait}
+			bestLoad = m.load
+		}
+	}
+	return best, best.target == TargetReplica
+}
+
+// readyIn predicts how long until the replica satisfies r; ok is false when it never may.
+func (t *Tracker) readyIn(now time.Time, m *member, r Request) (time.Duration, bool) {
+	if r.MaxStaleness > 0 && !t.youngEnough(now, m, r.MaxStaleness) {
+		return 0, false
+	}
+	if m.point.Position() >= r.Floor.Position() {
+		return 0, true
+	}
+	if m.sampledAt.IsZero() {
+		return 0, false
+	}
+	ready := r.FloorAt.Add(m.lag + catchUpMargin)
+	return max(0, ready.Sub(now)), true
+}
+
+// youngEnough predicts whether the replica's data is at most limit old.
+//
+// The age of the last sample counts only if the replica has not been heard of
+// since; otherwise the estimated lag tells.
+func (t *Tracker) youngEnough(now time.Time, m *member, limit time.Duration) bool {
+	age, ok := t.age(now, m.point.Position())
+	if ok && age <= limit {
+		return true
+	}
+	_, known := t.track.behind(now, m.point.Position())
+	return known && m.lag+now.Sub(t.ConfirmedAt()) <= limit
+}
+
+// Verdict says whether a replica's answer may be passed on.
+type Verdict uint8
+
+// The verdicts on a replica's position.
+const (
+	VerdictServe Verdict = iota
+	VerdictBehindFloor
+	VerdictTooOld
+	VerdictWrongTerm
+)
+
+// Verify judges the position that a replica reported ahead of a read, sent at sentAt.
+func (t *Tracker) Verify(sentAt, now time.Time, s group.Status, r Request) Verdict {
+	t.Observe(sentAt, now, s)
+	if s.Point().Term() != t.Term() {
+		return VerdictWrongTerm
+	}
+	if r.Floor.Term() != t.Term() {
+		return VerdictWrongTerm
+	}
+	if s.Point().Position() < r.Floor.Position() {
+		return VerdictBehindFloor
+	}
+	if r.MaxStaleness > 0 {
+		age, ok := t.age(now, s.Point().Position())
+		if !ok || age > r.MaxStaleness {
+			return VerdictTooOld
+		}
+	}
+	return VerdictServe
+}
--- /dev/null
+++ b/route/policies.go
@@ -0,0 +1,36 @@
+package route
+
+import "time"
+
+// PrimaryOnly is the baseline policy that sends every request to the primary.
+type PrimaryOnly struct{}
+
+// Decide returns the primary, or TargetNone when none is known.
+func (PrimaryOnly) Decide(_ time.Time, t *Tracker, _ Request) Decision { return toPrimary(t) }
+
+// FixedWait is the baseline policy that takes replicas in turn after a fixed wait from the floor.
+type FixedWait struct {
+	Wait time.Duration
+	turn int
+}
+
+// Decide returns the next usable replica for a read whose floor is at least Wait old by the time it is sent.
+func (p *FixedWait) Decide(now time.Time, t *Tracker, r Request) Decision {
+	if r.Class != ClassRead {
+		return toPrimary(t)
+	}
+	for range t.order {
+		p.turn++
+		name := t.order[p.turn%len(t.order)]
+		m := t.members[name]
+		if name == t.primary || !t.usable(m) {
+			continue
+		}
+		wait := max(0, p.Wait-now.Sub(r.FloorAt))
+		if wait > r.WaitBudget {
+			return toPrimary(t)
+		}
+		return Decision{target: TargetReplica, endpoint: name, wait: wait}
+	}
+	return toPrimary(t)
+}
--- /dev/null
+++ b/route/tracker.go
@@ -0,0 +1,253 @@
+package route
+
+import (
+	"time"
+
+	"github.com/monsoontiller/monsoontiller/group"
+)
+
+// Weights of the lag estimate: it follows a rise at once and a fall slowly.
+const lagDecay = 0.9
+
+// TrackerConfig names the members of a group.
+type TrackerConfig struct {
+	Group     string
+	Endpoints []string
+}
+
+// Tracker keeps what an instance knows of one group; it is not safe for concurrent use.
+type Tracker struct {
+	name    string
+	history group.History
+	primary string
+	members map[string]*member
+	order   []string
+	track   *track
+
+	primaryConfirmedAt time.Time
+	replicaConfirmedAt time.Time
+}
+
+// member is what is known of one endpoint.
+type member struct {
+	point     group.Point
+	sampledAt time.Time
+	lag       time.Duration
+	down      bool
+	leaving   bool
+	load      int
+}
+
+// NewTracker returns a tracker that knows no positions yet.
+func NewTracker(cfg TrackerConfig) *Tracker {
+	t := &Tracker{name: cfg.Group, members: map[string]*member{}, track: newTrack()}
+	for _, e := range cfg.Endpoints {
+		t.members[e] = &member{}
+		t.order = append(t.order, e)
+	}
+	return t
+}
+
+// Group returns the group's name.
+func (t *Tracker) Group() string { return t.name }
+
+// Endpoints returns the members' names in the configured order.
+func (t *Tracker) Endpoints() []string { return append([]string(nil), t.order...) }
+
+// Term returns the newest term known, or 0.
+func (t *Tracker) Term() group.Term { return t.history.Current() }
+
+// History returns where each known term began.
+func (t *Tracker) History() group.History { return t.history }
+
+// Primary returns the primary of the newest term, or "" when none is known.
+func (t *Tracker) Primary() string { return t.primary }
+
+// SetDown records whether an endpoint can be reached.
+func (t *Tracker) SetDown(endpoint string, down bool) {
+	if m := t.members[endpoint]; m != nil {
+		m.down = down
+	}
+}
+
+// SetLeaving records whether an endpoint is to get no new work.
+func (t *Tracker) SetLeaving(endpoint string, leaving bool) {
+	if m := t.members[endpoint]; m != nil {
+		m.leaving = leaving
+	}
+}
+
+// Leaving reports whether an endpoint is to get no new work.
+func (t *Tracker) Leaving(endpoint string) bool {
+	m := t.members[endpoint]
+	return m != nil && m.leaving
+}
+
+// AddLoad changes the number of requests in flight at an endpoint by delta.
+func (t *Tracker) AddLoad(endpoint string, delta int) {
+	if m := t.members[endpoint]; m != nil {
+		m.load += delta
+	}
+}
+
+// Observe takes a member's status, asked for at sentAt and received at now, and reports whether the term changed.
+func (t *Tracker) Observe(sentAt, now time.Time, s group.Status) bool {
+	m := t.members[s.Endpoint()]
+	if m == nil {
+		return false
+	}
+	changed := t.adopt(s)
+	m.down = false
+	if m.sampledAt.After(sentAt) {
+		return changed
+	}
+	m.point = s.Point()
+	m.sampledAt = sentAt
+	if s.Point().Term() != t.Term() {
+		return changed
+	}
+	t.confirm(sentAt, s)
+	if s.Role() == group.RolePrimary && s.Endpoint() == t.primary {
+		t.track.add(sample{sentAt: sentAt, position: s.Point().Position()})
+		return changed
+	}
+	t.estimateLag(m, now)
+	return changed
+}
+
+// adopt moves to a newer term once a primary that may lead it has reported.
+func (t *Tracker) adopt(s group.Status) bool {
+	term := s.Point().Term()
+	if s.Role() != group.RolePrimary || term <= t.Term() {
+		return false
+	}
+	t.history = s.History()
+	if t.history.Current() != term {
+		t.history = t.history.With(group.NewTermStart(term, s.Point().Position()))
+	}
+	t.primary = s.Endpoint()
+	t.track.reset()
+	t.primaryConfirmedAt = time.Time{}
+	t.replicaConfirmedAt = time.Time{}
+	return true
+}
+
+// confirm notes that a member still takes part in the newest term.
+func (t *Tracker) confirm(sentAt time.Time, s group.Status) {
+	if !s.Confirms(t.Term()) {
+		return
+	}
+	at := &t.replicaConfirmedAt
+	if s.Endpoint() == t.primary {
+		at = &t.primaryConfirmedAt
+	}
+	if sentAt.After(*at) {
+		*at = sentAt
+	}
+}
+
+// Revoke forgets that the primary was confirmed, after it refused a write.
+func (t *Tracker) Revoke() { t.primaryConfirmedAt = time.Time{} }
+
+// ConfirmedAt returns the newest time at which no majority of members had left the newest term.
+//
+// The primary and one replica confirmed the term to requests sent at or after
+// that time; any majority of the group shares a member with that pair. It is the
+// zero time while either is missing.
+func (t *Tracker) ConfirmedAt() time.Time {
+	if t.replicaConfirmedAt.Before(t.primaryConfirmedAt) {
+		return t.replicaConfirmedAt
+	}
+	return t.primaryConfirmedAt
+}
+
+func (t *Tracker) estimateLag(m *member, now time.Time) {
+	lag, ok := t.track.behind(now, m.point.Position())
+	if !ok {
+		return
+	}
+	if lag > m.lag {
+		m.lag = lag
+		return
+	}
+	m.lag = time.Duration(lagDecay*float64(m.lag) + (1-lagDecay)*float64(lag))
+}
+
+// Age returns how old the data at a replica's point is at now; ok is false when that is unknown.
+func (t *Tracker) Age(now time.Time, point group.Point) (age time.Duration, ok bool) {
+	if point.Term() != t.Term() {
+		return 0, false
+	}
+	return t.age(now, point.Position())
+}
+
+// age is never less than the time since the primary was last known to lead.
+func (t *Tracker) age(now time.Time, position group.Position) (time.Duration, bool) {
+	confirmed := t.ConfirmedAt()
+	if confirmed.IsZero() {
+		return 0, false
+	}
+	age, ok := t.track.age(now, position)
+	return max(age, now.Sub(confirmed)), ok
+}
+
+// Replica describes a replica for reports.
+type Replica struct {
+	endpoint string
+	point    group.Point
+	lag      time.Duration
+	usable   bool
+}
+
+// Endpoint returns the replica's name.
+func (r Replica) Endpoint() string { return r.endpoint }
+
+// Point returns the newest log point known of the replica.
+func (r Replica) Point() group.Point { return r.point }
+
+// Lag returns the estimated replication lag.
+func (r Replica) Lag() time.Duration { return r.lag }
+
+// Usable reports whether reads may be routed to the replica at all.
+func (r Replica) Usable() bool { return r.usable }
+
+// Replicas returns every member but the primary, in the configured order.
+func (t *Tracker) Replicas() []Replica {
+	var out []Replica
+	for _, name := range t.order {
+		if name == t.primary {
+			continue
+		}
+		m := t.members[name]
+		out = append(out, Replica{endpoint: name, point: m.point, lag: m.lag, usable: t.usable(m)})
+	}
+	return out
+}
+
+// usable reports whether a replica may serve reads: reachable, staying, and in the newest term.
+func (t *Tracker) usable(m *member) bool {
+	return !m.down && !m.leaving && m.point.Term() == t.Term() && t.Term() != 0
+}
+
+// PrimarySample returns the newest position known of the primary and when it was asked for.
+func (t *Tracker) PrimarySample() (group.Point, time.Time) {
+	s := t.track.newest
+	if s.sentAt.IsZero() {
+		return group.Point{}, time.Time{}
+	}
+	return group.NewPoint(t.Term(), s.position), s.sentAt
+}
+
+// Replicated reports whether a replica is known to hold the log up to point.
+func (t *Tracker) Replicated(point group.Point) bool {
+	for _, name := range t.order {
+		m := t.members[name]
+		if name == t.primary || m.point.Term() != point.Term() {
+			continue
+		}
+		if m.point.Position() >= point.Position() {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/session/session_test.go
@@ -0,0 +1,90 @@
+package session_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/monsoontiller/monsoontiller/fault"
+	"github.com/monsoontiller/monsoontiller/group"
+	"github.com/monsoontiller/monsoontiller/session"
+)
+
+var start = time.Unix(1000, 0)
+
+func TestProbeSentBeforeConnectGivesNoFloor(t *testing.T) {
+	s := session.New(session.Config{ConnectedAt: start})
+	if s.Probed(group.NewPoint(1, 5), start.Add(-time.Millisecond)) {
+		t.Error("a probe sent before the session connected was taken as its floor")
+	}
+	if s.Known() {
+		t.Error("the session has a floor without a usable probe")
+	}
+	if !s.Probed(group.NewPoint(1, 7), start) {
+		t.Error("a probe sent at connect was not taken")
+	}
+}
+
+func TestFloorNeverFalls(t *testing.T) {
+	s := session.New(session.Config{ConnectedAt: start, Floor: group.NewPoint(2, 9)})
+	s.Raise(group.NewPoint(2, 4), start)
+	s.Raise(group.NewPoint(1, 50), start)
+	if floor, _ := s.Floor(); floor != group.NewPoint(2, 9) {
+		t.Errorf("floor = %v, want 2/9", floor)
+	}
+}
+
+func TestLostWriteIsReportedOnce(t *testing.T) {
+	s := session.New(session.Config{ConnectedAt: start, Floor: group.NewPoint(1, 30)})
+	h := group.NewHistory(group.NewTermStart(1, 0), group.NewTermStart(2, 20))
+	_, err := s.Resolve(h, start.Add(time.Second))
+	if fault.KindOf(err) != fault.KindLostWrite {
+		t.Fatalf("Resolve gave %v, want a lost write", err)
+	}
+	if s.Known() {
+		t.Error("the session kept a floor that was lost")
+	}
+	if s.Probed(group.NewPoint(2, 25), start.Add(time.Millisecond)) {
+		t.Error("a probe from before the report was taken as the new floor")
+	}
+	s.Probed(group.NewPoint(2, 25), start.Add(time.Second))
+	if _, err := s.Resolve(h, start); err != nil {
+		t.Errorf("second Resolve: %v", err)
+	}
+}
+
+func TestTokenRoundTripAndScope(t *testing.T) {
+	codec, err := session.NewCodec(session.CodecConfig{Key: []byte("0123456789abcdef")})
+	if err != nil {
+		t.Fatal(err)
+	}
+	scope := session.Scope{Customer: "baird-lennox", Database: "candidates-1"}
+	token := codec.Encode(scope, group.NewPoint(3, 77))
+	got, err := codec.Decode(scope, token)
+	if err != nil || got != group.NewPoint(3, 77) {
+		t.Fatalf("Decode = %v, %v", got, err)
+	}
+	other := session.Scope{Customer: "lellu", Database: "candidates-1"}
+	if _, err := codec.Decode(other, token); fault.KindOf(err) != fault.KindUnauthorized {
+		t.Errorf("a token of another customer was taken: %v", err)
+	}
+	forged := []byte(token)
+	forged[5] ^= 1
+	if _, err := codec.Decode(scope, string(forged)); err == nil {
+		t.Error("a forged token was taken")
+	}
+}
+
+func FuzzTokenDecode(f *testing.F) {
+	codec, err := session.NewCodec(session.CodecConfig{Key: []byte("0123456789abcdef")})
+	if err != nil {
+		f.Fatal(err)
+	}
+	scope := session.Scope{Customer: "c", Database: "d"}
+	f.Add(codec.Encode(scope, group.NewPoint(1, 2)))
+	f.Fuzz(func(t *testing.T, token string) {
+		point, err := codec.Decode(scope, token)
+		if err == nil && codec.Encode(scope, point) != token {
+			t.Fatalf("token %q decodes to %v but is not its encoding", token, point)
+		}
+	})
+}
