--- a/endpoint/endpointtest/member.go
+++ b/endpoint/endpointtest/member.go
@@ -141,6 +141,14 @@
 	return m.role == group.RolePrimary && m.promised <= m.term
 }
 
+// Commit sets one key in a transaction of its own and reports whether the member still led.
+func (m *Member) Commit(key, value string) bool {
+	return m.commit([]change{{key: key, value: value}})
+}
+
+// Value returns the value of a key on this member.
+func (m *Member) Value(key string) (string, bool) { return m.value(key) }
+
 // commit appends one transaction and reports whether the member still led.
 func (m *Member) commit(changes []change) bool {
 	m.group.mu.Lock()
