Share an endpoint's connections by seats, with loans that no lost message can break

Cause: all instances together must keep an endpoint's limit through crashes, restarts and lost messages, while a fixed share leaves idle connections unused.

Change: each seat owns a fixed part and may lend half of it; a loan ends by return or by the end of the borrower's run, never by a clock.

--- /dev/null
+++ b/membership/items.go
@@ -0,0 +1,169 @@
+package membership
+
+import (
+	"encoding/binary"
+	"math/bits"
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Buckets is the number of parts into which a digest is divided for repair.
+const Buckets = 256
+
+// Revision orders the values of one key.
+type Revision uint64
+
+// Item is one key's value at one revision.
+type Item[V any] struct {
+	key      string
+	revision Revision
+	value    V
+}
+
+// NewItem returns the item of key at revision.
+func NewItem[V any](key string, revision Revision, value V) Item[V] {
+	return Item[V]{key: key, revision: revision, value: value}
+}
+
+// Key returns the item's key.
+func (i Item[V]) Key() string { return i.key }
+
+// Revision returns the item's revision.
+func (i Item[V]) Revision() Revision { return i.revision }
+
+// Value returns the item's value.
+func (i Item[V]) Value() V { return i.value }
+
+// Digest is a hash over all keys and revisions of an Items.
+type Digest uint64
+
+// rumour is an item that is still being passed on.
+type rumour struct {
+	key  string
+	sent int
+}
+
+// Items holds the highest known revision of each key; it is not safe for concurrent use.
+type Items[V any] struct {
+	items   map[string]Item[V]
+	buckets [Buckets]uint64
+	digest  uint64
+	rumours []rumour
+}
+
+// NewItems returns an empty set.
+func NewItems[V any]() *Items[V] {
+	return &Items[V]{items: map[string]Item[V]{}}
+}
+
+// Apply takes an item whose revision is higher than the one held, and reports whether it did.
+func (s *Items[V]) Apply(item Item[V]) bool {
+	held, ok := s.items[item.key]
+	if ok && held.revision >= item.revision {
+		return false
+	}
+	if ok {
+		s.toggle(held)
+	}
+	s.items[item.key] = item
+	s.toggle(item)
+	s.spread(item.key)
+	return true
+}
+
+// toggle adds an item to the digests, or takes it out.
+func (s *Items[V]) toggle(item Item[V]) {
+	h := hashOf(item.key, item.revision)
+	s.digest ^= h
+	s.buckets[bucketOf(item.key)] ^= h
+}
+
+func hashOf(key string, revision Revision) uint64 {
+	d := xxhash.New()
+	_, _ = d.WriteString(key)
+	var raw [8]byte
+	binary.BigEndian.PutUint64(raw[:], uint64(revision))
+	_, _ = d.Write(raw[:])
+	return d.Sum64()
+}
+
+func bucketOf(key string) int { return int(xxhash.Sum64String(key) % Buckets) }
+
+func (s *Items[V]) spread(key string) {
+	for i, r := range s.rumours {
+		if r.key == key {
+			s.rumours[i].sent = 0
+			return
+		}
+	}
+	s.rumours = append(s.rumours, rumour{key: key})
+}
+
+// Get returns the item of key.
+func (s *Items[V]) Get(key string) (item Item[V], ok bool) {
+	item, ok = s.items[key]
+	return item, ok
+}
+
+// Len returns the number of keys.
+func (s *Items[V]) Len() int { return len(s.items) }
+
+// All returns all items in the order of their keys.
+func (s *Items[V]) All() []Item[V] {
+	out := make([]Item[V], 0, len(s.items))
+	for _, item := range s.items {
+		out = append(out, item)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].key < out[j].key })
+	return out
+}
+
+// Digest returns the hash over all keys and revisions.
+func (s *Items[V]) Digest() Digest { return Digest(s.digest) }
+
+// BucketDigests returns the digest of each bucket.
+func (s *Items[V]) BucketDigests() []uint64 { return append([]uint64(nil), s.buckets[:]...) }
+
+// retransmitFactor times the logarithm of the fleet's size is how often a change is passed on.
+const retransmitFactor = 3
+
+// Deltas returns at most limit of the items that have been passed on least, for a fleet of the given size.
+//
+// Each item is offered retransmitFactor * log2(size) times and then dropped;
+// whoever has missed it by then is repaired by digest.
+func (s *Items[V]) Deltas(limit, size int) []Item[V] {
+	sort.SliceStable(s.rumours, func(i, j int) bool { return s.rumours[i].sent < s.rumours[j].sent })
+	most := retransmitFactor * (bits.Len(uint(size)) + 1)
+	n := min(limit, len(s.rumours))
+	out := make([]Item[V], 0, n)
+	for i := range n {
+		out = append(out, s.items[s.rumours[i].key])
+		s.rumours[i].sent++
+	}
+	kept := s.rumours[:0]
+	for _, r := range s.rumours {
+		if r.sent < most {
+			kept = append(kept, r)
+		}
+	}
+	s.rumours = kept
+	return out
+}
+
+// Differing returns at most limit items of the buckets whose digests differ from theirs.
+func (s *Items[V]) Differing(theirs []uint64, limit int) []Item[V] {
+	var out []Item[V]
+	if len(theirs) != Buckets {
+		return out
+	}
+	for _, item := range s.items {
+		b := bucketOf(item.key)
+		if s.buckets[b] == theirs[b] {
+			continue
+		}
+		out = append(out, item)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].key < out[j].key })
+	return out[:min(limit, len(out))]
+}
--- /dev/null
+++ b/operator/operatorv1/doc.go
@@ -0,0 +1,2 @@
+// Package operatorv1 holds the generated messages of the protocol; see the proto folder.
+package operatorv1
--- /dev/null
+++ b/peer/peerv1/doc.go
@@ -0,0 +1,2 @@
+// Package peerv1 holds the generated messages of the protocol; see the proto folder.
+package peerv1
--- /dev/null
+++ b/pool/pool_test.go
@@ -0,0 +1,117 @@
+package pool_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"github.com/monsoontiller/monsoontiller/pool"
+)
+
+var epoch = time.Unix(1000, 0)
+
+func TestQueueServesCustomersInTurn(t *testing.T) {
+	q := pool.NewQueue[int]()
+	late := epoch.Add(time.Minute)
+	for i := range 3 {
+		q.Push("busy", 10, i, late)
+	}
+	q.Push("quiet", 10, 100, late)
+	var got []int
+	for {
+		v, ok := q.Pop(epoch)
+		if !ok {
+			break
+		}
+		got = append(got, v)
+	}
+	if diff := cmp.Diff([]int{0, 100, 1, 2}, got); diff != "" {
+		t.Errorf("order (-want +got):\n%s", diff)
+	}
+}
+
+func TestQueueIsBoundedAndDropsTheLate(t *testing.T) {
+	q := pool.NewQueue[int]()
+	q.Push("c", 2, 1, epoch)
+	q.Push("c", 2, 2, epoch.Add(time.Minute))
+	if q.Push("c", 2, 3, epoch.Add(time.Minute)) {
+		t.Error("a full queue took another request")
+	}
+	if v, ok := q.Pop(epoch); !ok || v != 2 {
+		t.Errorf("Pop = %d, %v; want 2, the one in time", v, ok)
+	}
+}
+
+// TestPoolKeepsItsLimit plays any sequence of uses against the count of connections in the model.
+func TestPoolKeepsItsLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := rapid.IntRange(1, 4).Draw(t, "limit")
+		p := pool.New[int, int](pool.Config{Limit: limit})
+		inUse := map[int]bool{}
+		next := 0
+		take := func(g pool.Grant[int]) {
+			c := g.Conn
+			if g.Action == pool.ActionOpen {
+				next++
+				c = next
+			}
+			if inUse[c] {
+				t.Fatalf("connection %d was handed out twice", c)
+			}
+			inUse[c] = true
+		}
+		one := func() int {
+			lowest := 0
+			for c := range inUse {
+				if lowest == 0 || c < lowest {
+					lowest = c
+				}
+			}
+			return lowest
+		}
+		wakes := func(ws []pool.Wake[int, int]) {
+			for _, w := range ws {
+				take(w.Grant)
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"acquire": func(t *rapid.T) {
+				g := p.Acquire(pool.Ask[int]{Customer: "c", QueueLimit: 3, Deadline: epoch.Add(time.Second)})
+				if g.Action == pool.ActionUse || g.Action == pool.ActionOpen {
+					take(g)
+				}
+			},
+			"release": func(t *rapid.T) {
+				if c := one(); c != 0 {
+					delete(inUse, c)
+					ws, _ := p.Release(epoch, c, "")
+					wakes(ws)
+				}
+			},
+			"discard": func(t *rapid.T) {
+				if c := one(); c != 0 {
+					delete(inUse, c)
+					wakes(p.Discard(epoch))
+				}
+			},
+			"raise": func(t *rapid.T) {
+				limit++
+				ws, _ := p.SetLimit(epoch, limit)
+				wakes(ws)
+			},
+			"": func(t *rapid.T) {
+				if len(inUse)+p.Idle() != p.Open() {
+					t.Fatalf("%d in use and %d idle, but %d open", len(inUse), p.Idle(), p.Open())
+				}
+				if p.Open() > limit {
+					t.Fatalf("%d open, the limit is %d", p.Open(), limit)
+				}
+				if p.Waiting() > 0 && p.Idle() > 0 {
+					t.Fatalf("%d wait while %d are idle", p.Waiting(), p.Idle())
+				}
+			},
+		})
+	})
+}
--- /dev/null
+++ b/pool/shares_test.go
@@ -0,0 +1,224 @@
+package pool_test
+
+import (
+	"flag"
+	"os"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/monsoontiller/monsoontiller/pool"
+)
+
+// TestMain fixes the seed of property tests unless the command line sets one.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
+		_ = f.Value.Set("1")
+	}
+	os.Exit(m.Run())
+}
+
+// seat is one instance's run in the model, as the model sees it.
+type seat struct {
+	name        string
+	incarnation uint64
+	shares      *pool.Shares
+	heard       [seatCount]uint64
+}
+
+// message is a borrow call, its answer, or a report, in flight.
+type message struct {
+	kind        string
+	from, to    int
+	incarnation uint64
+	sender      uint64
+	addressed   uint64
+	sequence    uint64
+	count       int
+}
+
+const (
+	endpointLimit = 11
+	seatCount     = 3
+)
+
+// fleet is a set of seats whose messages may be lost, delayed and reordered, and whose runs may end.
+type fleet struct {
+	seats    []*seat
+	inFlight []message
+	runs     uint64
+}
+
+func (f *fleet) start(i int) {
+	f.runs++
+	var others []string
+	for j := range seatCount {
+		if j != i {
+			others = append(others, seatName(j))
+		}
+	}
+	if f.runs <= seatCount {
+		others = nil
+	}
+	f.seats[i] = &seat{name: seatName(i), incarnation: f.runs, shares: pool.NewShares(pool.SharesConfig{
+		Limit: endpointLimit, Seats: seatCount, Seat: i + 1, Others: others, Incarnation: f.runs,
+	})}
+}
+
+// word is what a message says to its receiver.
+func (m message) word() pool.Word {
+	return pool.Word{Peer: seatName(m.from), Incarnation: m.sender, Addressed: m.addressed, Sequence: m.sequence, Count: m.count}
+}
+
+// send puts a message from one seat to another in flight.
+func (f *fleet) send(m message) {
+	from := f.seats[m.from]
+	m.sender = from.incarnation
+	m.addressed = from.heard[m.to]
+	f.inFlight = append(f.inFlight, m)
+}
+
+func seatName(i int) string { return string(rune('a' + i)) }
+
+func (f *fleet) borrow(t *rapid.T) {
+	i, j := pair(t)
+	s := f.seats[i]
+	sequence, ok := s.shares.Call(seatName(j))
+	if !ok {
+		return
+	}
+	f.send(message{kind: "borrow", from: i, to: j, sequence: sequence, count: 2})
+}
+
+func (f *fleet) report(t *rapid.T) {
+	i, j := pair(t)
+	s := f.seats[i]
+	if h, ok := s.shares.Report(seatName(j)); ok {
+		f.send(message{kind: "report", from: i, to: j, sequence: h.Sequence(), count: h.Count()})
+	}
+}
+
+func pair(t *rapid.T) (int, int) {
+	i := rapid.IntRange(0, seatCount-1).Draw(t, "from")
+	j := rapid.IntRange(1, seatCount-1).Draw(t, "to")
+	return i, (i + j) % seatCount
+}
+
+// deliver takes any message in flight; a lost one ends a borrow call without a grant.
+func (f *fleet) deliver(t *rapid.T, lose bool) {
+	if len(f.inFlight) == 0 {
+		return
+	}
+	k := rapid.IntRange(0, len(f.inFlight)-1).Draw(t, "message")
+	m := f.inFlight[k]
+	f.inFlight = append(f.inFlight[:k], f.inFlight[k+1:]...)
+	to := f.seats[m.to]
+	switch {
+	case m.kind == "borrow" && lose:
+		f.end(m.from, m.to, m.sender, 0)
+		m.kind = "late"
+		f.inFlight = append(f.inFlight, m)
+	case m.kind == "borrow":
+		granted := to.shares.Lend(m.word(), to.shares.Usable())
+		f.send(message{kind: "answer", from: m.to, to: m.from, incarnation: m.sender, count: granted})
+	case m.kind == "late":
+		to.shares.Lend(m.word(), to.shares.Usable())
+	case m.kind == "answer" && lose:
+		f.end(m.to, m.from, m.incarnation, 0)
+	case m.kind == "answer":
+		f.end(m.to, m.from, m.incarnation, m.count)
+	case m.kind == "report" && !lose:
+		to.heard[m.from] = max(to.heard[m.from], m.sender)
+		to.shares.Reported(m.word())
+	}
+}
+
+// end ends a borrow call of the run that made it.
+func (f *fleet) end(borrower, lender int, incarnation uint64, granted int) {
+	if s := f.seats[borrower]; s.incarnation == incarnation {
+		s.shares.Called(seatName(lender), granted)
+	}
+}
+
+func (f *fleet) repay(t *rapid.T) {
+	s := f.seats[rapid.IntRange(0, seatCount-1).Draw(t, "seat")]
+	lender, n := s.shares.Debt()
+	if lender == "" {
+		return
+	}
+	s.shares.Repay(lender, n)
+}
+
+func (f *fleet) total() int {
+	total := 0
+	for _, s := range f.seats {
+		total += s.shares.Usable()
+	}
+	return total
+}
+
+// TestSharesNeverExceedTheLimit plays lost, late and reordered messages and restarts against one invariant.
+func TestSharesNeverExceedTheLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := &fleet{seats: make([]*seat, seatCount)}
+		for i := range seatCount {
+			f.start(i)
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"borrow":  f.borrow,
+			"report":  f.report,
+			"deliver": func(t *rapid.T) { f.deliver(t, false) },
+			"lose":    func(t *rapid.T) { f.deliver(t, true) },
+			"repay":   f.repay,
+			"restart": func(t *rapid.T) { f.start(rapid.IntRange(0, seatCount-1).Draw(t, "seat")) },
+			"": func(t *rapid.T) {
+				if total := f.total(); total > endpointLimit {
+					t.Fatalf("%d connections may be open, the endpoint allows %d", total, endpointLimit)
+				}
+			},
+		})
+	})
+}
+
+// newSeat returns the shares of the third part of 12 connections.
+func newSeat(incarnation uint64, others ...string) *pool.Shares {
+	return pool.NewShares(pool.SharesConfig{Limit: 12, Seats: 3, Seat: 1, Incarnation: incarnation, Others: others})
+}
+
+func TestReportMeantForAnEarlierRunConfirmsNothing(t *testing.T) {
+	again := newSeat(2, "b")
+	again.Reported(pool.Word{Peer: "b", Incarnation: 1, Addressed: 1, Count: 0})
+	if got := again.Usable(); got != 2 {
+		t.Errorf("usable = %d after a report to an earlier run, want 2 of 4", got)
+	}
+	again.Reported(pool.Word{Peer: "b", Incarnation: 1, Addressed: 2, Sequence: 1, Count: 1})
+	if got := again.Usable(); got != 3 {
+		t.Errorf("usable = %d after a report of 1 lent, want 3 of 4", got)
+	}
+}
+
+func TestNothingIsReportedWhileACallRuns(t *testing.T) {
+	s := newSeat(1)
+	if _, ok := s.Call("b"); !ok {
+		t.Fatal("the first call was refused")
+	}
+	if _, ok := s.Report("b"); ok {
+		t.Error("a report was made while the answer to a call may still come")
+	}
+	s.Called("b", 1)
+	if h, ok := s.Report("b"); !ok || h.Count() != 1 || h.Sequence() != 1 {
+		t.Errorf("report = %+v, %v; want 1 held after call 1", h, ok)
+	}
+}
+
+func TestNewRunOfABorrowerEndsItsLoan(t *testing.T) {
+	s := newSeat(1)
+	if got := s.Lend(pool.Word{Peer: "b", Incarnation: 1, Addressed: 1, Sequence: 1, Count: 2}, 4); got != 2 {
+		t.Fatalf("lent %d, want 2", got)
+	}
+	s.Reported(pool.Word{Peer: "b", Incarnation: 2, Addressed: 1})
+	if got := s.Usable(); got != s.Own() {
+		t.Errorf("usable = %d after the borrower's run ended, want %d", got, s.Own())
+	}
+}
