--- a/caller/binding.go
+++ b/caller/binding.go
@@ -57,11 +57,22 @@
 
 // NewAccount returns an account with the contract's retry budget.
 func NewAccount(r contract.Retries) *Account {
-	return &Account{budget: retry.NewBudget(retry.BudgetConfig{
+	return &Account{budget: newBudget(r)}
+}
+
+func newBudget(r contract.Retries) *retry.Budget {
+	return retry.NewBudget(retry.BudgetConfig{
 		Ratio:     r.Ratio(),
 		PerSecond: r.PerSecond(),
 		Burst:     retryBurst,
-	})}
+	})
+}
+
+// SetRetries changes the retry budget to that of a new contract revision.
+func (a *Account) SetRetries(r contract.Retries) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.budget = newBudget(r)
 }
 
 // Enter counts a session in and reports whether limit allows it.
--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -95,7 +95,7 @@
 	return g
 }
 
-func startProxy(t *testing.T, number uint8, stand *endpointtest.Group, o options) *proxy {
+func startProxy(t *testing.T, number uint16, stand *endpointtest.Group, o options) *proxy {
 	t.Helper()
 	if o.contract == "" {
 		o.contract = contractText
--- a/caller/handshake.go
+++ b/caller/handshake.go
@@ -24,7 +24,7 @@
 
 const (
 	secretBytes     = 4
-	instanceShift   = 23
+	instanceShift   = 20
 	counterMask     = 1<<instanceShift - 1
 	maxStartupBytes = 16 << 10
 )
@@ -37,7 +37,7 @@
 }
 
 // InstanceOf returns the number of the instance that gave out pid.
-func InstanceOf(pid uint32) uint8 { return uint8(pid >> instanceShift) }
+func InstanceOf(pid uint32) uint16 { return uint16(pid >> instanceShift) }
 
 // handshake takes a connection from its first byte to a session.
 type handshake struct {
--- a/caller/server.go
+++ b/caller/server.go
@@ -18,7 +18,7 @@
 // Config describes the listener for callers.
 type Config struct {
 	Address        string
-	InstanceNumber uint8
+	InstanceNumber uint16
 	Directory      Directory
 	Recorder       Recorder
 	Policy         route.Policy
--- /dev/null
+++ b/cmd/monsoontiller/check.go
@@ -0,0 +1,59 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/monsoontiller/monsoontiller/contract"
+	"github.com/monsoontiller/monsoontiller/fault"
+	"github.com/monsoontiller/monsoontiller/settings"
+)
+
+// checkCommand reports the mistakes of files.
+type checkCommand struct {
+	Kind string `long:"kind" choice:"settings" choice:"contract" choice:"auto" default:"auto" description:"What the files hold; auto tells by the keys"`
+	Args struct {
+		Files []string `positional-arg-name:"FILE" required:"1"`
+	} `positional-args:"true"`
+}
+
+// Execute runs the command.
+func (c *checkCommand) Execute([]string) error {
+	total := 0
+	for _, name := range c.Args.Files {
+		text, err := os.ReadFile(name)
+		if err != nil {
+			return err
+		}
+		mistakes := c.mistakesOf(text)
+		for _, m := range mistakes {
+			fmt.Printf("%s: %s\n", name, m)
+		}
+		if len(mistakes) == 0 {
+			fmt.Printf("%s: ok\n", name)
+		}
+		total += len(mistakes)
+	}
+	if total == 0 {
+		return nil
+	}
+	return fault.New(fault.Config{
+		Kind:    fault.KindInvalid,
+		Message: fmt.Sprintf("%d mistakes", total),
+		Remedy:  "mend each line named",
+	})
+}
+
+func (c *checkCommand) mistakesOf(text []byte) contract.Mistakes {
+	var err error
+	if c.Kind == "settings" || c.Kind == "auto" && strings.Contains(string(text), "platform_url") {
+		_, err = settings.Parse(text)
+	} else {
+		_, err = contract.Parse(text)
+	}
+	var mistakes contract.Mistakes
+	errors.As(err, &mistakes)
+	return mistakes
+}
--- /dev/null
+++ b/cmd/monsoontiller/doc.go
@@ -0,0 +1,6 @@
+// Command monsoontiller runs and operates the proxy.
+//
+// Exit codes: 0 success; 1 failure; 2 wrong usage; 3 a check found mistakes; 4 a
+// conflict with another operator's change; 5 outcome unknown, repeat with the same
+// request id.
+package main
--- /dev/null
+++ b/cmd/monsoontiller/main.go
@@ -0,0 +1,85 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"connectrpc.com/connect"
+	"github.com/jessevdk/go-flags"
+
+	"github.com/monsoontiller/monsoontiller/fault"
+)
+
+// Exit codes.
+const (
+	exitFailure  = 1
+	exitUsage    = 2
+	exitMistakes = 3
+	exitConflict = 4
+	exitUnknown  = 5
+)
+
+// options are the subcommands.
+type options struct {
+	Serve    serveCommand    `command:"serve" description:"Run one instance"`
+	Dev      devCommand      `command:"dev" description:"Run instances with a stand-in platform and databases in one process"`
+	Check    checkCommand    `command:"check" description:"Report every mistake of settings and contract files"`
+	Contract contractCommand `command:"contract" description:"Apply and read contracts"`
+	Instance instanceCommand `command:"instance" description:"List and drain instances"`
+	Endpoint endpointCommand `command:"endpoint" description:"List and drain endpoints"`
+	Status   statusCommand   `command:"status" description:"Show what an instance knows"`
+	Explain  explainCommand  `command:"explain" description:"Show recent decisions of all instances with their evidence"`
+	Report   reportCommand   `command:"report" description:"Report on service levels"`
+	Verifier verifierCommand `command:"verifier" description:"Print the SCRAM verifier of a password read from standard input"`
+}
+
+func main() {
+	os.Exit(run(os.Args[1:]))
+}
+
+func run(args []string) int {
+	parser := flags.NewParser(&options{}, flags.HelpFlag|flags.PassDoubleDash)
+	parser.Name = "monsoontiller"
+	_, err := parser.ParseArgs(args)
+	if err == nil {
+		return 0
+	}
+	var usage *flags.Error
+	if errors.As(err, &usage) {
+		if usage.Type == flags.ErrHelp {
+			fmt.Println(usage.Message)
+			return 0
+		}
+		fmt.Fprintln(os.Stderr, usage.Message)
+		return exitUsage
+	}
+	fmt.Fprintln(os.Stderr, "monsoontiller:", message(err))
+	return exitCode(err)
+}
+
+// message returns an error's text without the protocol's prefix.
+func message(err error) string {
+	var remote *connect.Error
+	if errors.As(err, &remote) {
+		return remote.Message()
+	}
+	return err.Error()
+}
+
+func exitCode(err error) int {
+	switch connect.CodeOf(err) {
+	case connect.CodeInvalidArgument:
+		return exitMistakes
+	case connect.CodeAborted:
+		return exitConflict
+	}
+	var remote *connect.Error
+	if errors.As(err, &remote) && remote.Code() == connect.CodeUnknown {
+		return exitUnknown
+	}
+	if fault.KindOf(err) == fault.KindInvalid {
+		return exitMistakes
+	}
+	return exitFailure
+}
--- /dev/null
+++ b/cmd/monsoontiller/serve.go
@@ -0,0 +1,107 @@
+package main
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/go-kit/log"
+	registry "github.com/prometheus/client_golang/prometheus"
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+
+	"github.com/monsoontiller/monsoontiller/instance"
+	"github.com/monsoontiller/monsoontiller/platform"
+	"github.com/monsoontiller/monsoontiller/session"
+	"github.com/monsoontiller/monsoontiller/settings"
+)
+
+// serveCommand runs one instance until SIGTERM or an order to leave.
+type serveCommand struct {
+	Settings string `long:"settings" value-name:"FILE" required:"true" description:"TOML settings of the instance"`
+}
+
+// Execute runs the command.
+func (c *serveCommand) Execute([]string) error {
+	s, err := settings.Load(c.Settings)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	cfg, err := instanceConfig(s, newLogger(s.Instance()))
+	if err != nil {
+		return err
+	}
+	i, err := instance.New(ctx, cfg)
+	if err != nil {
+		return err
+	}
+	return i.Run(ctx)
+}
+
+// newLogger writes JSON lines to standard output.
+func newLogger(name string) log.Logger {
+	l := log.NewJSONLogger(log.NewSyncWriter(os.Stdout))
+	return log.With(l, "ts", log.DefaultTimestampUTC, "instance", name)
+}
+
+// metricsInterval is how often counters reach the metrics page.
+const metricsInterval = time.Second
+
+func newScope() (tally.Scope, http.Handler) {
+	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry.NewRegistry()})
+	scope, _ := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:                 "monsoontiller",
+		CachedReporter:         reporter,
+		Separator:              prometheus.DefaultSeparator,
+		SanitizeOptions:        &prometheus.DefaultSanitizerOpts,
+		OmitCardinalityMetrics: true,
+	}, metricsInterval)
+	return scope, reporter.HTTPHandler()
+}
+
+// instanceConfig opens the listeners and reads the certificates that the settings name.
+func instanceConfig(s *settings.Settings, logger log.Logger) (instance.Config, error) {
+	cfg := instance.Config{
+		Name:             s.Instance(),
+		DataCentre:       s.DataCentre(),
+		CallerAddress:    s.CallerAddress(),
+		Platform:         platform.NewClient(platform.ClientConfig{URL: s.PlatformURL()}),
+		Seeds:            s.Peers(),
+		Seats:            s.InstanceLimit(),
+		Permit:           s.Permit(),
+		ProbeInterval:    s.ProbeInterval(),
+		Logger:           logger,
+		RequireCallerTLS: s.TLS().RequireCaller,
+	}
+	var err error
+	if cfg.Tokens, err = session.NewCodec(session.CodecConfig{Key: []byte(s.TokenKey())}); err != nil {
+		return cfg, err
+	}
+	if cfg.CallerTLS, err = s.TLS().CallerTLS(); err != nil {
+		return cfg, err
+	}
+	if cfg.EndpointTLS, err = s.TLS().EndpointTLS(); err != nil {
+		return cfg, err
+	}
+	server, client, err := s.TLS().PeerTLS()
+	if err != nil {
+		return cfg, err
+	}
+	cfg.PeerServerTLS = server
+	cfg.OperatorTLS = server
+	cfg.PeerClient = instance.NewPeerClient(client)
+	if cfg.PeerListener, err = net.Listen("tcp", s.PeerAddress()); err != nil {
+		return cfg, err
+	}
+	if cfg.OperatorListener, err = net.Listen("tcp", s.OperatorAddress()); err != nil {
+		return cfg, err
+	}
+	cfg.Scope, cfg.Metrics = newScope()
+	return cfg, nil
+}
--- a/endpoint/connections.go
+++ b/endpoint/connections.go
@@ -118,11 +118,11 @@
 func (c *Connections) giveBack(w *waiter) {
 	select {
 	case g := <-w.grant:
-		closeAll(g.Close)
 		if g.Action == pool.ActionUse {
 			c.put(g.Conn)
 			return
 		}
+		retireAll(g.Close)
 		c.discardCount()
 	default:
 	}
@@ -138,7 +138,7 @@
 
 // take turns a grant into a connection, dialing when the grant says so.
 func (c *Connections) take(ctx context.Context, key string, g pool.Grant[*Conn]) (*Conn, error) {
-	closeAll(g.Close)
+	retireAll(g.Close)
 	c.mu.Lock()
 	generation := c.generation
 	c.mu.Unlock()
@@ -196,16 +196,18 @@
 	wakes, closes := c.pool.Release(time.Now(), conn, conn.Key())
 	c.mu.Unlock()
 	wake(wakes)
-	closeAll(closes)
+	c.retireLater(closes)
 }
 
-// Discard closes a connection whose state is not known.
+// Discard ends a connection whose state is not known; it counts until the endpoint has closed it.
 func (c *Connections) Discard(conn *Conn) {
-	conn.Close()
 	c.mu.Lock()
 	delete(c.inUse, conn)
 	c.mu.Unlock()
-	c.discardCount()
+	go func() {
+		retire(conn)
+		c.discardCount()
+	}()
 }
 
 func (c *Connections) discardCount() {
@@ -215,26 +217,26 @@
 	wake(wakes)
 }
 
-// suspectIdle closes the idle connections after one of them was found silent.
+// suspectIdle ends the idle connections after one of them was found silent.
 func (c *Connections) suspectIdle() {
+	for _, conn := range c.takeIdle() {
+		c.Discard(conn)
+	}
+}
+
+// takeIdle removes the idle connections from the pool, still counted.
+func (c *Connections) takeIdle() []*Conn {
 	c.mu.Lock()
-	conns := c.pool.TakeIdle()
-	c.mu.Unlock()
-	closeAll(conns)
+	defer c.mu.Unlock()
+	return c.pool.TakeIdle()
 }
 
-// CloseAll drops the idle connections and marks those in use to be closed on release; breakNow also closes the latter.
-func (c *Connections) CloseAll(breakNow bool) {
+// CloseAll ends the idle connections and marks those in use to be ended on release.
+func (c *Connections) CloseAll() {
 	c.mu.Lock()
 	c.generation++
-	conns := c.pool.TakeIdle()
-	if breakNow {
-		for conn := range c.inUse {
-			conns = append(conns, conn)
-		}
-	}
 	c.mu.Unlock()
-	closeAll(conns)
+	c.suspectIdle()
 }
 
 // SetLimit changes how many connections this instance may hold.
@@ -243,7 +245,43 @@
 	wakes, closes := c.pool.SetLimit(time.Now(), limit)
 	c.mu.Unlock()
 	wake(wakes)
-	closeAll(closes)
+	c.retireLater(closes)
+}
+
+// Shrink lowers the limit to as little as limit, by what is unused, and returns the limit reached.
+//
+// What it gives up is closed for certain when it returns; a connection that does
+// not close in time stays counted.
+func (c *Connections) Shrink(limit int) (reached int) {
+	c.mu.Lock()
+	reached = max(limit, c.pool.Open()-c.pool.Idle())
+	if reached >= c.pool.Limit() {
+		reached = c.pool.Limit()
+		c.mu.Unlock()
+		return reached
+	}
+	wakes, closes := c.pool.SetLimit(time.Now(), reached)
+	c.mu.Unlock()
+	wake(wakes)
+	return reached + c.leftOpen(closes)
+}
+
+// leftOpen retires connections and returns how many of them the endpoint may still count.
+func (c *Connections) leftOpen(conns []*Conn) int {
+	left := 0
+	for _, conn := range conns {
+		if !retire(conn) {
+			left++
+		}
+	}
+	return left
+}
+
+// retireLater retires connections that the pool no longer counts because its limit fell.
+func (c *Connections) retireLater(conns []*Conn) {
+	if len(conns) > 0 {
+		go retireAll(conns)
+	}
 }
 
 // Usage describes how an endpoint's connections are used.
@@ -279,8 +317,8 @@
 	}
 }
 
-func closeAll(conns []*Conn) {
+func retireAll(conns []*Conn) {
 	for _, conn := range conns {
-		conn.Close()
+		retire(conn)
 	}
 }
--- a/endpoint/group.go
+++ b/endpoint/group.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/monsoontiller/monsoontiller/fault"
@@ -26,8 +29,21 @@
 	Limit         int
 	Dial          func(ctx context.Context, address, database string) (*Conn, error)
 	Clock         func() time.Time
+	// Observer is told of every probe's result, if set.
+	Observer Observer
 }
 
+// Observer takes the results of probes and commands; it must be safe for concurrent use.
+type Observer interface {
+	// Probed takes a member's status.
+	Probed(s group.Status)
+	// ProbeFailed notes that a member did not answer; refused marks an active refusal.
+	ProbeFailed(endpoint string, refused bool)
+}
+
+// Command asks a member for something over a connection and returns the status that follows.
+type Command func(ctx context.Context, c *Conn) (group.Status, error)
+
 // Group watches one database group and shares its connections; it is safe for concurrent use.
 type Group struct {
 	cfg         GroupConfig
@@ -36,12 +52,24 @@
 	changed     chan struct{}
 	connections map[string]*Connections
 	kicks       map[string]chan struct{}
+	commands    map[string]chan Command
 	lastError   map[string]error
 }
 
 // probeConnections is the number of connections to each member that serve probes only.
 const probeConnections = 1
 
+// maxCommands is the number of commands that may wait for one member; more are dropped, as lost messages are.
+const maxCommands = 16
+
+// Send queues a command to a member; its result reaches the observer like a probe's.
+func (g *Group) Send(endpoint string, command Command) {
+	select {
+	case g.commands[endpoint] <- command:
+	default:
+	}
+}
+
 // NewGroup returns a group that knows nothing until Run probes it.
 func NewGroup(cfg GroupConfig) *Group {
 	if cfg.Clock == nil {
@@ -52,12 +80,14 @@
 		changed:     make(chan struct{}),
 		connections: map[string]*Connections{},
 		kicks:       map[string]chan struct{}{},
+		commands:    map[string]chan Command{},
 		lastError:   map[string]error{},
 	}
 	var names []string
 	for _, m := range cfg.Members {
 		names = append(names, m.Endpoint)
 		g.kicks[m.Endpoint] = make(chan struct{}, 1)
+		g.commands[m.Endpoint] = make(chan Command, maxCommands)
 		g.connections[m.Endpoint] = NewConnections(ConnectionsConfig{
 			Endpoint: m.Endpoint,
 			Limit:    max(0, cfg.Limit-probeConnections),
@@ -79,13 +109,6 @@
 // Connections returns the connections of one member, or nil for an unknown name.
 func (g *Group) Connections(endpoint string) *Connections { return g.connections[endpoint] }
 
-// SetLimit changes how many connections to each member this instance may hold, probes included.
-func (g *Group) SetLimit(limit int) {
-	for _, c := range g.connections {
-		c.SetLimit(max(0, limit-probeConnections))
-	}
-}
-
 // View calls f with the tracker under the group's lock; f must not block.
 func (g *Group) View(f func(t *route.Tracker)) {
 	g.mu.Lock()
@@ -119,7 +142,7 @@
 // dropOldTerm closes the connections that were opened in an earlier term.
 func (g *Group) dropOldTerm() {
 	for _, c := range g.connections {
-		c.CloseAll(false)
+		c.CloseAll()
 	}
 }
 
@@ -213,26 +236,31 @@
 	return nil
 }
 
-// probeLoop probes one member at every interval and on every kick.
+// probeLoop probes one member at every interval and on every kick, and sends it the commands.
 func (g *Group) probeLoop(ctx context.Context, m Address) error {
 	ticker := time.NewTicker(g.cfg.ProbeInterval)
 	defer ticker.Stop()
 	var conn *Conn
+	command := Command(statusCommand)
 	for {
-		conn = g.probe(ctx, m, conn)
+		conn = g.probe(ctx, m, conn, command)
+		command = statusCommand
 		select {
 		case <-ticker.C:
+		case command = <-g.commands[m.Endpoint]:
 		case <-g.kicks[m.Endpoint]:
 			g.pace(ctx, conn)
 		case <-ctx.Done():
 			if conn != nil {
-				conn.Close()
+				retire(conn)
 			}
 			return nil
 		}
 	}
 }
 
+func statusCommand(ctx context.Context, c *Conn) (group.Status, error) { return c.Status(ctx) }
+
 // pace keeps kicks from redialing an unreachable member without pause.
 func (g *Group) pace(ctx context.Context, conn *Conn) {
 	if conn != nil {
@@ -247,8 +275,8 @@
 // redialPause is the least time between two dials of an unreachable member.
 const redialPause = 20 * time.Millisecond
 
-// probe asks the member for its status over conn, dialing first if conn is nil, and returns the connection for the next probe.
-func (g *Group) probe(ctx context.Context, m Address, conn *Conn) *Conn {
+// probe sends the member a command over conn, dialing first if conn is nil, and returns the connection for the next one.
+func (g *Group) probe(ctx context.Context, m Address, conn *Conn, command Command) *Conn {
 	ctx, cancel := context.WithTimeout(ctx, g.cfg.ProbeTimeout)
 	defer cancel()
 	var err error
@@ -260,7 +288,7 @@
 		return nil
 	}
 	sentAt := g.cfg.Clock()
-	s, err := conn.Status(ctx)
+	s, err := command(ctx, conn)
 	if err != nil {
 		conn.Close()
 		g.failed(m.Endpoint, err)
@@ -270,15 +298,26 @@
 	delete(g.lastError, m.Endpoint)
 	g.mu.Unlock()
 	g.Observe(sentAt, s)
+	if g.cfg.Observer != nil {
+		g.cfg.Observer.Probed(s)
+	}
 	return conn
 }
 
 func (g *Group) failed(endpoint string, err error) {
 	g.mu.Lock()
-	defer g.mu.Unlock()
 	g.lastError[endpoint] = err
 	g.tracker.SetDown(endpoint, true)
 	g.broadcastLocked()
+	g.mu.Unlock()
+	if g.cfg.Observer != nil {
+		g.cfg.Observer.ProbeFailed(endpoint, isRefused(err))
+	}
+}
+
+// isRefused reports whether the member's host answered that nothing listens, or reset the connection.
+func isRefused(err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, io.ErrUnexpectedEOF)
 }
 
 // LastError returns why the newest probe of an endpoint failed, or nil.
@@ -299,3 +338,16 @@
 func (g *Group) AwaitReplicated(ctx context.Context, point group.Point, deadline time.Time) error {
 	return g.await(ctx, deadline, func() bool { return g.tracker.Replicated(point) })
 }
+
+// MinLimit is the fewest connections to an endpoint with which an instance can serve: its probe and one more.
+const MinLimit = probeConnections + 1
+
+// SetEndpointLimit changes how many connections to one member this instance may hold, probes included.
+func (g *Group) SetEndpointLimit(endpoint string, limit int) {
+	g.connections[endpoint].SetLimit(max(0, limit-probeConnections))
+}
+
+// ShrinkEndpoint lowers that limit as far as limit by what is unused, and returns what was reached, probes included.
+func (g *Group) ShrinkEndpoint(endpoint string, limit int) int {
+	return g.connections[endpoint].Shrink(max(0, limit-probeConnections)) + probeConnections
+}
--- a/failover/event.go
+++ b/failover/event.go
@@ -30,9 +30,10 @@
 	Lost     bool
 }
 
-// Viewers tells how many other instances are thought to be alive.
-type Viewers struct {
+// Fleet tells how many other instances are thought to be alive, and this one's place among those that may promote; 0 goes first.
+type Fleet struct {
 	Others int
+	Rank   int
 }
 
 // ClaimResult is the table's answer to a claim.
@@ -51,7 +52,7 @@
 func (Probed) isEvent()      {}
 func (ProbeFailed) isEvent() {}
 func (View) isEvent()        {}
-func (Viewers) isEvent()     {}
+func (Fleet) isEvent()       {}
 func (ClaimResult) isEvent() {}
 func (Leaving) isEvent()     {}
 
@@ -135,8 +136,6 @@
 	Group    string
 	Instance string
 	Members  []string
-	// Rank is the instance's place among those that may promote; 0 goes first.
-	Rank int
 	// Permit is the longest validity of a permit on any instance.
 	Permit time.Duration
 	// SuspectAfter is how long the primary must be silent before it is suspected.
--- a/failover/machine.go
+++ b/failover/machine.go
@@ -62,6 +62,7 @@
 	primary   string
 	views     map[string]bool
 	others    int
+	rank      int
 	attempt   attemptState
 	lostSince time.Time
 	rivalSeen time.Time
@@ -101,8 +102,9 @@
 		return m.probeFailed(now, e)
 	case View:
 		return m.view(now, e)
-	case Viewers:
+	case Fleet:
 		m.others = e.Others
+		m.rank = e.Rank
 		return nil
 	case ClaimResult:
 		return m.claimed(now, e)
@@ -260,7 +262,7 @@
 	if !m.rivalSeen.IsZero() && !m.rivalExpired(now) {
 		return nil
 	}
-	if now.Sub(m.lostSince) < time.Duration(m.cfg.Rank)*m.cfg.Stagger {
+	if now.Sub(m.lostSince) < time.Duration(m.rank)*m.cfg.Stagger {
 		return nil
 	}
 	m.views = map[string]bool{}
--- a/failover/promote.go
+++ b/failover/promote.go
@@ -161,7 +161,7 @@
 // switchoverDue reports whether the primary is leaving and a staying replica is close behind it.
 func (m *Machine) switchoverDue(now time.Time) bool {
 	primary := m.members[m.primary]
-	if primary == nil || !primary.leaving || !primary.status.Confirms(m.term) || m.cfg.Rank != 0 {
+	if primary == nil || !primary.leaving || !primary.status.Confirms(m.term) || m.rank != 0 {
 		return false
 	}
 	if now.Sub(m.since) < m.cfg.StepTimeout || m.reachable(now) < m.majority() {
--- a/failover/world_test.go
+++ b/failover/world_test.go
@@ -63,6 +63,7 @@
 	name    string
 	machine *failover.Machine
 	tracker *route.Tracker
+	rank    int
 	paused  bool
 	held    []func()
 	writes  int
@@ -119,7 +120,7 @@
 func (w *world) addNode(i int, members []string) {
 	name := fmt.Sprintf("i%d", i)
 	c := failover.Config{
-		Group: "g", Instance: name, Members: members, Rank: i,
+		Group: "g", Instance: name, Members: members,
 		Permit: permit, SuspectAfter: 400 * time.Millisecond, RefusedAfter: 150 * time.Millisecond,
 		Stagger: 300 * time.Millisecond, StepTimeout: 300 * time.Millisecond,
 		TakeOverAfter: 2 * time.Second, CatchUp: time.Second,
@@ -129,6 +130,7 @@
 	}
 	n := &node{
 		name:    name,
+		rank:    i,
 		machine: failover.New(c),
 		tracker: route.NewTracker(route.TrackerConfig{Group: "g", Endpoints: members}),
 	}
@@ -232,7 +234,7 @@
 	if n.paused {
 		return
 	}
-	w.step(n, failover.Viewers{Others: len(w.nodes) - 1})
+	w.step(n, failover.Fleet{Others: len(w.nodes) - 1, Rank: n.rank})
 	for _, m := range w.group.Members() {
 		w.ask(n, m.Name(), func(*endpointtest.Member) {})
 	}
--- /dev/null
+++ b/instance/config.go
@@ -0,0 +1,115 @@
+package instance
+
+import (
+	"crypto/tls"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/monsoontiller/monsoontiller/platform"
+	"github.com/monsoontiller/monsoontiller/route"
+	"github.com/monsoontiller/monsoontiller/session"
+)
+
+// Config describes an instance.
+type Config struct {
+	Name             string
+	DataCentre       string
+	CallerAddress    string
+	PeerListener     net.Listener
+	OperatorListener net.Listener
+	Platform         *platform.Client
+	Seeds            []string
+	Tokens           *session.Codec
+	Seats            int
+	Permit           time.Duration
+	ProbeInterval    time.Duration
+	FreshBound       time.Duration
+	Policy           route.Policy
+	Logger           log.Logger
+	Scope            tally.Scope
+	Metrics          http.Handler
+	CallerTLS        *tls.Config
+	RequireCallerTLS bool
+	EndpointTLS      *tls.Config
+	PeerServerTLS    *tls.Config
+	PeerClient       *http.Client
+	OperatorTLS      *tls.Config
+}
+
+// Timing of an instance.
+const (
+	DefaultSeats         = 9
+	DefaultPermit        = 500 * time.Millisecond
+	DefaultProbeInterval = 100 * time.Millisecond
+	DefaultFreshBound    = 5 * time.Second
+	probeTimeout         = 200 * time.Millisecond
+	dialTimeout          = time.Second
+	pollInterval         = time.Second
+	pollPerInstance      = 10 * time.Millisecond
+	groupsInterval       = 5 * time.Second
+	keeperTick           = 50 * time.Millisecond
+	balanceInterval      = 200 * time.Millisecond
+	claimPause           = 200 * time.Millisecond
+	seatGrace            = 60 * time.Second
+	acceptTimeout        = 4 * time.Second
+	repayAfter           = 5 * time.Second
+	borrowStep           = 1
+	peerIdleTimeout      = 30 * time.Second
+)
+
+func (c *Config) setDefaults() {
+	if c.Seats == 0 {
+		c.Seats = DefaultSeats
+	}
+	if c.Permit == 0 {
+		c.Permit = DefaultPermit
+	}
+	if c.ProbeInterval == 0 {
+		c.ProbeInterval = DefaultProbeInterval
+	}
+	if c.FreshBound == 0 {
+		c.FreshBound = DefaultFreshBound
+	}
+	if c.Policy == nil {
+		c.Policy = route.Floor{}
+	}
+	if c.Logger == nil {
+		c.Logger = log.NewNopLogger()
+	}
+	if c.Scope == nil {
+		c.Scope = tally.NoopScope
+	}
+	if c.PeerClient == nil {
+		c.PeerClient = NewPeerClient(nil)
+	}
+}
+
+// NewPeerClient returns an HTTP client for peers: over TLS with cfg, or over cleartext HTTP/2 without.
+func NewPeerClient(cfg *tls.Config) *http.Client {
+	var protocols http.Protocols
+	if cfg == nil {
+		protocols.SetUnencryptedHTTP2(true)
+	} else {
+		protocols.SetHTTP2(true)
+	}
+	return &http.Client{Transport: &http.Transport{
+		Protocols:       &protocols,
+		TLSClientConfig: cfg,
+		IdleConnTimeout: peerIdleTimeout,
+	}}
+}
+
+// newServer returns an HTTP server for peers or operators.
+func newServer(cfg *tls.Config) *http.Server {
+	var protocols http.Protocols
+	protocols.SetHTTP1(true)
+	protocols.SetHTTP2(true)
+	if cfg == nil {
+		protocols.SetUnencryptedHTTP2(true)
+	}
+	return &http.Server{Protocols: &protocols, TLSConfig: cfg, ReadHeaderTimeout: dialTimeout}
+}
--- /dev/null
+++ b/instance/directory.go
@@ -0,0 +1,155 @@
+package instance
+
+import (
+	"strings"
+	"time"
+
+	"github.com/monsoontiller/monsoontiller/caller"
+	"github.com/monsoontiller/monsoontiller/contract"
+	"github.com/monsoontiller/monsoontiller/event"
+	"github.com/monsoontiller/monsoontiller/fault"
+	"github.com/monsoontiller/monsoontiller/peer"
+	"github.com/monsoontiller/monsoontiller/route"
+)
+
+// Prefixes of configuration keys.
+const (
+	contractPrefix = "contract/"
+	endpointPrefix = "endpoint/"
+	instancePrefix = "instance/"
+	orderLeave     = "leave"
+	orderStay      = "stay"
+)
+
+// Find returns the binding of a customer's database under the contract in force.
+func (i *Instance) Find(customer, database string) (caller.Binding, error) {
+	if !i.node.Current(time.Now()) {
+		return caller.Binding{}, errStale()
+	}
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	e, ok := i.book.Get(customer)
+	if !ok {
+		return caller.Binding{}, notFound("customer " + customer + " has no contract")
+	}
+	d, ok := e.Contract().Database(database)
+	if !ok {
+		return caller.Binding{}, notFound("the contract of " + customer + " has no database " + database)
+	}
+	w := i.groups[d.Group()]
+	if w == nil {
+		return caller.Binding{}, notFound("the platform has no database group " + d.Group())
+	}
+	return caller.NewBinding(caller.BindingConfig{
+		Contract: e.Contract(),
+		Database: d,
+		Group:    w.group,
+		Account:  i.accounts[customer],
+	}), nil
+}
+
+func notFound(message string) error {
+	return fault.New(fault.Config{
+		Kind:    fault.KindNotFound,
+		Message: message + "; nothing ran",
+		Remedy:  "connect with user=CUSTOMER and dbname=DATABASE as the contract names them",
+	})
+}
+
+// itemApplied brings a configuration item into force.
+func (i *Instance) itemApplied(item peer.ConfigItem) {
+	switch {
+	case strings.HasPrefix(item.Key(), contractPrefix):
+		i.applyContract(item)
+	case strings.HasPrefix(item.Key(), endpointPrefix):
+		i.applyEndpointOrder(strings.TrimPrefix(item.Key(), endpointPrefix), item.Value().Text() == orderLeave)
+	case strings.HasPrefix(item.Key(), instancePrefix):
+		i.applyInstanceOrder(strings.TrimPrefix(item.Key(), instancePrefix), item)
+	case strings.HasPrefix(item.Key(), peer.SeatPrefix):
+		i.checkSeat(item)
+	}
+}
+
+func (i *Instance) applyContract(item peer.ConfigItem) {
+	e, err := contract.NewEntry(contract.Revision(item.Revision()), []byte(item.Value().Text()))
+	if err != nil {
+		i.events.Add(event.Config{Subject: item.Key(), Decision: "revision_unreadable", Evidence: err.Error()})
+		return
+	}
+	i.mu.Lock()
+	applied := i.book.Apply(e)
+	if applied {
+		i.keepAccount(e)
+	}
+	i.mu.Unlock()
+	if applied {
+		i.events.Add(event.Config{
+			Subject:  item.Key(),
+			Decision: "revision_applied",
+			Evidence: "revision " + revisionText(item) + " by " + item.Value().Author(),
+		})
+	}
+}
+
+// keepAccount gives a customer an account, or the one that it has the new retry budget.
+func (i *Instance) keepAccount(e contract.Entry) {
+	if a := i.accounts[e.Customer()]; a != nil {
+		a.SetRetries(e.Contract().Retries())
+		return
+	}
+	i.accounts[e.Customer()] = caller.NewAccount(e.Contract().Retries())
+}
+
+func (i *Instance) applyEndpointOrder(endpoint string, leave bool) {
+	i.mu.Lock()
+	i.leaving[endpoint] = leave
+	groups := i.watchedGroups()
+	i.mu.Unlock()
+	for _, w := range groups {
+		w.group.View(func(t *route.Tracker) { t.SetLeaving(endpoint, leave) })
+		w.keeper.setLeaving(i.leavingOf(w))
+	}
+	decision := "endpoint_stays"
+	if leave {
+		decision = "endpoint_leaves"
+	}
+	i.events.Add(event.Config{Subject: "endpoint/" + endpoint, Decision: decision, Evidence: "operator's order"})
+}
+
+func (i *Instance) leavingOf(w *watched) []string {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	var names []string
+	for _, m := range w.group.Members() {
+		if i.leaving[m.Endpoint] {
+			names = append(names, m.Endpoint)
+		}
+	}
+	return names
+}
+
+// applyInstanceOrder starts the drain when the order names this very run.
+func (i *Instance) applyInstanceOrder(name string, item peer.ConfigItem) {
+	if name != i.cfg.Name || item.Value().Text() != orderText(i.seat.Incarnation) {
+		return
+	}
+	i.events.Add(event.Config{Subject: "instance/" + name, Decision: "instance_drains", Evidence: "operator's order"})
+	close(i.ordered)
+}
+
+// checkSeat stops the instance when its seat was given to another: its connections are no longer its own.
+func (i *Instance) checkSeat(item peer.ConfigItem) {
+	number, seat, ok := peer.ParseSeat(item)
+	if !ok || number != i.number || seat == i.seat || seat.Incarnation < i.seat.Incarnation && seat.Name == i.seat.Name {
+		return
+	}
+	err := fault.New(fault.Config{
+		Kind:    fault.KindStale,
+		Message: "this instance's seat was freed while it was out of reach",
+		Remedy:  "start the instance again; it claims a new seat",
+	})
+	select {
+	case i.evicted <- err:
+	default:
+	}
+}
--- /dev/null
+++ b/instance/metrics.go
@@ -0,0 +1,150 @@
+package instance
+
+import (
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/monsoontiller/monsoontiller/caller"
+	"github.com/monsoontiller/monsoontiller/report"
+	"github.com/monsoontiller/monsoontiller/route"
+)
+
+// metrics are the instance's counters.
+type metrics struct {
+	scope    tally.Scope
+	requests [3][3]tally.Counter
+	reads    tally.Counter
+	replica  tally.Counter
+	retries  tally.Counter
+	share    tally.Gauge
+	callers  tally.Gauge
+	latency  tally.Histogram
+	fresh    tally.Gauge
+}
+
+var targetNames = [...]string{"none", "primary", "replica"}
+
+// latencyBuckets span 50 µs to 50 s.
+var latencyBuckets = tally.MustMakeExponentialDurationBuckets(50*time.Microsecond, 2, 20)
+
+func newMetrics(scope tally.Scope) *metrics {
+	m := &metrics{
+		scope:   scope,
+		reads:   scope.Counter("reads_total"),
+		replica: scope.Counter("replica_reads_total"),
+		retries: scope.Counter("retries_total"),
+		share:   scope.Gauge("replica_read_share"),
+		callers: scope.Gauge("callers"),
+		latency: scope.Histogram("request_seconds", latencyBuckets),
+		fresh:   scope.Gauge("configuration_age_seconds"),
+	}
+	for t, target := range targetNames {
+		for o := range m.requests[t] {
+			m.requests[t][o] = scope.Tagged(map[string]string{
+				"target":  target,
+				"outcome": caller.Outcome(o).String(),
+			}).Counter("requests_total")
+		}
+	}
+	return m
+}
+
+// Record counts the result of one request.
+func (i *Instance) Record(r caller.Result) {
+	m := i.metrics
+	m.requests[r.Target()][r.Outcome()].Inc(1)
+	m.latency.RecordDuration(r.Took())
+	m.retries.Inc(int64(r.Retries()))
+	minute := report.Minute{Requests: 1}
+	if r.Outcome() != caller.OutcomeAnswered {
+		minute.Failed = 1
+	}
+	if r.Took() > i.objectiveLatency(r.Customer()) {
+		minute.Slow = 1
+	}
+	if r.Class() == route.ClassRead && r.Outcome() == caller.OutcomeAnswered {
+		minute.Reads = 1
+		m.reads.Inc(1)
+		if r.Target() == route.TargetReplica {
+			minute.ReplicaReads = 1
+			m.replica.Inc(1)
+		}
+	}
+	i.counts.Add(r.Customer(), minute)
+}
+
+func (i *Instance) objectiveLatency(customer string) time.Duration {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	e, ok := i.book.Get(customer)
+	if !ok {
+		return time.Duration(1<<63 - 1)
+	}
+	return e.Contract().Objectives().Latency()
+}
+
+// recordGap counts a failover gap of a group for every customer that uses it.
+func (i *Instance) recordGap(groupName string, gap time.Duration) {
+	i.mu.Lock()
+	var customers []string
+	for _, e := range i.book.List() {
+		for _, d := range e.Contract().Databases() {
+			if d.Group() == groupName {
+				customers = append(customers, e.Customer())
+				break
+			}
+		}
+	}
+	i.mu.Unlock()
+	for _, c := range customers {
+		i.counts.Add(c, report.Minute{Gap: gap})
+	}
+	i.metrics.scope.Tagged(map[string]string{"group": groupName}).Gauge("last_failover_gap_seconds").Update(gap.Seconds())
+}
+
+// customers returns the counts and objectives of all customers on this instance.
+func (i *Instance) customers() []report.Customer {
+	var out []report.Customer
+	for _, name := range i.counts.Customers() {
+		i.mu.Lock()
+		e, ok := i.book.Get(name)
+		i.mu.Unlock()
+		if !ok {
+			continue
+		}
+		o := e.Contract().Objectives()
+		minutes, worst := i.counts.Minutes(name)
+		out = append(out, report.Customer{
+			Name: name,
+			Objectives: report.Objectives{
+				Success:      o.Success(),
+				ReplicaShare: o.ReplicaShare(),
+				Latency:      o.Latency(),
+				FailoverGap:  o.FailoverGap(),
+			},
+			Minutes:  minutes,
+			WorstGap: worst,
+		})
+	}
+	return out
+}
+
+// updateGauges refreshes what is read rather than counted.
+func (i *Instance) updateGauges() {
+	i.metrics.callers.Update(float64(i.server.Callers()))
+	if age, ok := i.node.FreshAge(time.Now()); ok {
+		i.metrics.fresh.Update(age.Seconds())
+	}
+	var reads, replica uint64
+	for _, name := range i.counts.Customers() {
+		minutes, _ := i.counts.Minutes(name)
+		for _, m := range minutes {
+			reads += m.Reads
+			replica += m.ReplicaReads
+		}
+	}
+	if reads > 0 {
+		i.metrics.share.Update(float64(replica) / float64(reads))
+	}
+}
--- /dev/null
+++ b/instance/seat.go
@@ -0,0 +1,163 @@
+package instance
+
+import (
+	"context"
+	"time"
+
+	"github.com/monsoontiller/monsoontiller/event"
+	"github.com/monsoontiller/monsoontiller/fault"
+	"github.com/monsoontiller/monsoontiller/membership"
+	"github.com/monsoontiller/monsoontiller/peer"
+	"github.com/monsoontiller/monsoontiller/platform"
+)
+
+// claimSeat takes a seat for this run: the one that the instance's name held before, or a free one.
+//
+// It tries until ctx ends, since without a seat the instance owns no connections.
+func claimSeat(ctx context.Context, cfg Config, self peer.Seat) (uint32, error) {
+	configuration := platform.NewConfiguration(cfg.Platform)
+	for {
+		number, err := claimOnce(ctx, configuration, cfg, self)
+		if err == nil {
+			return number, nil
+		}
+		_ = cfg.Logger.Log("level", "warn", "msg", "no seat yet", "error", err.Error())
+		select {
+		case <-ctx.Done():
+			return 0, err
+		case <-time.After(claimPause):
+		}
+	}
+}
+
+func claimOnce(ctx context.Context, configuration *platform.Configuration, cfg Config, self peer.Seat) (uint32, error) {
+	fresh := platform.NewConfiguration(cfg.Platform)
+	items, err := fresh.Poll(ctx)
+	if err != nil {
+		return 0, err
+	}
+	number, base, err := chooseSeat(items, cfg.Seats, self.Name)
+	if err != nil {
+		return 0, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
+	defer cancel()
+	_, err = configuration.Accept(ctx, platform.Change{
+		Key:       peer.SeatKey(number),
+		Text:      self.Encode(),
+		Base:      base,
+		RequestID: requestID(),
+		Author:    self.Name,
+		Now:       time.Now(),
+	})
+	return number, err
+}
+
+// chooseSeat returns the seat for an instance and the revision that it is at.
+func chooseSeat(items []platform.ConfigItem, seats int, name string) (uint32, membership.Revision, error) {
+	held := map[uint32]peer.Seat{}
+	revisions := map[uint32]membership.Revision{}
+	for _, item := range items {
+		if number, seat, ok := peer.ParseSeat(item); ok {
+			held[number] = seat
+			revisions[number] = item.Revision()
+		}
+	}
+	for number, seat := range held {
+		if seat.Name == name && int(number) <= seats {
+			return number, revisions[number], nil
+		}
+	}
+	for number := uint32(1); int(number) <= seats; number++ {
+		if held[number].Name == "" {
+			return number, revisions[number], nil
+		}
+	}
+	return 0, 0, fault.New(fault.Config{
+		Kind:    fault.KindOverloaded,
+		Message: "all seats are held by other instances",
+		Remedy:  "stop an instance, wait a minute after a crashed one, or raise instance_limit everywhere",
+	})
+}
+
+// releaseSeat frees a seat if it is still held by the given run.
+func releaseSeat(ctx context.Context, client *platform.Client, number uint32, holder peer.Seat, author string) error {
+	configuration := platform.NewConfiguration(client)
+	items, err := configuration.Poll(ctx)
+	if err != nil {
+		return err
+	}
+	for _, item := range items {
+		n, seat, ok := peer.ParseSeat(item)
+		if !ok || n != number || seat != holder {
+			continue
+		}
+		_, err := configuration.Accept(ctx, platform.Change{
+			Key:       item.Key(),
+			Text:      peer.Seat{}.Encode(),
+			Base:      item.Revision(),
+			RequestID: requestID(),
+			Author:    author,
+			Now:       time.Now(),
+		})
+		return err
+	}
+	return nil
+}
+
+// reaper frees the seats of instances that have been dead for longer than the grace.
+type reaper struct {
+	instance *Instance
+	deadFrom map[string]time.Time
+}
+
+// Name returns the service's name.
+func (r *reaper) Name() string { return "reaper" }
+
+// Run looks for dead instances until ctx ends.
+func (r *reaper) Run(ctx context.Context) error {
+	ticker := time.NewTicker(time.Second)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			r.look(ctx, time.Now())
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func (r *reaper) look(ctx context.Context, now time.Time) {
+	dead := map[string]bool{}
+	for _, p := range r.instance.node.Presences() {
+		if p.State() != membership.StateAlive {
+			dead[p.Identity().Name()] = true
+		}
+	}
+	for number, seat := range r.instance.node.Seats() {
+		if !dead[seat.Name] {
+			delete(r.deadFrom, seat.Name)
+			continue
+		}
+		if r.deadFrom[seat.Name].IsZero() {
+			r.deadFrom[seat.Name] = now
+		}
+		if now.Sub(r.deadFrom[seat.Name]) < seatGrace || !r.instance.first("reaper") {
+			continue
+		}
+		r.free(ctx, number, seat)
+	}
+}
+
+func (r *reaper) free(ctx context.Context, number uint32, seat peer.Seat) {
+	i := r.instance
+	if err := releaseSeat(ctx, i.cfg.Platform, number, seat, i.cfg.Name); err != nil {
+		return
+	}
+	i.events.Add(event.Config{
+		Subject:  "instance/" + seat.Name,
+		Decision: "seat_freed",
+		Evidence: "declared dead by its peers for longer than " + seatGrace.String(),
+	})
+}
--- /dev/null
+++ b/peer/exchange.go
@@ -0,0 +1,271 @@
+package peer
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/monsoontiller/monsoontiller/event"
+	"github.com/monsoontiller/monsoontiller/membership"
+	"github.com/monsoontiller/monsoontiller/peer/peerv1"
+	"github.com/monsoontiller/monsoontiller/peer/peerv1/peerv1connect"
+	"github.com/monsoontiller/monsoontiller/pool"
+)
+
+// exchangeLoop exchanges with the next peers at every interval.
+func (n *Node) exchangeLoop(ctx context.Context) error {
+	ticker := time.NewTicker(n.cfg.Interval)
+	defer ticker.Stop()
+	n.greetSeeds(ctx)
+	for {
+		n.round(ctx)
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// greetSeeds exchanges once with each configured peer, so that an instance can start while the platform is down.
+func (n *Node) greetSeeds(ctx context.Context) {
+	for _, address := range n.cfg.Seeds {
+		if address != n.cfg.Self.PeerAddress() {
+			n.exchange(ctx, address)
+		}
+	}
+}
+
+// round exchanges with this round's targets at the same time and waits for all.
+func (n *Node) round(ctx context.Context) {
+	now := time.Now()
+	n.mu.Lock()
+	targets := n.roster.Targets(now)
+	n.mu.Unlock()
+	ends := make(chan struct{}, len(targets))
+	for _, t := range targets {
+		go func() {
+			n.exchange(ctx, t.PeerAddress())
+			ends <- struct{}{}
+		}()
+	}
+	for range targets {
+		<-ends
+	}
+	n.expire()
+}
+
+// expire declares dead the watched peers that have been silent for too long.
+func (n *Node) expire() {
+	n.mu.Lock()
+	dead := n.roster.Expire(time.Now())
+	n.mu.Unlock()
+	for _, one := range dead {
+		n.cfg.Events.Add(event.Config{
+			Subject:  "instance/" + one.Name(),
+			Decision: "instance_declared_dead",
+			Evidence: "no answer to heartbeats for " + n.cfg.DeadAfter.String(),
+		})
+	}
+	if len(dead) > 0 {
+		n.cfg.Backend.PeerChanged()
+	}
+}
+
+// exchange sends the news to one peer and takes its answer; an error is only noted by the peer's silence.
+func (n *Node) exchange(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, n.cfg.Timeout)
+	defer cancel()
+	client := n.client(address)
+	sentAt := time.Now()
+	answer, err := client.Exchange(ctx, connect.NewRequest(&peerv1.ExchangeRequest{News: n.news(n.nameAt(address))}))
+	if err != nil {
+		return
+	}
+	news := answer.Msg.GetNews()
+	n.take(news)
+	complete := n.repair(ctx, client, news)
+	if !complete {
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	age := time.Duration(news.GetFreshAgeMs()) * time.Millisecond
+	n.freshness.Exchanged(sentAt, news.GetFrom().GetName(), age, n.witnessesLocked())
+}
+
+func (n *Node) nameAt(address string) string {
+	for _, one := range n.Others() {
+		if one.PeerAddress() == address {
+			return one.Name()
+		}
+	}
+	return ""
+}
+
+// news returns what to tell a peer.
+func (n *Node) news(peer string) *peerv1.News {
+	loans := n.cfg.Backend.Loans(peer)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	out := &peerv1.News{
+		From:           identityMessage(n.cfg.Self),
+		ConfigDigest:   uint64(n.items.Digest()),
+		PresenceDigest: uint64(n.roster.Presences().Digest()),
+		FreshAgeMs:     -1,
+	}
+	if age, ok := n.freshness.Age(time.Now()); ok {
+		out.FreshAgeMs = age.Milliseconds() + 1
+	}
+	fleet := n.roster.Presences().Len()
+	for _, item := range n.items.Deltas(maxDeltas, fleet) {
+		out.Items = append(out.Items, itemMessage(item))
+	}
+	for _, p := range n.roster.Presences().Deltas(maxDeltas, fleet) {
+		out.Presences = append(out.Presences, presenceMessage(p))
+	}
+	for _, loan := range loans {
+		out.Loans = append(out.Loans, &peerv1.Loan{
+			Endpoint: loan.Endpoint,
+			Count:    uint32(loan.Holding.Count()),
+			Sequence: loan.Holding.Sequence(),
+		})
+	}
+	out.Addressed = n.incarnationLocked(peer)
+	return out
+}
+
+// incarnationLocked returns the run of a peer that was heard of.
+func (n *Node) incarnationLocked(peer string) uint64 {
+	held, ok := n.roster.Presences().Get(peer)
+	if !ok {
+		return 0
+	}
+	return held.Value().Identity().Incarnation()
+}
+
+// take applies a peer's news.
+func (n *Node) take(news *peerv1.News) {
+	from := identityOf(news.GetFrom())
+	n.mu.Lock()
+	before := n.roster.Presences().Digest()
+	n.roster.Heard(time.Now(), from)
+	for _, p := range news.GetPresences() {
+		n.roster.Apply(presenceOf(p))
+	}
+	changed := n.roster.Presences().Digest() != before
+	n.mu.Unlock()
+	for _, item := range news.GetItems() {
+		n.Apply(itemOf(item))
+	}
+	for _, loan := range news.GetLoans() {
+		n.cfg.Backend.Reported(loan.GetEndpoint(), pool.Word{
+			Peer:        from.Name(),
+			Incarnation: from.Incarnation(),
+			Addressed:   news.GetAddressed(),
+			Sequence:    loan.GetSequence(),
+			Count:       int(loan.GetCount()),
+		})
+	}
+	if changed {
+		n.cfg.Backend.PeerChanged()
+	}
+}
+
+// repair fetches what the peer has and this instance lacks, and reports whether it now holds all of the peer's configuration.
+func (n *Node) repair(ctx context.Context, client peerv1connect.PeerServiceClient, news *peerv1.News) bool {
+	n.mu.Lock()
+	sameConfig := uint64(n.items.Digest()) == news.GetConfigDigest()
+	samePresence := uint64(n.roster.Presences().Digest()) == news.GetPresenceDigest()
+	q := &peerv1.RepairRequest{
+		ConfigBuckets:   n.items.BucketDigests(),
+		PresenceBuckets: n.roster.Presences().BucketDigests(),
+	}
+	n.mu.Unlock()
+	if sameConfig && samePresence {
+		return true
+	}
+	answer, err := client.Repair(ctx, connect.NewRequest(q))
+	if err != nil {
+		return sameConfig
+	}
+	n.take(&peerv1.News{From: news.GetFrom(), Items: answer.Msg.GetItems(), Presences: answer.Msg.GetPresences()})
+	return answer.Msg.GetComplete()
+}
+
+// leave tells the peers that this instance has left.
+func (n *Node) leave() {
+	n.mu.Lock()
+	n.roster.Leave()
+	others := n.roster.Others()
+	n.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), n.cfg.Timeout)
+	defer cancel()
+	ends := make(chan struct{}, len(others))
+	told := others[:min(len(others), 2*n.cfg.Fanout)]
+	for _, one := range told {
+		go func() {
+			n.exchange(ctx, one.PeerAddress())
+			ends <- struct{}{}
+		}()
+	}
+	for range told {
+		<-ends
+	}
+}
+
+func identityMessage(i membership.Identity) *peerv1.Identity {
+	return &peerv1.Identity{
+		Number:      i.Number(),
+		Incarnation: i.Incarnation(),
+		Name:        i.Name(),
+		PeerAddress: i.PeerAddress(),
+		DataCentre:  i.DataCentre(),
+	}
+}
+
+func identityOf(m *peerv1.Identity) membership.Identity {
+	return membership.NewIdentity(membership.IdentityConfig{
+		Number:      m.GetNumber(),
+		Incarnation: m.GetIncarnation(),
+		Name:        m.GetName(),
+		PeerAddress: m.GetPeerAddress(),
+		DataCentre:  m.GetDataCentre(),
+	})
+}
+
+func presenceMessage(p membership.Item[membership.Presence]) *peerv1.Presence {
+	return &peerv1.Presence{
+		Identity: identityMessage(p.Value().Identity()),
+		Revision: uint64(p.Revision()),
+		State:    uint32(p.Value().State()),
+	}
+}
+
+func presenceOf(m *peerv1.Presence) membership.Item[membership.Presence] {
+	id := identityOf(m.GetIdentity())
+	state := membership.State(min(m.GetState(), uint32(membership.StateLeft)))
+	return membership.NewItem(id.Name(), membership.Revision(m.GetRevision()), membership.NewPresence(id, state))
+}
+
+func itemMessage(item ConfigItem) *peerv1.Item {
+	v := item.Value()
+	return &peerv1.Item{
+		Key:          item.Key(),
+		Revision:     uint64(item.Revision()),
+		Text:         v.Text(),
+		Author:       v.Author(),
+		RequestId:    v.RequestID(),
+		AcceptedUnix: v.AcceptedAt().Unix(),
+	}
+}
+
+func itemOf(m *peerv1.Item) ConfigItem {
+	return membership.NewItem(m.GetKey(), membership.Revision(m.GetRevision()), membership.NewEntry(membership.EntryConfig{
+		Text:       m.GetText(),
+		Author:     m.GetAuthor(),
+		RequestID:  m.GetRequestId(),
+		AcceptedAt: time.Unix(m.GetAcceptedUnix(), 0),
+	}))
+}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -164,13 +164,12 @@
 	return p.wake(now), closes
 }
 
-// TakeIdle removes every idle connection, for the caller to close or check.
+// TakeIdle hands over every idle connection, still counted; the caller closes each and calls Discard.
 func (p *Pool[C, W]) TakeIdle() []C {
 	conns := make([]C, 0, len(p.idle))
 	for _, c := range p.idle {
 		conns = append(conns, c.conn)
 	}
-	p.open -= len(conns)
 	p.idle = nil
 	return conns
 }
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,228 @@
+package settings
+
+import (
+	"fmt"
+	"net"
+	"net/url"
+	"os"
+	"time"
+
+	"github.com/monsoontiller/monsoontiller/contract"
+	"github.com/monsoontiller/monsoontiller/fault"
+)
+
+// MaxBytes is the longest settings file.
+const MaxBytes = 64 << 10
+
+// TLS names the files of certificates and keys; all are optional.
+type TLS struct {
+	CallerCert    string `toml:"caller_cert"`
+	CallerKey     string `toml:"caller_key"`
+	RequireCaller bool   `toml:"require_caller"`
+	EndpointCA    string `toml:"endpoint_ca"`
+	PeerCert      string `toml:"peer_cert"`
+	PeerKey       string `toml:"peer_key"`
+	PeerCA        string `toml:"peer_ca"`
+}
+
+// file is the TOML form of the settings.
+type file struct {
+	Instance        string   `toml:"instance"`
+	DataCentre      string   `toml:"data_centre"`
+	CallerAddress   string   `toml:"caller_address"`
+	PeerAddress     string   `toml:"peer_address"`
+	OperatorAddress string   `toml:"operator_address"`
+	PlatformURL     string   `toml:"platform_url"`
+	TokenKey        string   `toml:"token_key"`
+	InstanceLimit   int      `toml:"instance_limit"`
+	Permit          string   `toml:"permit"`
+	ProbeInterval   string   `toml:"probe_interval"`
+	Peers           []string `toml:"peers"`
+	TLS             TLS      `toml:"tls"`
+}
+
+// Settings are the checked settings of one instance.
+type Settings struct {
+	file          file
+	permit        time.Duration
+	probeInterval time.Duration
+}
+
+// Instance returns the instance's name.
+func (s *Settings) Instance() string { return s.file.Instance }
+
+// DataCentre returns the instance's data centre.
+func (s *Settings) DataCentre() string { return s.file.DataCentre }
+
+// CallerAddress returns where callers connect.
+func (s *Settings) CallerAddress() string { return s.file.CallerAddress }
+
+// PeerAddress returns where other instances connect.
+func (s *Settings) PeerAddress() string { return s.file.PeerAddress }
+
+// OperatorAddress returns where operators connect.
+func (s *Settings) OperatorAddress() string { return s.file.OperatorAddress }
+
+// PlatformURL returns where the platform's service is.
+func (s *Settings) PlatformURL() string { return s.file.PlatformURL }
+
+// TokenKey returns the fleet's secret for session tokens; it must not be logged.
+func (s *Settings) TokenKey() string { return s.file.TokenKey }
+
+// InstanceLimit returns the largest number of instances, by which connections are divided.
+func (s *Settings) InstanceLimit() int { return s.file.InstanceLimit }
+
+// Permit returns how long the primary may be used after it was confirmed.
+func (s *Settings) Permit() time.Duration { return s.permit }
+
+// ProbeInterval returns how often members are asked for their status.
+func (s *Settings) ProbeInterval() time.Duration { return s.probeInterval }
+
+// Peers returns addresses of instances to ask when the platform is down.
+func (s *Settings) Peers() []string { return append([]string(nil), s.file.Peers...) }
+
+// TLS returns the files of certificates and keys.
+func (s *Settings) TLS() TLS { return s.file.TLS }
+
+// Defaults and bounds.
+const (
+	defaultInstanceLimit = 9
+	maxInstanceLimit     = 4095
+	defaultPermit        = 500 * time.Millisecond
+	defaultProbeInterval = 100 * time.Millisecond
+	maxPermit            = 3 * time.Second
+	minProbeInterval     = 10 * time.Millisecond
+	probesPerPermit      = 3
+	minTokenKey          = 16
+)
+
+// Load reads and checks a settings file; it fails with KindInvalid and all mistakes as the cause.
+func Load(path string) (*Settings, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fault.New(fault.Config{
+			Kind:    fault.KindInvalid,
+			Message: "the settings file cannot be read",
+			Remedy:  "name a readable file with --settings",
+			Cause:   err,
+		})
+	}
+	return Parse(text)
+}
+
+// Parse checks the settings in text; it fails with KindInvalid and all mistakes as the cause.
+func Parse(text []byte) (*Settings, error) {
+	c := &checker{text: text}
+	s := &Settings{}
+	if len(text) > MaxBytes {
+		c.mistake("settings", "longer than 64 KiB", "keep the settings of one instance in one file")
+		return nil, c.err()
+	}
+	c.mistakes = contract.DecodeStrict(text, &s.file)
+	c.check(s)
+	if len(c.mistakes) > 0 {
+		return nil, c.err()
+	}
+	return s, nil
+}
+
+// checker collects mistakes.
+type checker struct {
+	text     []byte
+	mistakes contract.Mistakes
+}
+
+func (c *checker) err() error {
+	return fault.New(fault.Config{
+		Kind:    fault.KindInvalid,
+		Message: fmt.Sprintf("the settings have %d mistakes", len(c.mistakes)),
+		Remedy:  "mend each line named and start again",
+		Cause:   c.mistakes,
+	})
+}
+
+func (c *checker) mistake(key, text, remedy string) {
+	c.mistakes = append(c.mistakes, contract.NewMistake(key, contract.LineOf(c.text, key), text, remedy))
+}
+
+func (c *checker) check(s *Settings) {
+	f := &s.file
+	c.required("instance", f.Instance, "give each instance a name of its own")
+	c.required("data_centre", f.DataCentre, "name the data centre that the instance runs in")
+	c.address("caller_address", f.CallerAddress)
+	c.address("peer_address", f.PeerAddress)
+	c.address("operator_address", f.OperatorAddress)
+	c.url("platform_url", f.PlatformURL)
+	if len(f.TokenKey) < minTokenKey {
+		c.mistake("token_key", "missing or shorter than 16 bytes", "set the same random text on every instance")
+	}
+	if f.InstanceLimit == 0 {
+		f.InstanceLimit = defaultInstanceLimit
+	}
+	if f.InstanceLimit < 1 || f.InstanceLimit > maxInstanceLimit {
+		c.mistake("instance_limit", "out of range", "use 1 to 4095, the same on every instance")
+	}
+	s.permit = c.duration("permit", f.Permit, defaultPermit)
+	s.probeInterval = c.duration("probe_interval", f.ProbeInterval, defaultProbeInterval)
+	if s.permit > maxPermit {
+		c.mistake("permit", "longer than 3s", "use at most 3s, the same on every instance")
+	}
+	if s.probeInterval < minProbeInterval || probesPerPermit*s.probeInterval > s.permit {
+		c.mistake("probe_interval", "not between 10ms and a third of permit", "leave it out, or lower it")
+	}
+	for _, p := range f.Peers {
+		c.address("peers", p)
+	}
+	c.checkTLS(f)
+}
+
+func (c *checker) checkTLS(f *file) {
+	t := f.TLS
+	if (t.CallerCert == "") != (t.CallerKey == "") {
+		c.mistake("tls.caller_cert", "set without its key, or the other way round", "set caller_cert and caller_key together")
+	}
+	if t.RequireCaller && t.CallerCert == "" {
+		c.mistake("tls.require_caller", "set without a certificate", "set caller_cert and caller_key")
+	}
+	set := 0
+	for _, name := range []string{t.PeerCert, t.PeerKey, t.PeerCA} {
+		if name != "" {
+			set++
+		}
+	}
+	if set != 0 && set != 3 {
+		c.mistake("tls.peer_cert", "peers need certificate, key and authority", "set peer_cert, peer_key and peer_ca together")
+	}
+}
+
+func (c *checker) required(key, value, remedy string) {
+	if value == "" {
+		c.mistake(key, "missing", remedy)
+	}
+}
+
+func (c *checker) address(key, value string) {
+	host, port, err := net.SplitHostPort(value)
+	if err != nil || port == "" || net.ParseIP(host) == nil {
+		c.mistake(key, fmt.Sprintf("%q is not IP:port", value), `write it like "10.0.0.1:5432"`)
+	}
+}
+
+func (c *checker) url(key, value string) {
+	u, err := url.Parse(value)
+	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+		c.mistake(key, fmt.Sprintf("%q is not an HTTP URL", value), `write it like "http://10.0.0.9:8080"`)
+	}
+}
+
+func (c *checker) duration(key, value string, fallback time.Duration) time.Duration {
+	if value == "" {
+		return fallback
+	}
+	d, err := time.ParseDuration(value)
+	if err != nil || d <= 0 {
+		c.mistake(key, fmt.Sprintf("%q is not a duration", value), `write it like "500ms"`)
+		return fallback
+	}
+	return d
+}
