Test the fleet through outages, cuts, races, drains and a lost primary

Cause: the fleet's promises had only been tried by hand.

Change: tests over real sockets on the stand-ins; an order rests on a fresh read of the table, and an instance spreads its own seat at once.

Before: an instance started a moment ago was unknown to the one asked to drain it. After: the order finds it. Limits hold with 24 callers on one of four instances; writes resume after a lost primary with the store up and down.

--- /dev/null
+++ b/dev/fleet_test.go
@@ -0,0 +1,359 @@
+package dev_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"github.com/monsoontiller/monsoontiller/dev"
+	"github.com/monsoontiller/monsoontiller/endpoint/endpointtest"
+	"github.com/monsoontiller/monsoontiller/instance"
+	"github.com/monsoontiller/monsoontiller/operator"
+	"github.com/monsoontiller/monsoontiller/operator/operatorv1"
+	"github.com/monsoontiller/monsoontiller/operator/operatorv1/operatorv1connect"
+)
+
+// patience bounds every wait; nothing in a test depends on how much of it is used.
+const patience = 30 * time.Second
+
+func startFleet(t *testing.T, cfg dev.Config) *dev.Fleet {
+	t.Helper()
+	f, err := dev.Start(context.Background(), cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if err := f.Stop(); err != nil && !t.Failed() {
+			t.Logf("stop: %v", err)
+		}
+	})
+	for _, i := range f.Instances() {
+		waitUntil(t, "an instance is ready", i.Ready)
+	}
+	return f
+}
+
+func waitUntil(t *testing.T, what string, done func() bool) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	tick := time.NewTicker(10 * time.Millisecond)
+	defer tick.Stop()
+	for !done() {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			t.Fatalf("it did not come true: %s", what)
+		}
+	}
+}
+
+func url(f *dev.Fleet, n int) string {
+	return fmt.Sprintf("postgres://%s@%s/%s?sslmode=disable", f.Customer(), f.Instances()[n].CallerAddress(), f.Database())
+}
+
+func connectTo(t *testing.T, f *dev.Fleet, n int) *pgx.Conn {
+	t.Helper()
+	var c *pgx.Conn
+	waitUntil(t, "a caller is taken", func() bool {
+		var err error
+		c, err = pgx.Connect(context.Background(), url(f, n))
+		return err == nil
+	})
+	t.Cleanup(func() { c.Close(context.Background()) })
+	return c
+}
+
+func exec(t *testing.T, c *pgx.Conn, sql string) {
+	t.Helper()
+	if _, err := c.Exec(context.Background(), sql); err != nil {
+		t.Fatalf("%s: %v", sql, err)
+	}
+}
+
+func code(err error) string {
+	var e *pgconn.PgError
+	if errors.As(err, &e) {
+		return e.Code
+	}
+	return ""
+}
+
+func client(i *instance.Instance) operatorv1connect.OperatorServiceClient {
+	return operator.NewClient(operator.ClientConfig{Address: i.OperatorAddress(), HTTP: instance.NewPeerClient(nil)})
+}
+
+func apply(i *instance.Instance, text string, base uint64, id string) (uint64, error) {
+	a, err := client(i).ApplyContract(context.Background(), connect.NewRequest(&operatorv1.ApplyContractRequest{
+		Text: text, BaseRevision: base, RequestId: id, Author: "test",
+	}))
+	if err != nil {
+		return 0, err
+	}
+	return a.Msg.GetRevision(), nil
+}
+
+func revisionOn(t *testing.T, f *dev.Fleet, n int) uint64 {
+	t.Helper()
+	a, err := client(f.Instances()[n]).GetContract(context.Background(), connect.NewRequest(&operatorv1.GetContractRequest{Customer: f.Customer()}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return a.Msg.GetContract().GetRevision()
+}
+
+func TestContractChangeIsInForceOnEveryInstance(t *testing.T) {
+	f := startFleet(t, dev.Config{Instances: 3})
+	revision, err := apply(f.Instances()[0], f.Contract()+"drain_timeout = \"7s\"\n", 1, "edit")
+	if err == nil {
+		t.Fatal("a contract whose last key stands in a database table was accepted")
+	}
+	text := "drain_timeout = \"7s\"\n" + f.Contract()
+	if revision, err = apply(f.Instances()[0], text, 1, "edit"); err != nil || revision != 2 {
+		t.Fatalf("apply: revision %d, %v", revision, err)
+	}
+	for n := range f.Instances() {
+		waitUntil(t, "revision 2 is in force", func() bool { return revisionOn(t, f, n) == 2 })
+	}
+}
+
+func TestRacingOperatorsGetOneRevisionEach(t *testing.T) {
+	f := startFleet(t, dev.Config{Instances: 2})
+	const operators = 4
+	errs := make(chan error, operators)
+	for n := range operators {
+		go func() {
+			text := fmt.Sprintf("drain_timeout = \"%ds\"\n", n+1) + f.Contract()
+			_, err := apply(f.Instances()[n%2], text, 1, fmt.Sprintf("race-%d", n))
+			errs <- err
+		}()
+	}
+	won := 0
+	for range operators {
+		err := <-errs
+		switch {
+		case err == nil:
+			won++
+		case connect.CodeOf(err) != connect.CodeAborted:
+			t.Errorf("a losing operator got %v, want a conflict", err)
+		}
+	}
+	if won != 1 {
+		t.Errorf("%d operators won from the same revision, want 1", won)
+	}
+}
+
+func TestLostAnswerOfTheStoreIsResolved(t *testing.T) {
+	f := startFleet(t, dev.Config{Instances: 2})
+	f.Platform().LoseAnswers(1)
+	text := "drain_timeout = \"7s\"\n" + f.Contract()
+	revision, err := apply(f.Instances()[0], text, 1, "lost")
+	if err != nil || revision != 2 {
+		t.Fatalf("apply with a lost answer: revision %d, %v", revision, err)
+	}
+	again, err := apply(f.Instances()[1], text, 1, "lost")
+	if err != nil || again != 2 {
+		t.Errorf("the repeated request gave revision %d, %v; want 2 again", again, err)
+	}
+}
+
+// cutter breaks an instance's links while it is set.
+type cutter struct {
+	cut  atomic.Bool
+	next http.RoundTripper
+}
+
+var errCut = errors.New("the link is cut")
+
+func (c *cutter) RoundTrip(r *http.Request) (*http.Response, error) {
+	if c.cut.Load() {
+		return nil, errCut
+	}
+	return c.next.RoundTrip(r)
+}
+
+func TestInstanceWithoutPlatformAndPeersStops(t *testing.T) {
+	c := &cutter{next: instance.NewPeerClient(nil).Transport}
+	links := func(name string) *http.Client {
+		if name == "entry-1" {
+			return &http.Client{Transport: c}
+		}
+		return instance.NewPeerClient(nil)
+	}
+	f := startFleet(t, dev.Config{Instances: 3, PeerClient: links, PlatformClient: links, FreshBound: 2 * time.Second})
+	one := connectTo(t, f, 0)
+	exec(t, one, "INSERT INTO kv VALUES ('before', '1')")
+	c.cut.Store(true)
+	waitUntil(t, "the cut-off instance refuses as not run", func() bool {
+		_, err := one.Exec(context.Background(), "UPDATE kv SET value = 'x' WHERE key = 'none'")
+		return code(err) == "57P03"
+	})
+	if _, err := apply(f.Instances()[1], "drain_timeout = \"7s\"\n"+f.Contract(), 1, "while-cut"); err != nil {
+		t.Errorf("the others could not change the contract: %v", err)
+	}
+	c.cut.Store(false)
+	waitUntil(t, "the instance serves again, under the new revision", func() bool {
+		_, err := one.Exec(context.Background(), "UPDATE kv SET value = 'x' WHERE key = 'none'")
+		return err == nil && revisionOn(t, f, 0) == 2
+	})
+}
+
+func TestStoreOutageStopsNothingWhilePeersAgree(t *testing.T) {
+	f := startFleet(t, dev.Config{Instances: 3, FreshBound: 2 * time.Second})
+	c := connectTo(t, f, 0)
+	f.Platform().SetDown(true)
+	deadline := time.Now().Add(5 * time.Second)
+	for n := 0; time.Now().Before(deadline); n++ {
+		exec(t, c, fmt.Sprintf("INSERT INTO kv VALUES ('k-%d', '1')", n))
+	}
+}
+
+func primaryOf(g *endpointtest.Group, name string) *endpointtest.Member {
+	for _, m := range g.Members() {
+		if m.Name() == name {
+			return m
+		}
+	}
+	return nil
+}
+
+func TestWritesResumeAfterThePrimaryIsLost(t *testing.T) {
+	for _, outage := range []bool{false, true} {
+		t.Run(fmt.Sprintf("outage=%v", outage), func(t *testing.T) {
+			f := startFleet(t, dev.Config{Instances: 3})
+			c := connectTo(t, f, 0)
+			exec(t, c, "INSERT INTO kv VALUES ('before', '1')")
+			waitUntil(t, "the replicas hold the write", func() bool {
+				s := f.Groups()[0].Members()
+				return s[1].Status().Point() == s[0].Status().Point() && s[2].Status().Point() == s[0].Status().Point()
+			})
+			f.Platform().SetDown(outage)
+			primaryOf(f.Groups()[0], "candidates-1-a").Stop()
+			n := 0
+			waitUntil(t, "a write succeeds", func() bool {
+				n++
+				_, err := c.Exec(context.Background(), fmt.Sprintf("INSERT INTO kv VALUES ('after-%d', '1')", n))
+				return err == nil
+			})
+			if term := f.Groups()[0].Primary().Status().Point().Term(); term < 2 {
+				t.Errorf("term %d after the failover", term)
+			}
+			var v string
+			if err := c.QueryRow(context.Background(), "SELECT value FROM kv WHERE key = 'before'").Scan(&v); err != nil || v != "1" {
+				t.Errorf("a replicated write is gone: %q, %v", v, err)
+			}
+			f.Platform().SetDown(false)
+			a, err := client(f.Instances()[2]).Explain(context.Background(), connect.NewRequest(&operatorv1.ExplainRequest{Subject: "group/candidates-1"}))
+			if err != nil {
+				t.Fatal(err)
+			}
+			found := false
+			for _, d := range a.Msg.GetDecisions() {
+				found = found || d.GetDecision() == "primary_promoted"
+			}
+			if !found {
+				t.Error("explain does not tell of the promotion")
+			}
+		})
+	}
+}
+
+func TestLeavingEndpointGetsNoNewWork(t *testing.T) {
+	f := startFleet(t, dev.Config{Instances: 2})
+	c := connectTo(t, f, 0)
+	exec(t, c, "INSERT INTO kv VALUES ('before', '1')")
+	_, err := client(f.Instances()[1]).DrainEndpoint(context.Background(), connect.NewRequest(&operatorv1.DrainEndpointRequest{Endpoint: "candidates-1-a"}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	waitUntil(t, "another member leads", func() bool {
+		p := f.Groups()[0].Primary()
+		return p != nil && p.Name() != "candidates-1-a" && p.Status().Point().Term() > 1
+	})
+	waitUntil(t, "a write succeeds there", func() bool {
+		_, err := c.Exec(context.Background(), "UPDATE kv SET value = '2' WHERE key = 'before'")
+		return err == nil
+	})
+	s, err := client(f.Instances()[0]).Status(context.Background(), connect.NewRequest(&operatorv1.StatusRequest{}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, e := range s.Msg.GetGroups()[0].GetEndpoints() {
+		if e.GetName() == "candidates-1-a" && (e.GetUsable() || !e.GetLeaving()) {
+			t.Errorf("the leaving endpoint is still usable: %v", e)
+		}
+	}
+}
+
+func TestDrainOrderStopsTheInstanceAndFreesItsSeat(t *testing.T) {
+	f := startFleet(t, dev.Config{Instances: 3})
+	_, err := client(f.Instances()[0]).DrainInstance(context.Background(), connect.NewRequest(&operatorv1.DrainInstanceRequest{Instance: "entry-3"}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := f.AwaitInstance(2); err != nil {
+		t.Errorf("the drained instance ended with %v", err)
+	}
+	if err := f.StartInstance(2); err != nil {
+		t.Errorf("the instance could not come back: %v", err)
+	}
+	waitUntil(t, "it is ready again", f.Instances()[2].Ready)
+}
+
+func TestCancelThroughAnotherInstance(t *testing.T) {
+	f := startFleet(t, dev.Config{Instances: 2})
+	slow := connectTo(t, f, 0)
+	result := make(chan error, 1)
+	go func() {
+		_, err := slow.Exec(context.Background(), "SELECT pg_sleep(20)")
+		result <- err
+	}()
+	key := slow.PgConn()
+	waitUntil(t, "the statement is canceled", func() bool {
+		cancelThrough(t, f, 1, key)
+		select {
+		case err := <-result:
+			return code(err) == "57014"
+		default:
+			return false
+		}
+	})
+}
+
+func TestConnectionsStayWithinTheLimitUnderSkewedLoad(t *testing.T) {
+	f := startFleet(t, dev.Config{Instances: 4, StatementTime: 2 * time.Millisecond})
+	const callers, requests = 24, 40
+	errs := make(chan error, callers)
+	for n := range callers {
+		c := connectTo(t, f, 0)
+		go func() {
+			for k := range requests {
+				if _, err := c.Exec(context.Background(), fmt.Sprintf("INSERT INTO kv VALUES ('%d-%d', '1')", n, k)); err != nil {
+					errs <- err
+					return
+				}
+			}
+			errs <- nil
+		}()
+	}
+	for range callers {
+		if err := <-errs; err != nil {
+			t.Error(err)
+		}
+	}
+	for _, g := range f.Groups() {
+		for _, m := range g.Members() {
+			if refused := m.Refused(); refused > 0 {
+				t.Errorf("%s refused %d connections over its limit", m.Name(), refused)
+			}
+		}
+	}
+}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -49,7 +49,7 @@
 		PeerAddress: cfg.PeerListener.Addr().String(),
 		DataCentre:  cfg.DataCentre,
 	}
-	number, err := claimSeat(ctx, cfg, seat)
+	number, claimed, err := claimSeat(ctx, cfg, seat)
 	if err != nil {
 		return nil, err
 	}
@@ -68,6 +68,7 @@
 	i.metrics = newMetrics(cfg.Scope)
 	i.events = event.NewLog(event.LogConfig{Instance: cfg.Name, OnAdd: i.logEvent})
 	i.node = i.newNode(incarnation)
+	i.node.Apply(claimed)
 	if i.server, err = i.newServer(); err != nil {
 		return nil, err
 	}
--- a/instance/operator.go
+++ b/instance/operator.go
@@ -181,6 +181,7 @@
 
 // DrainInstance orders the present run of an instance to leave.
 func (s *operatorService) DrainInstance(ctx context.Context, q *connect.Request[operatorv1.DrainInstanceRequest]) (*connect.Response[operatorv1.DrainInstanceResponse], error) {
+	s.refresh(ctx)
 	for _, seat := range s.instance.node.Seats() {
 		if seat.Name != q.Msg.GetInstance() {
 			continue
@@ -204,8 +205,18 @@
 	return connect.NewResponse(&operatorv1.DrainEndpointResponse{}), operator.Error(err)
 }
 
+// refresh reads the table once, so that an order rests on the newest revision; without the table the order fails later.
+func (s *operatorService) refresh(ctx context.Context) {
+	sentAt := time.Now()
+	items, err := platform.NewConfiguration(s.instance.cfg.Platform).Poll(ctx)
+	if err == nil {
+		s.instance.node.ReadTable(sentAt, items)
+	}
+}
+
 // order accepts an order on top of whatever revision is in force; the same order twice changes nothing.
 func (s *operatorService) order(ctx context.Context, key, text string) error {
+	s.refresh(ctx)
 	item, ok := s.instance.node.Item(key)
 	if ok && item.Value().Text() == text {
 		return nil
--- a/instance/seat.go
+++ b/instance/seat.go
@@ -14,35 +14,35 @@
 // claimSeat takes a seat for this run: the one that the instance's name held before, or a free one.
 //
 // It tries until ctx ends, since without a seat the instance owns no connections.
-func claimSeat(ctx context.Context, cfg Config, self peer.Seat) (uint32, error) {
+func claimSeat(ctx context.Context, cfg Config, self peer.Seat) (uint32, platform.ConfigItem, error) {
 	configuration := platform.NewConfiguration(cfg.Platform)
 	for {
-		number, err := claimOnce(ctx, configuration, cfg, self)
+		number, item, err := claimOnce(ctx, configuration, cfg, self)
 		if err == nil {
-			return number, nil
+			return number, item, nil
 		}
 		_ = cfg.Logger.Log("level", "warn", "msg", "no seat yet", "error", err.Error())
 		select {
 		case <-ctx.Done():
-			return 0, err
+			return 0, item, err
 		case <-time.After(claimPause):
 		}
 	}
 }
 
-func claimOnce(ctx context.Context, configuration *platform.Configuration, cfg Config, self peer.Seat) (uint32, error) {
+func claimOnce(ctx context.Context, configuration *platform.Configuration, cfg Config, self peer.Seat) (uint32, platform.ConfigItem, error) {
 	fresh := platform.NewConfiguration(cfg.Platform)
 	items, err := fresh.Poll(ctx)
 	if err != nil {
-		return 0, err
+		return 0, platform.ConfigItem{}, err
 	}
 	number, base, err := chooseSeat(items, cfg.Seats, self.Name)
 	if err != nil {
-		return 0, err
+		return 0, platform.ConfigItem{}, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
 	defer cancel()
-	_, err = configuration.Accept(ctx, platform.Change{
+	item, err := configuration.Accept(ctx, platform.Change{
 		Key:       peer.SeatKey(number),
 		Text:      self.Encode(),
 		Base:      base,
@@ -50,7 +50,7 @@
 		Author:    self.Name,
 		Now:       time.Now(),
 	})
-	return number, err
+	return number, item, err
 }
 
 // chooseSeat returns the seat for an instance and the revision that it is at.
