Measure leases on a clock that counts suspension

Cause: the runtime's clock stands still while a machine sleeps, so a holder that woke could have taken an old permit for a valid one; the permit was also checked before the connection was handed back, not right before the answer was written.

Change: CLOCK_BOOTTIME for permits and freshness; the last check stands just ahead of the write; a caller that does not read is cut off after the write timeout; SET over the extended protocol is replayed instead of pinning its session.

--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -6,6 +6,7 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"github.com/monsoontiller/monsoontiller/clock"
 	"github.com/monsoontiller/monsoontiller/endpoint"
 	"github.com/monsoontiller/monsoontiller/fault"
 	"github.com/monsoontiller/monsoontiller/group"
@@ -29,6 +30,8 @@
 	skipping  bool
 	deadline  time.Time
 	out       []byte
+	// writeTimeout bounds each write to a caller that does not read.
+	writeTimeout time.Duration
 }
 
 // exchange sends a unit over one connection and relays the answer.
@@ -80,7 +83,7 @@
 			return false
 		}
 	}
-	x.conn.SetAnsweredAt(time.Now())
+	x.conn.SetAnsweredAt(clock.Now())
 	return !x.refused
 }
 
@@ -88,10 +91,10 @@
 	if err := x.queue(); err != nil {
 		return err
 	}
-	if err := x.conn.SetDeadline(x.deadline); err != nil {
+	if err := x.conn.SetDeadline(clock.Wall(x.deadline)); err != nil {
 		return err
 	}
-	x.sentAt = time.Now()
+	x.sentAt = clock.Now()
 	sent, err := x.conn.Flush()
 	x.sent = sent
 	return err
@@ -228,6 +231,9 @@
 		return nil
 	}
 	x.began = true
+	if err := x.client.SetWriteDeadline(time.Now().Add(x.writeTimeout)); err != nil {
+		return err
+	}
 	_, err := x.client.Write(x.out)
 	x.out = x.out[:0]
 	x.clientErr = err
--- a/caller/execute.go
+++ b/caller/execute.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/monsoontiller/monsoontiller/clock"
 	"github.com/monsoontiller/monsoontiller/endpoint"
 	"github.com/monsoontiller/monsoontiller/fault"
 	"github.com/monsoontiller/monsoontiller/group"
@@ -123,7 +124,7 @@
 // judge returns nil when the unit may be sent again, and the final error otherwise.
 func (s *callerSession) judge(r *request, x *exchange) error {
 	a := x.attempt()
-	now := time.Now()
+	now := clock.Now()
 	rules := retry.Request{Idempotent: r.marks.Idempotent(), Deadline: r.deadline}
 	v := retry.Judge(now, rules, a)
 	if v != retry.VerdictRetry {
@@ -209,6 +210,8 @@
 		skipping:  s.skipping,
 		deadline:  r.deadline,
 		out:       s.out[:0],
+
+		writeTimeout: s.server.cfg.WriteTimeout,
 	})
 }
 
@@ -229,7 +232,7 @@
 func (s *callerSession) decide(ctx context.Context, g *endpoint.Group, r *request) (route.Decision, route.Request, error) {
 	for {
 		d, rr, err := s.decideOnce(g, r)
-		if err != nil {
+		if err != nil && !s.mayLearn(err, r) {
 			return d, rr, err
 		}
 		if d.Target() == route.TargetReplica {
@@ -247,12 +250,17 @@
 		if err := sleep(ctx, undecidedPause); err != nil {
 			return d, rr, errDraining()
 		}
-		if !time.Now().Before(r.acquireBy) {
+		if !clock.Now().Before(r.acquireBy) {
 			return d, rr, retry.VerdictNotRun.Error(retry.Attempt{Failure: retry.FailureNoPermit})
 		}
 	}
 }
 
+// mayLearn reports whether err only says that the session has seen a newer term than this instance, and time is left to hear of it.
+func (s *callerSession) mayLearn(err error, r *request) bool {
+	return fault.KindOf(err) == fault.KindNoPrimary && clock.Now().Before(r.acquireBy)
+}
+
 // undecidedPause is the wait before a request without a target is routed again.
 const undecidedPause = 5 * time.Millisecond
 
@@ -263,7 +271,7 @@
 }
 
 func (s *callerSession) decideOnce(g *endpoint.Group, r *request) (d route.Decision, rr route.Request, err error) {
-	now := time.Now()
+	now := clock.Now()
 	budget := s.binding.Contract().Reads().ReplicaWait() - now.Sub(r.started)
 	g.View(func(t *route.Tracker) {
 		floor := group.NewPoint(t.Term(), 0)
--- a/caller/finish.go
+++ b/caller/finish.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"strings"
-	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"github.com/monsoontiller/monsoontiller/clock"
 	"github.com/monsoontiller/monsoontiller/fault"
 	"github.com/monsoontiller/monsoontiller/retry"
 )
@@ -19,11 +19,12 @@
 		if x.clientErr != nil {
 			return errClientGone
 		}
-		return retry.Judge(time.Now(), retry.Request{Deadline: r.deadline}, x.attempt()).Error(x.attempt())
+		return retry.Judge(clock.Now(), retry.Request{Deadline: r.deadline}, x.attempt()).Error(x.attempt())
 	}
 	s.txStatus = x.txStatus
 	s.skipping = x.aborted
 	s.inSequence = x.txStatus != 'I' || s.unit.end() == opFlush
+	s.permitted = s.onReplica
 	if !s.onReplica {
 		if err := s.acknowledge(ctx, r, x); err != nil {
 			s.discard()
@@ -55,7 +56,7 @@
 		return unacknowledged(nil)
 	}
 	if s.mayHaveWritten(r, x) {
-		s.state.Raise(x.committed.Point(), time.Now())
+		s.state.Raise(x.committed.Point(), clock.Now())
 		s.reportToken()
 		if s.binding.Contract().Writes().Replicated() {
 			if err := g.AwaitReplicated(ctx, x.committed.Point(), r.deadline); err != nil {
@@ -63,9 +64,6 @@
 			}
 		}
 	}
-	if !g.PermitValid() {
-		return unacknowledged(nil)
-	}
 	return nil
 }
 
@@ -90,11 +88,7 @@
 func (s *callerSession) keepState(x *exchange) {
 	switch s.unit.effect {
 	case effectReplay:
-		if x.pinned || s.inSequence || !x.succeeded() || !s.settings.add(s.unit.text) {
-			s.kept = true
-			return
-		}
-		s.conn.SetStateKey(s.settings.key)
+		s.keepSetting(x)
 	case effectReset:
 		if !x.succeeded() {
 			return
@@ -108,11 +102,21 @@
 	}
 }
 
-// succeeded reports whether the unit's only statement ran to its end as a simple query.
-func (x *exchange) succeeded() bool {
-	return len(x.tags) == 1 && x.unit.end() == opQuery
+// keepSetting notes a SET for replay on other connections, or keeps this one when it cannot be replayed.
+func (s *callerSession) keepSetting(x *exchange) {
+	if len(x.tags) == 0 {
+		return
+	}
+	if x.pinned || s.inSequence || !x.succeeded() || !s.settings.add(s.unit.text) {
+		s.kept = true
+		return
+	}
+	s.conn.SetStateKey(s.settings.key)
 }
 
+// succeeded reports whether the unit's only statement ran to its end.
+func (x *exchange) succeeded() bool { return len(x.tags) == 1 }
+
 // handBack returns the connection unless a transaction or the session's state holds on to it.
 func (s *callerSession) handBack() {
 	if s.inSequence || s.kept {
--- a/caller/handshake.go
+++ b/caller/handshake.go
@@ -10,6 +10,7 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"github.com/monsoontiller/monsoontiller/clock"
 	"github.com/monsoontiller/monsoontiller/fault"
 	"github.com/monsoontiller/monsoontiller/group"
 	"github.com/monsoontiller/monsoontiller/scram"
@@ -248,7 +249,7 @@
 	if err != nil {
 		return nil, err
 	}
-	one.state = session.New(session.Config{ConnectedAt: time.Now(), Floor: floor})
+	one.state = session.New(session.Config{ConnectedAt: clock.Now(), Floor: floor})
 	return one, nil
 }
 
--- a/caller/session.go
+++ b/caller/session.go
@@ -12,6 +12,7 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"github.com/monsoontiller/monsoontiller/clock"
 	"github.com/monsoontiller/monsoontiller/endpoint"
 	"github.com/monsoontiller/monsoontiller/fault"
 	"github.com/monsoontiller/monsoontiller/group"
@@ -46,6 +47,8 @@
 	inSequence bool
 
 	refusedByReplica bool
+	// permitted says that the answer needs no permit, because no primary gave it.
+	permitted bool
 
 	mu     sync.Mutex
 	active *endpoint.Conn
@@ -191,7 +194,7 @@
 	}
 	p := newPrepared(m)
 	s.statements[m.Name] = p
-	s.unit.note(p.query, p.effect, p.copy)
+	s.unit.note(p.query, effectNone, p.copy)
 	return s.unit.add(opParse, p, &pgproto3.Sync{})
 }
 
@@ -232,15 +235,19 @@
 	s.busy.Store(true)
 	defer s.busy.Store(false)
 	defer s.unit.reset()
-	started := time.Now()
+	started := clock.Now()
 	s.out = s.out[:0]
 	r, err := s.execute(ctx, started)
 	r.customer = s.customer
-	r.took = time.Since(started)
+	r.took = clock.Since(started)
 	if err != nil && !errors.Is(err, errClientGone) {
 		err = s.answerError(err)
 		r.outcome = outcomeOf(err)
 	}
+	if err == nil && !s.permitted && !s.binding.Group().PermitValid() {
+		err = s.answerError(unacknowledged(nil))
+		r.outcome = OutcomeUnknown
+	}
 	s.server.cfg.Recorder.Record(r)
 	if fatal := s.fatalAfter(err); fatal != nil {
 		_ = s.flushOut()
--- a/caller/state.go
+++ b/caller/state.go
@@ -43,7 +43,7 @@
 	case "reset":
 		return effectReplay
 	case "discard":
-		return effectReset
+		return effectOfDiscard(body)
 	case "listen", "unlisten", "prepare", "deallocate", "load":
 		return effectPin
 	}
@@ -58,6 +58,13 @@
 	return effectReplay
 }
 
+func effectOfDiscard(body string) effect {
+	if strings.EqualFold(strings.Join(strings.Fields(strings.TrimRight(body, "; \t\r\n")), " "), "discard all") {
+		return effectReset
+	}
+	return effectNone
+}
+
 func effectOfBody(body string) effect {
 	lower := strings.ToLower(body)
 	for _, w := range pinWords {
--- a/endpoint/connections.go
+++ b/endpoint/connections.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/monsoontiller/monsoontiller/clock"
 	"github.com/monsoontiller/monsoontiller/fault"
 	"github.com/monsoontiller/monsoontiller/pool"
 )
@@ -93,7 +94,7 @@
 }
 
 func (c *Connections) wait(ctx context.Context, r Request, w *waiter) (*Conn, error) {
-	timer := time.NewTimer(time.Until(r.Deadline))
+	timer := time.NewTimer(clock.Until(r.Deadline))
 	defer timer.Stop()
 	select {
 	case g := <-w.grant:
@@ -149,7 +150,7 @@
 			c.discardCount()
 			return nil, err
 		}
-		opened.SetAnsweredAt(time.Now())
+		opened.SetAnsweredAt(clock.Now())
 		conn = opened
 	}
 	c.mu.Lock()
@@ -160,7 +161,7 @@
 
 // usable checks a connection that has been idle for longer than r allows.
 func (c *Connections) usable(ctx context.Context, conn *Conn, r Request) bool {
-	if time.Since(conn.AnsweredAt()) <= r.MaxIdle {
+	if clock.Since(conn.AnsweredAt()) <= r.MaxIdle {
 		return true
 	}
 	ctx, cancel := context.WithTimeout(ctx, validationTimeout)
@@ -168,7 +169,7 @@
 	if _, err := conn.Status(ctx); err != nil {
 		return false
 	}
-	conn.SetAnsweredAt(time.Now())
+	conn.SetAnsweredAt(clock.Now())
 	return true
 }
 
@@ -193,7 +194,7 @@
 
 func (c *Connections) put(conn *Conn) {
 	c.mu.Lock()
-	wakes, closes := c.pool.Release(time.Now(), conn, conn.Key())
+	wakes, closes := c.pool.Release(clock.Now(), conn, conn.Key())
 	c.mu.Unlock()
 	wake(wakes)
 	c.retireLater(closes)
@@ -212,7 +213,7 @@
 
 func (c *Connections) discardCount() {
 	c.mu.Lock()
-	wakes := c.pool.Discard(time.Now())
+	wakes := c.pool.Discard(clock.Now())
 	c.mu.Unlock()
 	wake(wakes)
 }
@@ -239,10 +240,26 @@
 	c.suspectIdle()
 }
 
+// Close ends the idle connections and returns once the endpoint has closed them.
+func (c *Connections) Close() {
+	conns := c.takeIdle()
+	ends := make(chan struct{}, len(conns))
+	for _, conn := range conns {
+		go func() {
+			retire(conn)
+			c.discardCount()
+			ends <- struct{}{}
+		}()
+	}
+	for range conns {
+		<-ends
+	}
+}
+
 // SetLimit changes how many connections this instance may hold.
 func (c *Connections) SetLimit(limit int) {
 	c.mu.Lock()
-	wakes, closes := c.pool.SetLimit(time.Now(), limit)
+	wakes, closes := c.pool.SetLimit(clock.Now(), limit)
 	c.mu.Unlock()
 	wake(wakes)
 	c.retireLater(closes)
@@ -260,7 +277,7 @@
 		c.mu.Unlock()
 		return reached
 	}
-	wakes, closes := c.pool.SetLimit(time.Now(), reached)
+	wakes, closes := c.pool.SetLimit(clock.Now(), reached)
 	c.mu.Unlock()
 	wake(wakes)
 	return reached + c.leftOpen(closes)
--- a/endpoint/group.go
+++ b/endpoint/group.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"github.com/monsoontiller/monsoontiller/clock"
 	"github.com/monsoontiller/monsoontiller/fault"
 	"github.com/monsoontiller/monsoontiller/group"
 	"github.com/monsoontiller/monsoontiller/route"
@@ -73,7 +74,7 @@
 // NewGroup returns a group that knows nothing until Run probes it.
 func NewGroup(cfg GroupConfig) *Group {
 	if cfg.Clock == nil {
-		cfg.Clock = time.Now
+		cfg.Clock = clock.Now
 	}
 	g := &Group{
 		cfg:         cfg,
@@ -181,7 +182,7 @@
 
 // await probes until ready, called under the lock, reports true.
 func (g *Group) await(ctx context.Context, deadline time.Time, ready func() bool) error {
-	timer := time.NewTimer(deadline.Sub(g.cfg.Clock()))
+	timer := time.NewTimer(clock.Until(deadline))
 	defer timer.Stop()
 	for {
 		g.mu.Lock()
@@ -232,7 +233,9 @@
 			return err
 		}
 	}
-	g.dropOldTerm()
+	for _, c := range g.connections {
+		c.Close()
+	}
 	return nil
 }
 
--- a/instance/balancer.go
+++ b/instance/balancer.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/monsoontiller/monsoontiller/clock"
 	"github.com/monsoontiller/monsoontiller/endpoint"
 	"github.com/monsoontiller/monsoontiller/event"
 	"github.com/monsoontiller/monsoontiller/membership"
@@ -108,7 +109,7 @@
 
 // repayWhenIdle gives a loan back once connections have been idle for a while.
 func (b *balancer) repayWhenIdle(ctx context.Context, w *watched, name string) {
-	now := time.Now()
+	now := clock.Now()
 	if b.idleFrom[name].IsZero() {
 		b.idleFrom[name] = now
 	}
--- a/instance/configure.go
+++ b/instance/configure.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"github.com/monsoontiller/monsoontiller/clock"
 	"github.com/monsoontiller/monsoontiller/group"
 	"github.com/monsoontiller/monsoontiller/membership"
 	"github.com/monsoontiller/monsoontiller/peer"
@@ -77,7 +78,7 @@
 }
 
 func (s *configService) poll(ctx context.Context) {
-	sentAt := time.Now()
+	sentAt := clock.Now()
 	items, err := s.configuration.Poll(ctx)
 	if err != nil {
 		return
--- a/instance/directory.go
+++ b/instance/directory.go
@@ -2,9 +2,9 @@
 
 import (
 	"strings"
-	"time"
 
 	"github.com/monsoontiller/monsoontiller/caller"
+	"github.com/monsoontiller/monsoontiller/clock"
 	"github.com/monsoontiller/monsoontiller/contract"
 	"github.com/monsoontiller/monsoontiller/event"
 	"github.com/monsoontiller/monsoontiller/fault"
@@ -23,7 +23,7 @@
 
 // Find returns the binding of a customer's database under the contract in force.
 func (i *Instance) Find(customer, database string) (caller.Binding, error) {
-	if !i.node.Current(time.Now()) {
+	if !i.node.Current(clock.Now()) {
 		return caller.Binding{}, errStale()
 	}
 	i.mu.Lock()
--- a/instance/keeper.go
+++ b/instance/keeper.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/monsoontiller/monsoontiller/clock"
 	"github.com/monsoontiller/monsoontiller/endpoint"
 	"github.com/monsoontiller/monsoontiller/event"
 	"github.com/monsoontiller/monsoontiller/failover"
@@ -71,7 +72,7 @@
 			rank, others := k.instance.rank("group/" + k.name)
 			k.step(failover.Fleet{Others: others, Rank: rank})
 			k.step(failover.Tick{})
-			k.measureGap(time.Now())
+			k.measureGap(clock.Now())
 		case <-ctx.Done():
 			return
 		}
@@ -99,7 +100,7 @@
 func (k *keeper) step(e failover.Event) {
 	k.mu.Lock()
 	ctx := k.ctx
-	actions := k.machine.Step(time.Now(), e)
+	actions := k.machine.Step(clock.Now(), e)
 	k.mu.Unlock()
 	if ctx == nil {
 		return
@@ -163,7 +164,7 @@
 func (k *keeper) lost(term group.Term) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.machine.Lost(time.Now(), term)
+	return k.machine.Lost(clock.Now(), term)
 }
 
 func (k *keeper) phase() string {
--- a/instance/metrics.go
+++ b/instance/metrics.go
@@ -6,6 +6,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/monsoontiller/monsoontiller/caller"
+	"github.com/monsoontiller/monsoontiller/clock"
 	"github.com/monsoontiller/monsoontiller/report"
 	"github.com/monsoontiller/monsoontiller/route"
 )
@@ -133,7 +134,7 @@
 // updateGauges refreshes what is read rather than counted.
 func (i *Instance) updateGauges() {
 	i.metrics.callers.Update(float64(i.server.Callers()))
-	if age, ok := i.node.FreshAge(time.Now()); ok {
+	if age, ok := i.node.FreshAge(clock.Now()); ok {
 		i.metrics.fresh.Update(age.Seconds())
 	}
 	var reads, replica uint64
--- a/instance/operator.go
+++ b/instance/operator.go
@@ -8,6 +8,7 @@
 
 	"connectrpc.com/connect"
 
+	"github.com/monsoontiller/monsoontiller/clock"
 	"github.com/monsoontiller/monsoontiller/contract"
 	"github.com/monsoontiller/monsoontiller/endpoint"
 	"github.com/monsoontiller/monsoontiller/fault"
@@ -72,7 +73,7 @@
 
 // Ready reports whether the configuration is current and every group has a confirmed primary or a replica to read from.
 func (i *Instance) Ready() bool {
-	if !i.node.Current(time.Now()) {
+	if !i.node.Current(clock.Now()) {
 		return false
 	}
 	select {
@@ -207,7 +208,7 @@
 
 // refresh reads the table once, so that an order rests on the newest revision; without the table the order fails later.
 func (s *operatorService) refresh(ctx context.Context) {
-	sentAt := time.Now()
+	sentAt := clock.Now()
 	items, err := platform.NewConfiguration(s.instance.cfg.Platform).Poll(ctx)
 	if err == nil {
 		s.instance.node.ReadTable(sentAt, items)
@@ -235,7 +236,7 @@
 // Status returns what this instance knows.
 func (s *operatorService) Status(context.Context, *connect.Request[operatorv1.StatusRequest]) (*connect.Response[operatorv1.StatusResponse], error) {
 	i := s.instance
-	now := time.Now()
+	now := clock.Now()
 	a := &operatorv1.StatusResponse{
 		Instance:      i.cfg.Name,
 		DataCentre:    i.cfg.DataCentre,
--- a/instance/seat.go
+++ b/instance/seat.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/monsoontiller/monsoontiller/clock"
 	"github.com/monsoontiller/monsoontiller/event"
 	"github.com/monsoontiller/monsoontiller/fault"
 	"github.com/monsoontiller/monsoontiller/membership"
@@ -121,7 +122,7 @@
 	for {
 		select {
 		case <-ticker.C:
-			r.look(ctx, time.Now())
+			r.look(ctx, clock.Now())
 		case <-ctx.Done():
 			return nil
 		}
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -6,6 +6,7 @@
 
 	"connectrpc.com/connect"
 
+	"github.com/monsoontiller/monsoontiller/clock"
 	"github.com/monsoontiller/monsoontiller/event"
 	"github.com/monsoontiller/monsoontiller/membership"
 	"github.com/monsoontiller/monsoontiller/peer/peerv1"
@@ -39,7 +40,7 @@
 
 // round exchanges with this round's targets at the same time and waits for all.
 func (n *Node) round(ctx context.Context) {
-	now := time.Now()
+	now := clock.Now()
 	n.mu.Lock()
 	targets := n.roster.Targets(now)
 	n.mu.Unlock()
@@ -59,7 +60,7 @@
 // expire declares dead the watched peers that have been silent for too long.
 func (n *Node) expire() {
 	n.mu.Lock()
-	dead := n.roster.Expire(time.Now())
+	dead := n.roster.Expire(clock.Now())
 	n.mu.Unlock()
 	for _, one := range dead {
 		n.cfg.Events.Add(event.Config{
@@ -78,7 +79,7 @@
 	ctx, cancel := context.WithTimeout(ctx, n.cfg.Timeout)
 	defer cancel()
 	client := n.client(address)
-	sentAt := time.Now()
+	sentAt := clock.Now()
 	answer, err := client.Exchange(ctx, connect.NewRequest(&peerv1.ExchangeRequest{News: n.news(n.nameAt(address))}))
 	if err != nil {
 		return
@@ -115,7 +116,7 @@
 		PresenceDigest: uint64(n.roster.Presences().Digest()),
 		FreshAgeMs:     -1,
 	}
-	if age, ok := n.freshness.Age(time.Now()); ok {
+	if age, ok := n.freshness.Age(clock.Now()); ok {
 		out.FreshAgeMs = age.Milliseconds() + 1
 	}
 	fleet := n.roster.Presences().Len()
@@ -150,7 +151,7 @@
 	from := identityOf(news.GetFrom())
 	n.mu.Lock()
 	before := n.roster.Presences().Digest()
-	n.roster.Heard(time.Now(), from)
+	n.roster.Heard(clock.Now(), from)
 	for _, p := range news.GetPresences() {
 		n.roster.Apply(presenceOf(p))
 	}
