--- a/failover/world_test.go
+++ b/failover/world_test.go
@@ -3,7 +3,6 @@
 import (
 	"container/heap"
 	"fmt"
-	"testing"
 	"time"
 
 	"github.com/monsoontiller/monsoontiller/endpoint/endpointtest"
@@ -76,9 +75,15 @@
 	term group.Term
 }
 
+// reporter is what the tests and the property tests have in common.
+type reporter interface {
+	Errorf(format string, args ...any)
+	Helper()
+}
+
 // world is a fake around real machines: one group, some instances, one table.
 type world struct {
-	t        testing.TB
+	t        reporter
 	now      time.Time
 	agenda   agenda
 	order    int
@@ -103,7 +108,7 @@
 	settings  func(*failover.Config)
 }
 
-func newWorld(t testing.TB, cfg worldConfig) *world {
+func newWorld(t reporter, cfg worldConfig) *world {
 	w := &world{t: t, now: time.Unix(1_000_000, 0), cut: map[link]bool{}, down: map[string]bool{}, term: 1, settings: cfg.settings}
 	w.group = endpointtest.NewGroup(endpointtest.GroupConfig{Name: "g", Lag: cfg.lag, Clock: func() time.Time { return w.now }})
 	var names []string
--- /dev/null
+++ b/membership/configuration_test.go
@@ -0,0 +1,260 @@
+package membership_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/monsoontiller/monsoontiller/membership"
+)
+
+// TestMain fixes the seed of property tests unless the command line sets one.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
+		_ = f.Value.Set("1")
+	}
+	os.Exit(m.Run())
+}
+
+const (
+	bound = 5 * time.Second
+	key   = "contract/baird-lennox"
+)
+
+var names = []string{"a", "b", "c", "d", "e"}
+
+// holder is one instance's configuration in the model.
+type holder struct {
+	name      string
+	items     *membership.Items[int]
+	freshness *membership.Freshness
+	// highest is the revision that was in force, which must never fall while the process lives.
+	highest membership.Revision
+}
+
+func newHolder(name string, now time.Time) *holder {
+	return &holder{
+		name:      name,
+		items:     membership.NewItems[int](),
+		freshness: membership.NewFreshness(membership.FreshnessConfig{Self: name, Bound: bound, StartedAt: now}),
+	}
+}
+
+func (h *holder) revision() membership.Revision {
+	item, _ := h.items.Get(key)
+	return item.Revision()
+}
+
+// accepted is a revision and when its acceptance was reported.
+type accepted struct {
+	revision membership.Revision
+	at       time.Time
+}
+
+// configModel is a fleet around one table, with cuts and outages.
+type configModel struct {
+	now      time.Time
+	table    membership.Revision
+	down     bool
+	noTable  map[string]bool
+	cut      map[[2]string]bool
+	holders  map[string]*holder
+	accepted []accepted
+}
+
+func (m *configModel) reachable(a, b string) bool {
+	return !m.cut[[2]string{a, b}] && !m.cut[[2]string{b, a}]
+}
+
+func (m *configModel) one(t *rapid.T, label string) *holder {
+	return m.holders[rapid.SampledFrom(names).Draw(t, label)]
+}
+
+// poll reads the table.
+func (m *configModel) poll(t *rapid.T) {
+	h := m.one(t, "reader")
+	if m.down || m.noTable[h.name] {
+		return
+	}
+	h.items.Apply(membership.NewItem(key, m.table, 0))
+	h.freshness.ReadTable(m.now)
+}
+
+// exchange is a heartbeat with repair.
+func (m *configModel) exchange(t *rapid.T) {
+	a, b := m.one(t, "from"), m.one(t, "to")
+	if a == b || !m.reachable(a.name, b.name) {
+		return
+	}
+	for _, item := range b.items.Differing(a.items.BucketDigests(), 100) {
+		a.items.Apply(item)
+	}
+	for _, item := range a.items.Deltas(10, len(names)) {
+		b.items.Apply(item)
+	}
+	a.freshness.Exchanged(m.now, b.name, b.freshness.Proof(m.now), names)
+}
+
+// accept commits a revision and reports it once a majority of witnesses holds it.
+func (m *configModel) accept(t *rapid.T) {
+	h := m.one(t, "operator")
+	if m.down || m.noTable[h.name] {
+		return
+	}
+	m.table++
+	item := membership.NewItem(key, m.table, 0)
+	h.items.Apply(item)
+	holds := 1
+	for _, name := range names {
+		if name != h.name && m.reachable(h.name, name) {
+			m.holders[name].items.Apply(item)
+			holds++
+		}
+	}
+	if 2*holds > len(names) {
+		m.accepted = append(m.accepted, accepted{revision: m.table, at: m.now})
+	}
+}
+
+func (m *configModel) check(t *rapid.T) {
+	for _, name := range names {
+		h := m.holders[name]
+		r := h.revision()
+		if r < h.highest {
+			t.Fatalf("%s went back from revision %d to %d", name, h.highest, r)
+		}
+		h.highest = r
+		if !h.freshness.Current(m.now) {
+			continue
+		}
+		for _, a := range m.accepted {
+			if m.now.Sub(a.at) > bound && r < a.revision {
+				t.Fatalf("%s serves under revision %d; %d was accepted %v ago", name, r, a.revision, m.now.Sub(a.at))
+			}
+		}
+	}
+}
+
+// TestAcceptedRevisionIsInForceWithinTheBound plays cuts, outages, restarts and edits against one invariant.
+func TestAcceptedRevisionIsInForceWithinTheBound(t *testing.T) {
+	current := 0
+	rapid.Check(t, func(t *rapid.T) {
+		m := &configModel{now: time.Unix(1000, 0), noTable: map[string]bool{}, cut: map[[2]string]bool{}, holders: map[string]*holder{}}
+		for _, name := range names {
+			m.holders[name] = newHolder(name, m.now)
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"poll":     m.poll,
+			"exchange": m.exchange,
+			"accept":   m.accept,
+			"advance": func(t *rapid.T) {
+				m.now = m.now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
+			},
+			"outage": func(t *rapid.T) { m.down = rapid.Bool().Draw(t, "down") },
+			"lose table": func(t *rapid.T) {
+				m.noTable[rapid.SampledFrom(names).Draw(t, "name")] = rapid.Bool().Draw(t, "lost")
+			},
+			"cut": func(t *rapid.T) {
+				pair := [2]string{rapid.SampledFrom(names).Draw(t, "one"), rapid.SampledFrom(names).Draw(t, "other")}
+				m.cut[pair] = rapid.Bool().Draw(t, "cut")
+			},
+			"restart": func(t *rapid.T) {
+				name := rapid.SampledFrom(names).Draw(t, "name")
+				m.holders[name] = newHolder(name, m.now)
+			},
+			"": func(t *rapid.T) {
+				m.check(t)
+				for _, h := range m.holders {
+					if h.freshness.Current(m.now) {
+						current++
+					}
+				}
+			},
+		})
+	})
+	if current == 0 {
+		t.Error("no instance was ever current")
+	}
+}
+
+func TestDigestsRepairWhatDeltasMissed(t *testing.T) {
+	a, b := membership.NewItems[int](), membership.NewItems[int]()
+	for n := range 500 {
+		item := membership.NewItem(fmt.Sprintf("contract/c-%d", n), 1, n)
+		a.Apply(item)
+		if n%7 != 0 {
+			b.Apply(item)
+		}
+	}
+	if a.Digest() == b.Digest() {
+		t.Fatal("the digests of different sets are equal")
+	}
+	for _, item := range a.Differing(b.BucketDigests(), 1000) {
+		b.Apply(item)
+	}
+	if a.Digest() != b.Digest() || a.Len() != b.Len() {
+		t.Errorf("after repair %d items, want %d with the same digest", b.Len(), a.Len())
+	}
+}
+
+func identity(name string, incarnation uint64) membership.Identity {
+	return membership.NewIdentity(membership.IdentityConfig{Name: name, Incarnation: incarnation, PeerAddress: name})
+}
+
+func TestWatchedPeersAreBoundedAndDeadOnesFound(t *testing.T) {
+	const fanout = 3
+	now := time.Unix(1000, 0)
+	r := membership.NewRoster(membership.RosterConfig{Self: identity("n0", 1), Fanout: fanout, DeadAfter: 3 * time.Second})
+	for n := range 200 {
+		r.Apply(membership.NewItem(fmt.Sprintf("n%d", n+1), 1, membership.NewPresence(identity(fmt.Sprintf("n%d", n+1), 1), membership.StateAlive)))
+	}
+	targets := r.Targets(now)
+	if len(targets) != fanout+1 {
+		t.Fatalf("%d targets, want %d whatever the fleet's size", len(targets), fanout+1)
+	}
+	silent := targets[0]
+	for s := 1; s <= 4; s++ {
+		at := now.Add(time.Duration(s) * time.Second)
+		for _, one := range r.Targets(at) {
+			if one.Name() != silent.Name() {
+				r.Heard(at, one)
+			}
+		}
+	}
+	dead := r.Expire(now.Add(4 * time.Second))
+	if len(dead) != 1 || dead[0].Name() != silent.Name() {
+		t.Errorf("declared dead: %v, want only %s", dead, silent.Name())
+	}
+}
+
+func TestDeathIsRefutedByTheLiving(t *testing.T) {
+	r := membership.NewRoster(membership.RosterConfig{Self: identity("a", 5), Fanout: 3, DeadAfter: time.Second})
+	r.Apply(membership.NewItem("a", 6, membership.NewPresence(identity("a", 5), membership.StateDead)))
+	item, _ := r.Presences().Get("a")
+	if item.Value().State() != membership.StateAlive || item.Revision() != 7 {
+		t.Errorf("presence %v at revision %d, want alive at 7", item.Value().State(), item.Revision())
+	}
+}
+
+func TestRankMovesOnlyTheShareOfALeaver(t *testing.T) {
+	var fleet []string
+	for n := range 50 {
+		fleet = append(fleet, fmt.Sprintf("n%d", n))
+	}
+	moved := 0
+	const keys = 1000
+	for k := range keys {
+		key := fmt.Sprintf("group/%d", k)
+		if membership.Rank(key, fleet)[0] != membership.Rank(key, fleet[1:])[0] {
+			moved++
+		}
+	}
+	if moved > 3*keys/len(fleet) {
+		t.Errorf("%d of %d keys moved when one of %d left", moved, keys, len(fleet))
+	}
+}
--- a/membership/freshness.go
+++ b/membership/freshness.go
@@ -12,6 +12,8 @@
 type FreshnessConfig struct {
 	Self  string
 	Bound time.Duration
+	// StartedAt is when this run began, knowing nothing.
+	StartedAt time.Time
 }
 
 // Freshness knows until when an instance's configuration is proved to be the newest accepted one.
@@ -19,7 +21,9 @@
 // A revision is accepted when the table holds it and a majority of the witnesses
 // has heard of it. So an instance is current as of a time when, from then on, it
 // read the table, or exchanged with a majority of the witnesses, or exchanged with
-// an instance that is itself current. It is not safe for concurrent use.
+// an instance that is itself current. A run that has just started counts as a
+// witness only once it is current as of its start, since an earlier run may have
+// been one of those that heard of a revision. It is not safe for concurrent use.
 type Freshness struct {
 	cfg   FreshnessConfig
 	asOf  time.Time
@@ -59,22 +63,44 @@
 
 // Exchanged notes that a peer's configuration, as of an exchange sent at sentAt, holds nothing that this instance lacks.
 //
-// peerAge is the age of the peer's own proof, negative when it has none;
 // witnesses names the witnesses in force.
-func (f *Freshness) Exchanged(sentAt time.Time, peer string, peerAge time.Duration, witnesses []string) {
-	if peerAge >= 0 {
-		f.raise(sentAt.Add(-peerAge))
+func (f *Freshness) Exchanged(sentAt time.Time, peer string, proof Proof, witnesses []string) {
+	if proof.Known {
+		f.raise(sentAt.Add(-proof.Age))
+	}
+	if proof.Witness {
+		f.heard[peer] = sentAt
 	}
-	f.heard[peer] = sentAt
 	f.raise(f.majority(sentAt, witnesses))
 }
 
+// Proof is what an instance tells of its own freshness.
+type Proof struct {
+	// Known is false when the instance has never been current.
+	Known bool
+	Age   time.Duration
+	// Witness says that the instance has been current as of its start.
+	Witness bool
+}
+
+// Proof returns what to tell a peer at now.
+func (f *Freshness) Proof(now time.Time) Proof {
+	age, ok := f.Age(now)
+	return Proof{Known: ok, Age: age, Witness: f.witness()}
+}
+
+func (f *Freshness) witness() bool {
+	return !f.asOf.IsZero() && !f.asOf.Before(f.cfg.StartedAt)
+}
+
 // majority returns the newest time since which more than half of the witnesses were heard, this instance counting as heard at now.
 func (f *Freshness) majority(now time.Time, witnesses []string) time.Time {
 	var times []time.Time
 	for _, name := range witnesses {
 		if name == f.cfg.Self {
-			times = append(times, now)
+			if f.witness() {
+				times = append(times, now)
+			}
 			continue
 		}
 		if at, ok := f.heard[name]; ok {
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -92,8 +92,16 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	age := time.Duration(news.GetFreshAgeMs()) * time.Millisecond
-	n.freshness.Exchanged(sentAt, news.GetFrom().GetName(), age, n.witnessesLocked())
+	n.freshness.Exchanged(sentAt, news.GetFrom().GetName(), proofOf(news), n.witnessesLocked())
+}
+
+// proofOf returns the sender's proof of its configuration; its age was rounded up.
+func proofOf(news *peerv1.News) membership.Proof {
+	return membership.Proof{
+		Known:   news.GetFreshAgeMs() >= 0,
+		Age:     time.Duration(news.GetFreshAgeMs()) * time.Millisecond,
+		Witness: news.GetWitness(),
+	}
 }
 
 func (n *Node) nameAt(address string) string {
@@ -116,8 +124,10 @@
 		PresenceDigest: uint64(n.roster.Presences().Digest()),
 		FreshAgeMs:     -1,
 	}
-	if age, ok := n.freshness.Age(clock.Now()); ok {
-		out.FreshAgeMs = age.Milliseconds() + 1
+	proof := n.freshness.Proof(clock.Now())
+	out.Witness = proof.Witness
+	if proof.Known {
+		out.FreshAgeMs = proof.Age.Milliseconds() + 1
 	}
 	fleet := n.roster.Presences().Len()
 	for _, item := range n.items.Deltas(maxDeltas, fleet) {
--- a/peer/node.go
+++ b/peer/node.go
@@ -98,7 +98,11 @@
 		cfg:       cfg,
 		roster:    membership.NewRoster(membership.RosterConfig{Self: cfg.Self, Fanout: cfg.Fanout, DeadAfter: cfg.DeadAfter}),
 		items:     membership.NewItems[membership.Entry](),
-		freshness: membership.NewFreshness(membership.FreshnessConfig{Self: cfg.Self.Name(), Bound: cfg.FreshBound}),
+		freshness: membership.NewFreshness(membership.FreshnessConfig{
+			Self:      cfg.Self.Name(),
+			Bound:     cfg.FreshBound,
+			StartedAt: clock.Now(),
+		}),
 		seats:     map[uint32]Seat{},
 		clients:   map[string]peerv1connect.PeerServiceClient{},
 	}
