--- a/peer/node.go
+++ b/peer/node.go
@@ -10,6 +10,7 @@
 
 	"github.com/go-kit/log"
 
+	"github.com/monsoontiller/monsoontiller/clock"
 	"github.com/monsoontiller/monsoontiller/event"
 	"github.com/monsoontiller/monsoontiller/membership"
 	"github.com/monsoontiller/monsoontiller/peer/peerv1/peerv1connect"
@@ -95,16 +96,16 @@
 		cfg.Logger = log.NewNopLogger()
 	}
 	return &Node{
-		cfg:       cfg,
-		roster:    membership.NewRoster(membership.RosterConfig{Self: cfg.Self, Fanout: cfg.Fanout, DeadAfter: cfg.DeadAfter}),
-		items:     membership.NewItems[membership.Entry](),
+		cfg:    cfg,
+		roster: membership.NewRoster(membership.RosterConfig{Self: cfg.Self, Fanout: cfg.Fanout, DeadAfter: cfg.DeadAfter}),
+		items:  membership.NewItems[membership.Entry](),
 		freshness: membership.NewFreshness(membership.FreshnessConfig{
 			Self:      cfg.Self.Name(),
 			Bound:     cfg.FreshBound,
 			StartedAt: clock.Now(),
 		}),
-		seats:     map[uint32]Seat{},
-		clients:   map[string]peerv1connect.PeerServiceClient{},
+		seats:   map[uint32]Seat{},
+		clients: map[string]peerv1connect.PeerServiceClient{},
 	}
 }
 
