Load and experiment tool with fault schedules and a verdict

Cause: answers under load and faults could not be checked from outside.

Change: monsoonload with open-loop workloads of both deployments, marks that tell lost, doubled, stale and falsely refused requests, faults, JSON and plots.

Found with examples/faults.toml: connections of the primary that go silent stall an instance until the request timeout (30 s); longest gap between writes 6.9 s.

--- /dev/null
+++ b/cmd/monsoonload/main.go
@@ -0,0 +1,210 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/monsoontiller/monsoontiller/dev"
+	"github.com/monsoontiller/monsoontiller/experiment"
+	"github.com/monsoontiller/monsoontiller/load"
+)
+
+// Exit codes.
+const (
+	exitFailure = 1
+	exitUsage   = 2
+	exitVerdict = 3
+)
+
+// errVerdict says that the answers broke a promise.
+var errVerdict = errors.New("the verdict is: failed")
+
+// options are the subcommands.
+type options struct {
+	Run      runCommand      `command:"run" description:"Play a workload over sockets and check the answers"`
+	Policies policiesCommand `command:"policies" description:"Compare routing policies in virtual time"`
+}
+
+func main() {
+	os.Exit(run(os.Args[1:]))
+}
+
+func run(args []string) int {
+	parser := flags.NewParser(&options{}, flags.HelpFlag|flags.PassDoubleDash)
+	_, err := parser.ParseArgs(args)
+	var usage *flags.Error
+	switch {
+	case err == nil:
+		return 0
+	case errors.As(err, &usage) && usage.Type == flags.ErrHelp:
+		fmt.Println(usage.Message)
+		return 0
+	case errors.As(err, &usage):
+		fmt.Fprintln(os.Stderr, usage.Message)
+		return exitUsage
+	}
+	fmt.Fprintln(os.Stderr, "monsoonload:", err)
+	if errors.Is(err, errVerdict) {
+		return exitVerdict
+	}
+	return exitFailure
+}
+
+// runCommand plays a workload.
+type runCommand struct {
+	Workload  string        `long:"workload" choice:"bookings" choice:"workshop" default:"bookings" description:"What sessions do"`
+	Address   []string      `long:"address" value-name:"HOST:PORT" description:"Caller address of an instance; repeat for more; none runs an embedded fleet"`
+	Customer  string        `long:"customer" default:"baird-lennox" description:"Customer to connect as, with --address"`
+	Database  string        `long:"database" default:"candidates-1" description:"Database to connect to, with --address"`
+	Instances int           `long:"instances" default:"3" description:"Instances of the embedded fleet"`
+	Lag       time.Duration `long:"lag" default:"20ms" description:"Replication lag of the embedded fleet"`
+	Contract  string        `long:"contract-extra" value-name:"FILE" description:"TOML tables appended to the embedded fleet's contract"`
+	Sessions  int           `long:"sessions" default:"64" description:"Number of sessions"`
+	Rate      float64       `long:"rate" default:"1000" description:"Mean requests per second"`
+	Duration  time.Duration `long:"duration" default:"20s" description:"Length of the run"`
+	Seed      uint64        `long:"seed" default:"1" description:"Seed of arrivals and choices"`
+	Faults    string        `long:"faults" value-name:"FILE" description:"TOML fault schedule for the embedded fleet"`
+	JSON      string        `long:"json" value-name:"FILE" description:"File for the result; default is standard output"`
+	Plot      string        `long:"plot" value-name:"FILE" description:"File for a plot, .svg or .png"`
+}
+
+// Execute runs the command.
+func (c *runCommand) Execute([]string) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	cfg, err := c.config()
+	if err != nil {
+		return err
+	}
+	if len(c.Address) == 0 {
+		f, err := c.embed(ctx, &cfg)
+		if err != nil {
+			return err
+		}
+		defer func() { _ = f.Stop() }()
+	}
+	result, err := load.Run(ctx, cfg)
+	if err != nil {
+		return err
+	}
+	return c.write(result)
+}
+
+func (c *runCommand) config() (load.Config, error) {
+	w, err := load.FindWorkload(c.Workload)
+	return load.Config{
+		Workload:  w,
+		Addresses: c.Address,
+		Customer:  c.Customer,
+		Database:  c.Database,
+		Sessions:  c.Sessions,
+		Rate:      c.Rate,
+		Duration:  c.Duration,
+		Seed:      c.Seed,
+		Progress: func(s load.Second) {
+			fmt.Fprintf(os.Stderr, "%3d s: %6d answered, %4d failed, p50 %.2f ms, p99 %.2f ms\n", s.At, s.Answered, s.Failed, s.P50, s.P99)
+		},
+	}, err
+}
+
+// embed starts a fleet in this process and the schedule of its faults.
+func (c *runCommand) embed(ctx context.Context, cfg *load.Config) (*dev.Fleet, error) {
+	preset := dev.PresetBairdLennox
+	if c.Workload == "workshop" {
+		preset = dev.PresetLellu
+	}
+	extra, faults, err := c.files()
+	if err != nil {
+		return nil, err
+	}
+	f, err := dev.Start(ctx, dev.Config{Instances: c.Instances, Preset: preset, Lag: c.Lag, ContractExtra: extra})
+	if err != nil {
+		return nil, err
+	}
+	for _, i := range f.Instances() {
+		for !i.Ready() && ctx.Err() == nil {
+			time.Sleep(readyPoll)
+		}
+		cfg.Addresses = append(cfg.Addresses, i.CallerAddress())
+	}
+	cfg.Customer = f.Customer()
+	cfg.Database = f.Database()
+	go load.Inject(ctx, f, faults, func(text string) { fmt.Fprintln(os.Stderr, "fault:", text) })
+	return f, nil
+}
+
+const readyPoll = 10 * time.Millisecond
+
+func (c *runCommand) files() (extra string, faults []load.Fault, err error) {
+	if c.Contract != "" {
+		text, err := os.ReadFile(c.Contract)
+		if err != nil {
+			return "", nil, err
+		}
+		extra = string(text)
+	}
+	if c.Faults != "" {
+		faults, err = load.LoadFaults(c.Faults)
+	}
+	return extra, faults, err
+}
+
+func (c *runCommand) write(result load.Result) error {
+	text, err := json.MarshalIndent(result, "", "  ")
+	if err != nil {
+		return err
+	}
+	if c.JSON == "" {
+		result.Seconds = nil
+		text, _ = json.MarshalIndent(result, "", "  ")
+		fmt.Println(string(text))
+	} else if err := os.WriteFile(c.JSON, text, 0o644); err != nil {
+		return err
+	}
+	if c.Plot != "" {
+		if err := load.Plot(result, c.Plot); err != nil {
+			return err
+		}
+	}
+	if !result.Passed() {
+		return errVerdict
+	}
+	return nil
+}
+
+// policiesCommand compares routing policies.
+type policiesCommand struct {
+	Seeds int `long:"seeds" default:"5" description:"Number of seeds"`
+}
+
+// Execute runs the command.
+func (c *policiesCommand) Execute([]string) error {
+	fmt.Printf("%-13s %-24s %8s %8s %12s %8s %8s %10s\n", "load", "policy", "reads", "share", "of possible", "misses", "broken", "mean wait")
+	for _, make := range []func(uint64) experiment.LoadConfig{experiment.BairdLennox, experiment.Lellu} {
+		for n := range experiment.Contenders() {
+			var sum experiment.Result
+			var wait time.Duration
+			for seed := range c.Seeds {
+				r := experiment.Run(make(uint64(seed+1)), experiment.Contenders()[n])
+				sum.Load, sum.Policy = r.Load, r.Policy
+				sum.Reads += r.Reads
+				sum.OnReplica += r.OnReplica
+				sum.Possible += r.Possible
+				sum.Misses += r.Misses
+				sum.Stale += r.Stale
+				wait += r.MeanWait
+			}
+			fmt.Printf("%-13s %-24s %8d %7.1f%% %11.1f%% %8d %8d %10v\n", sum.Load, sum.Policy, sum.Reads,
+				100*sum.Share(), 100*sum.OfPossible(), sum.Misses, sum.Stale, (wait / time.Duration(c.Seeds)).Round(time.Microsecond))
+		}
+	}
+	return nil
+}
