Tell silent connections from slow statements, and end them at the endpoint

Cause: a request on a connection that had gone silent waited for the request timeout, and the pool then held the connection's slot in quarantine.

Change: an empty query ahead of each request must be answered within 0.5 s unless the endpoint answers no probe either; a connection that does not close is terminated over the probe's connection by pid and application name.

Ruled out: killing quiet connections when a probe times out, since an overloaded endpoint shows the same.

--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -418,6 +418,27 @@
 	}
 }
 
+func TestSilentConnectionInUseIsToldFromASlowStatement(t *testing.T) {
+	stand := startGroup(t, options{})
+	p := startProxy(t, 1, stand, options{})
+	c := connect(t, p, "")
+	exec(t, c, "SELECT pg_sleep(1.5)")
+	for _, m := range stand.Members() {
+		m.Silence()
+	}
+	_, err := c.Exec(context.Background(), "INSERT INTO kv VALUES ('deposit', '20')")
+	if code(err) != "08007" {
+		t.Fatalf("a write on a silent connection gave %v, want outcome unknown", err)
+	}
+	exec(t, c, "INSERT INTO kv VALUES ('deposit', '20')")
+	for _, m := range stand.Members() {
+		m.Silence()
+	}
+	if got := value(t, c, "/*class='read'*/ SELECT value FROM kv WHERE key = 'deposit'"); got != "20" {
+		t.Errorf("a read on silent connections gave %q", got)
+	}
+}
+
 func TestWrongProtocolVersionIsRefused(t *testing.T) {
 	stand := startGroup(t, options{})
 	p := startProxy(t, 1, stand, options{})
--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -1,7 +1,9 @@
 package caller
 
 import (
+	"errors"
 	"net"
+	"os"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -32,6 +34,10 @@
 	out       []byte
 	// writeTimeout bounds each write to a caller that does not read.
 	writeTimeout time.Duration
+	// endpoint is the name of the member that the connection leads to.
+	endpoint string
+	// open says that the server still reads an extended-protocol sequence, in which no other query may stand.
+	open bool
 }
 
 // exchange sends a unit over one connection and relays the answer.
@@ -97,7 +103,46 @@
 	x.sentAt = clock.Now()
 	sent, err := x.conn.Flush()
 	x.sent = sent
-	return err
+	if err != nil || x.open {
+		return err
+	}
+	return x.awaitSign()
+}
+
+// signTimeout is how long a connection may take to show that it is alive before the endpoint's other answers are weighed.
+const signTimeout = 500 * time.Millisecond
+
+// awaitSign waits for the first byte of the answer to a query that takes no time.
+//
+// It fails when the endpoint has answered a probe on another connection that was
+// sent later: then this connection has gone silent. As long as the endpoint is
+// silent altogether, it waits on.
+func (x *exchange) awaitSign() error {
+	for {
+		now := clock.Now()
+		wait := min(signTimeout, x.deadline.Sub(now))
+		if err := x.conn.SetDeadline(clock.Wall(now.Add(wait))); err != nil {
+			return err
+		}
+		err := x.conn.Peek()
+		if err == nil {
+			return x.conn.SetDeadline(clock.Wall(x.deadline))
+		}
+		if !errors.Is(err, os.ErrDeadlineExceeded) || !clock.Now().Before(x.deadline) {
+			return err
+		}
+		if x.group.AnsweredAt(x.endpoint).After(x.sentAt) {
+			return errSilent(x.endpoint)
+		}
+	}
+}
+
+func errSilent(endpoint string) error {
+	return fault.New(fault.Config{
+		Kind:    fault.KindUnavailable,
+		Message: "a connection to " + endpoint + " has gone silent while others answer",
+		Remedy:  "nothing needs doing; the connection is replaced",
+	})
 }
 
 func (x *exchange) queue() error {
@@ -111,6 +156,11 @@
 			return err
 		}
 	}
+	if !x.open && (!x.onReplica || x.pinned) {
+		if err := x.plan.sign(); err != nil {
+			return err
+		}
+	}
 	if err := x.plan.unit(x.unit); err != nil {
 		return err
 	}
@@ -129,8 +179,8 @@
 	case stepLocal:
 		x.out = append(x.out, s.local...)
 		return nil
-	case stepRestore:
-		return x.readHidden()
+	case stepRestore, stepSign:
+		return x.readHidden(s.kind == stepRestore)
 	case stepPosition:
 		return x.readPosition()
 	case stepCommitted:
@@ -240,8 +290,8 @@
 	return err
 }
 
-// readHidden swallows the answer to a restoring statement; its error makes the connection useless.
-func (x *exchange) readHidden() error {
+// readHidden swallows the answer to a query of the proxy's own; the error of one that restores settings makes the connection useless.
+func (x *exchange) readHidden(restores bool) error {
 	for {
 		msg, err := x.conn.Receive()
 		if err != nil {
@@ -249,7 +299,9 @@
 		}
 		switch m := msg.(type) {
 		case *pgproto3.ErrorResponse:
-			return unrestorable(m)
+			if restores {
+				return unrestorable(m)
+			}
 		case *pgproto3.ReadyForQuery:
 			return nil
 		}
--- a/caller/execute.go
+++ b/caller/execute.go
@@ -161,6 +161,7 @@
 	if err != nil {
 		return s.notConnected(g, d, r, err)
 	}
+	s.endpoint = d.Endpoint()
 	s.hold(conn, conns, d.Target() == route.TargetReplica)
 	x = s.exchange(g, conn, r, rr)
 	if x.lapsed() {
@@ -212,6 +213,8 @@
 		out:       s.out[:0],
 
 		writeTimeout: s.server.cfg.WriteTimeout,
+		endpoint:     s.endpoint,
+		open:         s.openSequence,
 	})
 }
 
--- a/caller/finish.go
+++ b/caller/finish.go
@@ -23,6 +23,7 @@
 	}
 	s.txStatus = x.txStatus
 	s.skipping = x.aborted
+	s.openSequence = s.unit.end() == opFlush
 	s.inSequence = x.txStatus != 'I' || s.unit.end() == opFlush
 	s.permitted = s.onReplica
 	if !s.onReplica {
--- a/caller/session.go
+++ b/caller/session.go
@@ -40,11 +40,14 @@
 
 	conn       *endpoint.Conn
 	connPool   *endpoint.Connections
+	endpoint   string
 	onReplica  bool
 	txStatus   byte
 	skipping   bool
 	kept       bool
 	inSequence bool
+	// openSequence says that the last unit ended with Flush, so that the server awaits more of it.
+	openSequence bool
 
 	refusedByReplica bool
 	// permitted says that the answer needs no permit, because no primary gave it.
--- a/endpoint/conn.go
+++ b/endpoint/conn.go
@@ -24,18 +24,20 @@
 
 // Conn is one connection to an endpoint; it is not safe for concurrent use, but for Close and Cancel.
 type Conn struct {
-	nc         net.Conn
-	frontend   *pgproto3.Frontend
-	address    string
-	key        string
-	pid        uint32
-	secret     []byte
-	parameters []pgproto3.ParameterStatus
-	answeredAt time.Time
-	prepared   *statementCache
-	stateKey   uint64
-	canceled   bool
-	out        []byte
+	nc          net.Conn
+	in          *peekReader
+	frontend    *pgproto3.Frontend
+	address     string
+	key         string
+	application string
+	pid         uint32
+	secret      []byte
+	parameters  []pgproto3.ParameterStatus
+	answeredAt  time.Time
+	prepared    *statementCache
+	stateKey    uint64
+	canceled    bool
+	out         []byte
 }
 
 // Dial opens and authenticates a connection; it fails with KindUnavailable, or KindOverloaded when the endpoint is full.
@@ -47,12 +49,14 @@
 		return nil, unreachable(cfg.Address, err)
 	}
 	c := &Conn{
-		nc:       nc,
-		frontend: pgproto3.NewFrontend(nc, nc),
-		address:  cfg.Address,
-		key:      cfg.Database,
-		prepared: newStatementCache(),
+		nc:          nc,
+		in:          &peekReader{nc: nc},
+		address:     cfg.Address,
+		key:         cfg.Database,
+		application: cfg.Application,
+		prepared:    newStatementCache(),
 	}
+	c.frontend = pgproto3.NewFrontend(c.in, nc)
 	stop := context.AfterFunc(ctx, func() { nc.SetDeadline(time.Unix(1, 0)) })
 	err = c.startup(cfg)
 	if !stop() && err == nil {
@@ -180,6 +184,9 @@
 // Receive returns the endpoint's next message, valid until the next call.
 func (c *Conn) Receive() (pgproto3.BackendMessage, error) { return c.frontend.Receive() }
 
+// Peek waits until the endpoint has sent something; what it sent is received as usual.
+func (c *Conn) Peek() error { return c.in.fill() }
+
 // SetDeadline bounds reads and writes; the zero time removes the bound.
 func (c *Conn) SetDeadline(t time.Time) error { return c.nc.SetDeadline(t) }
 
--- a/endpoint/connections.go
+++ b/endpoint/connections.go
@@ -15,12 +15,15 @@
 	Endpoint string
 	Limit    int
 	Dial     func(ctx context.Context, key string) (*Conn, error)
+	// Terminator ends connections that do not close by themselves, if set.
+	Terminator Terminator
 }
 
 // Connections shares the connections of one endpoint between sessions; it is safe for concurrent use.
 type Connections struct {
 	endpoint   string
 	dial       func(ctx context.Context, key string) (*Conn, error)
+	terminator Terminator
 	mu         sync.Mutex
 	pool       *pool.Pool[*Conn, *waiter]
 	generation uint64
@@ -41,8 +44,10 @@
 	return &Connections{
 		endpoint: cfg.Endpoint,
 		dial:     cfg.Dial,
-		pool:     pool.New[*Conn, *waiter](pool.Config{Limit: cfg.Limit}),
-		inUse:    map[*Conn]uint64{},
+
+		terminator: cfg.Terminator,
+		pool:       pool.New[*Conn, *waiter](pool.Config{Limit: cfg.Limit}),
+		inUse:      map[*Conn]uint64{},
 	}
 }
 
@@ -123,7 +128,7 @@
 			c.put(g.Conn)
 			return
 		}
-		retireAll(g.Close)
+		c.retireAll(g.Close)
 		c.discardCount()
 	default:
 	}
@@ -139,7 +144,7 @@
 
 // take turns a grant into a connection, dialing when the grant says so.
 func (c *Connections) take(ctx context.Context, key string, g pool.Grant[*Conn]) (*Conn, error) {
-	retireAll(g.Close)
+	c.retireAll(g.Close)
 	c.mu.Lock()
 	generation := c.generation
 	c.mu.Unlock()
@@ -206,7 +211,7 @@
 	delete(c.inUse, conn)
 	c.mu.Unlock()
 	go func() {
-		retire(conn)
+		c.retire(conn)
 		c.discardCount()
 	}()
 }
@@ -246,7 +251,7 @@
 	ends := make(chan struct{}, len(conns))
 	for _, conn := range conns {
 		go func() {
-			retire(conn)
+			c.retire(conn)
 			c.discardCount()
 			ends <- struct{}{}
 		}()
@@ -287,7 +292,7 @@
 func (c *Connections) leftOpen(conns []*Conn) int {
 	left := 0
 	for _, conn := range conns {
-		if !retire(conn) {
+		if !c.retire(conn) {
 			left++
 		}
 	}
@@ -297,7 +302,7 @@
 // retireLater retires connections that the pool no longer counts because its limit fell.
 func (c *Connections) retireLater(conns []*Conn) {
 	if len(conns) > 0 {
-		go retireAll(conns)
+		go c.retireAll(conns)
 	}
 }
 
@@ -334,8 +339,8 @@
 	}
 }
 
-func retireAll(conns []*Conn) {
+func (c *Connections) retireAll(conns []*Conn) {
 	for _, conn := range conns {
-		retire(conn)
+		c.retire(conn)
 	}
 }
--- a/endpoint/endpointtest/conn.go
+++ b/endpoint/endpointtest/conn.go
@@ -203,10 +203,7 @@
 	canceled := c.begin()
 	defer c.finish()
 	busy := c.server.member.group.cfg.StatementTime
-	if s.verb == verbStatus || s.verb == verbFence || s.verb == verbPromote {
-		return c.engine.run(s, params)
-	}
-	if busy > 0 {
+	if busy > 0 && s.takesSlot() {
 		c.server.slots <- struct{}{}
 		defer func() { <-c.server.slots }()
 		time.Sleep(busy)
@@ -222,6 +219,15 @@
 	return r
 }
 
+// takesSlot reports whether s is work, rather than a question about the member.
+func (s statement) takesSlot() bool {
+	switch s.verb {
+	case verbEmpty, verbStatus, verbFence, verbPromote, verbTerminate:
+		return false
+	}
+	return true
+}
+
 func (c *conn) begin() chan struct{} {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/endpoint/endpointtest/engine.go
+++ b/endpoint/endpointtest/engine.go
@@ -96,6 +96,8 @@
 		return e.status()
 	case verbFence, verbPromote:
 		return e.change(s, params)
+	case verbTerminate:
+		return e.terminate(s, params)
 	}
 	return result{err: &sqlError{code: codeSyntax, message: "the stand-in does not know this statement"}}
 }
@@ -233,6 +235,18 @@
 	return result{columns: statusColumns, rows: [][]string{row}, tag: "SELECT 1"}
 }
 
+// terminate ends one connection of a client, if it is still there.
+func (e *engine) terminate(s statement, params [][]byte) result {
+	pid, err := strconv.ParseUint(s.operands[0].value(params), 10, 32)
+	if err != nil {
+		return result{err: &sqlError{code: codeSyntax, message: err.Error()}}
+	}
+	if !e.member.server.terminate(uint32(pid), s.operands[1].value(params)) {
+		return result{columns: []string{"pg_terminate_backend"}, tag: "SELECT 0"}
+	}
+	return oneRow("pg_terminate_backend", "t")
+}
+
 // change runs a fence or a promotion and answers with the status that follows.
 func (e *engine) change(s statement, params [][]byte) result {
 	term, err := strconv.ParseUint(s.operands[0].value(params), 10, 64)
--- a/endpoint/endpointtest/server.go
+++ b/endpoint/endpointtest/server.go
@@ -124,6 +124,21 @@
 	}
 }
 
+// terminate closes a client's connection and reports whether there was one.
+func (s *server) terminate(pid uint32, client string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		if c.pid == pid && c.client == client {
+			delete(s.conns, c)
+			c.cancel()
+			c.nc.Close()
+			return true
+		}
+	}
+	return false
+}
+
 // Connections returns the number of open connections and the highest number so far.
 func (m *Member) Connections() (open, peak int) {
 	m.server.mu.Lock()
--- a/endpoint/endpointtest/statement.go
+++ b/endpoint/endpointtest/statement.go
@@ -30,6 +30,7 @@
 	verbStatus
 	verbFence
 	verbPromote
+	verbTerminate
 )
 
 // statement is one parsed statement with its operands.
@@ -75,7 +76,7 @@
 // returnsRows reports whether s answers with a row description.
 func (s statement) returnsRows() bool {
 	switch s.verb {
-	case verbSelect, verbCount, verbLiteral, verbSleep, verbShow, verbStatus, verbFence, verbPromote:
+	case verbSelect, verbCount, verbLiteral, verbSleep, verbShow, verbStatus, verbFence, verbPromote, verbTerminate:
 		return true
 	}
 	return false
@@ -92,6 +93,7 @@
 	{verbStatus, "select endpoint_status ( )"},
 	{verbFence, "select endpoint_fence ( ? , ? )"},
 	{verbPromote, "select endpoint_promote ( ? , ? )"},
+	{verbTerminate, "select pg_terminate_backend ( pid ) from pg_stat_activity where pid = ? and application_name = ?"},
 	{verbLiteral, "select ?"},
 	{verbInsert, "insert into kv values ( ? , ? )"},
 	{verbInsert, "insert into kv ( key , value ) values ( ? , ? )"},
--- a/endpoint/group.go
+++ b/endpoint/group.go
@@ -55,6 +55,7 @@
 	kicks       map[string]chan struct{}
 	commands    map[string]chan Command
 	lastError   map[string]error
+	answeredAt  map[string]time.Time
 }
 
 // probeConnections is the number of connections to each member that serve probes only.
@@ -71,6 +72,25 @@
 	}
 }
 
+// Terminate ends this instance's process pid on an endpoint, over the probe's connection.
+func (g *Group) Terminate(endpoint string, pid uint32) bool {
+	result := make(chan bool, 1)
+	g.Send(endpoint, func(ctx context.Context, c *Conn) (group.Status, error) {
+		ended, err := c.terminate(ctx, pid)
+		result <- err == nil && ended
+		if err != nil {
+			return group.Status{}, err
+		}
+		return c.Status(ctx)
+	})
+	select {
+	case ended := <-result:
+		return ended
+	case <-time.After(quarantine):
+		return false
+	}
+}
+
 // NewGroup returns a group that knows nothing until Run probes it.
 func NewGroup(cfg GroupConfig) *Group {
 	if cfg.Clock == nil {
@@ -83,6 +103,7 @@
 		kicks:       map[string]chan struct{}{},
 		commands:    map[string]chan Command{},
 		lastError:   map[string]error{},
+		answeredAt:  map[string]time.Time{},
 	}
 	var names []string
 	for _, m := range cfg.Members {
@@ -95,6 +116,7 @@
 			Dial: func(ctx context.Context, key string) (*Conn, error) {
 				return cfg.Dial(ctx, m.Address, key)
 			},
+			Terminator: g,
 		})
 	}
 	g.tracker = route.NewTracker(route.TrackerConfig{Group: cfg.Name, Endpoints: names})
@@ -255,7 +277,8 @@
 			g.pace(ctx, conn)
 		case <-ctx.Done():
 			if conn != nil {
-				retire(conn)
+				conn.goodbye(goodbyeTimeout)
+				conn.Close()
 			}
 			return nil
 		}
@@ -299,6 +322,7 @@
 	}
 	g.mu.Lock()
 	delete(g.lastError, m.Endpoint)
+	g.answeredAt[m.Endpoint] = sentAt
 	g.mu.Unlock()
 	g.Observe(sentAt, s)
 	if g.cfg.Observer != nil {
@@ -323,6 +347,13 @@
 	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, io.ErrUnexpectedEOF)
 }
 
+// AnsweredAt returns when the newest probe that an endpoint answered was sent.
+func (g *Group) AnsweredAt(endpoint string) time.Time {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.answeredAt[endpoint]
+}
+
 // LastError returns why the newest probe of an endpoint failed, or nil.
 func (g *Group) LastError(endpoint string) error {
 	g.mu.Lock()
--- a/endpoint/retire.go
+++ b/endpoint/retire.go
@@ -1,7 +1,6 @@
 package endpoint
 
 import (
-	"context"
 	"errors"
 	"io"
 	"time"
@@ -16,21 +15,25 @@
 	quarantine = 2 * time.Second
 )
 
+// Terminator ends the endpoint's side of a connection from another one.
+type Terminator interface {
+	// Terminate asks an endpoint to end the process behind a connection and reports whether it did.
+	Terminate(endpoint string, pid uint32) bool
+}
+
 // retire ends a connection and returns once the endpoint has closed its side, or after the quarantine.
 //
 // Until then the endpoint may still count the connection, so that another opened
-// in its place could exceed the endpoint's limit. It reports whether the endpoint
-// is known to have closed.
-func retire(conn *Conn) (closed bool) {
+// in its place could exceed the endpoint's limit. A side that does not close by
+// itself, because it is at work or has gone silent, is terminated. It reports
+// whether the endpoint is known to have closed.
+func (c *Connections) retire(conn *Conn) (closed bool) {
 	defer conn.Close()
 	if conn.goodbye(goodbyeTimeout) {
 		return true
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), quarantine)
-	defer cancel()
-	if conn.Cancel(ctx) != nil {
-		<-ctx.Done()
-		return false
+	if c.terminator != nil && c.terminator.Terminate(c.endpoint, conn.pid) {
+		return true
 	}
 	return conn.drained(quarantine)
 }
--- a/endpoint/status.go
+++ b/endpoint/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"strconv"
 	"strings"
@@ -83,26 +84,52 @@
 }
 
 func (c *Conn) askRow(sql string) (group.Status, error) {
+	var status group.Status
+	err := c.rows(sql, func(row *pgproto3.DataRow) (err error) {
+		status, err = ParseStatus(row)
+		return err
+	})
+	return status, err
+}
+
+// rows runs a query and hands each row to take; it returns the first error.
+func (c *Conn) rows(sql string, take func(*pgproto3.DataRow) error) error {
 	if err := c.Queue(&pgproto3.Query{String: sql}); err != nil {
-		return group.Status{}, err
+		return err
 	}
 	if _, err := c.Flush(); err != nil {
-		return group.Status{}, unreachable(c.address, err)
+		return unreachable(c.address, err)
 	}
-	var status group.Status
 	var failure error
 	for {
 		msg, err := c.Receive()
 		if err != nil {
-			return group.Status{}, unreachable(c.address, err)
+			return unreachable(c.address, err)
 		}
 		switch m := msg.(type) {
 		case *pgproto3.DataRow:
-			status, failure = ParseStatus(m)
+			failure = errors.Join(failure, take(m))
 		case *pgproto3.ErrorResponse:
-			failure = refusedStartup(c.address, m)
+			failure = errors.Join(failure, refusedStartup(c.address, m))
 		case *pgproto3.ReadyForQuery:
-			return status, failure
+			return failure
 		}
 	}
 }
+
+// terminateQuery ends one process of this instance and no other's, even if the number has been given out again.
+const terminateQuery = "SELECT pg_terminate_backend(pid) FROM pg_stat_activity WHERE pid = %d AND application_name = %s"
+
+// terminate ends the process behind another connection of this instance; it reports true also when there is none any more.
+func (c *Conn) terminate(ctx context.Context, pid uint32) (bool, error) {
+	stop := context.AfterFunc(ctx, func() { c.nc.SetDeadline(time.Unix(1, 0)) })
+	ended := true
+	err := c.rows(fmt.Sprintf(terminateQuery, pid, quote(c.application)), func(row *pgproto3.DataRow) error {
+		ended = len(row.Values) == 1 && string(row.Values[0]) == "t"
+		return nil
+	})
+	if !stop() && err == nil {
+		err = ctx.Err()
+	}
+	return ended, err
+}
--- a/failover/sessions_test.go
+++ b/failover/sessions_test.go
@@ -46,6 +46,7 @@
 // numbered is an acknowledged value of the shared counter.
 type numbered struct {
 	value int
+	key   string
 	at    time.Time
 }
 
@@ -122,7 +123,7 @@
 		}
 		f.acked++
 		f.acknowledge(key, s.Point().Term())
-		f.counted = append(f.counted, numbered{value: count, at: f.now})
+		f.counted = append(f.counted, numbered{value: count, key: key, at: f.now})
 		if c.state == state {
 			c.last = key
 			c.anonymous = false
@@ -243,14 +244,12 @@
 		return
 	}
 	newest := f.newestPrimary()
-	survived, _ := newest.Value(counterKey)
 	seen, _ := strconv.Atoi(got)
-	held, _ := strconv.Atoi(survived)
 	for _, one := range f.counted {
-		if one.at.After(sentAt.Add(-limit)) || one.value > held {
+		if one.at.After(sentAt.Add(-limit)) || one.value <= seen {
 			continue
 		}
-		if _, ok := newest.Value(counterKey); ok && one.value > seen {
+		if _, survived := newest.Value(one.key); survived {
 			f.t.Fatalf("a read that accepts %v from %s saw counter %d; %d was acknowledged %v before", limit, d.Endpoint(), seen, one.value, sentAt.Sub(one.at))
 		}
 	}
