Never acknowledge a write under the permit of a later term that lacks it

Cause: with acknowledgements that wait for a replica, a failover can pass between the check that the primary leads and the answer; the final check asked only whether some term was permitted.

Change: an answer names the log point that it rests on, and is given only while the newest term holds that point; a point that a failover lost ends the wait at once; the connection is free while the answer waits for a replica.

Seen failing: the new test gave no error before the change.

--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -439,6 +439,28 @@
 	}
 }
 
+func TestWriteLostInAFailoverIsNotAcknowledgedByTheNextTerm(t *testing.T) {
+	o := options{lag: time.Hour, contract: contractText + "[writes]\nreplicated = true\n"}
+	stand := startGroup(t, o)
+	p := startProxy(t, 1, stand, o)
+	c := connect(t, p, "")
+	result := make(chan error, 1)
+	go func() {
+		_, err := c.Exec(context.Background(), "INSERT INTO kv VALUES ('deposit', '20')")
+		result <- err
+	}()
+	members := stand.Members()
+	waitUntil(t, func() bool { return members[0].Status().Point().Position() == 1 })
+	members[0].Stop()
+	for _, m := range members[1:] {
+		m.Fence(2, "test")
+	}
+	members[1].Promote(2, "test")
+	if err := <-result; code(err) != "08007" {
+		t.Errorf("a write that the new primary lacks gave %v, want outcome unknown", err)
+	}
+}
+
 func TestWrongProtocolVersionIsRefused(t *testing.T) {
 	stand := startGroup(t, options{})
 	p := startProxy(t, 1, stand, options{})
--- a/caller/finish.go
+++ b/caller/finish.go
@@ -34,6 +34,19 @@
 	}
 	s.keepState(x)
 	s.handBack()
+	return s.awaitReplica(ctx, r, x)
+}
+
+// awaitReplica holds the answer back until a replica has the write, where the contract asks for it.
+//
+// The connection is free by then, so that the wait costs latency only.
+func (s *callerSession) awaitReplica(ctx context.Context, r *request, x *exchange) error {
+	if s.onReplica || !s.mayHaveWritten(r, x) || !s.binding.Contract().Writes().Replicated() {
+		return nil
+	}
+	if err := x.group.AwaitReplicated(ctx, x.committed.Point(), r.deadline); err != nil {
+		return unacknowledged(err)
+	}
 	return nil
 }
 
@@ -50,20 +63,17 @@
 	if err := g.AwaitPermit(ctx, r.deadline); err != nil {
 		return unacknowledged(err)
 	}
-	if !x.hasStatus {
+	s.restsOn = g.UnknownPoint()
+	if x.txStatus != 'I' || s.openSequence {
 		return nil
 	}
-	if !g.Leads(x.committed) {
+	if !x.hasStatus || !g.Leads(x.committed) {
 		return unacknowledged(nil)
 	}
+	s.restsOn = x.committed.Point()
 	if s.mayHaveWritten(r, x) {
 		s.state.Raise(x.committed.Point(), clock.Now())
 		s.reportToken()
-		if s.binding.Contract().Writes().Replicated() {
-			if err := g.AwaitReplicated(ctx, x.committed.Point(), r.deadline); err != nil {
-				return unacknowledged(err)
-			}
-		}
 	}
 	return nil
 }
--- a/caller/session.go
+++ b/caller/session.go
@@ -52,6 +52,8 @@
 	refusedByReplica bool
 	// permitted says that the answer needs no permit, because no primary gave it.
 	permitted bool
+	// restsOn is the log point on which an answer of the primary rests.
+	restsOn group.Point
 
 	mu     sync.Mutex
 	active *endpoint.Conn
@@ -247,7 +249,7 @@
 		err = s.answerError(err)
 		r.outcome = outcomeOf(err)
 	}
-	if err == nil && !s.permitted && !s.binding.Group().PermitValid() {
+	if err == nil && !s.permitted && !s.binding.Group().MayAcknowledge(s.restsOn) {
 		err = s.answerError(unacknowledged(nil))
 		r.outcome = OutcomeUnknown
 	}
--- a/endpoint/group.go
+++ b/endpoint/group.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"sync"
 	"syscall"
 	"time"
@@ -368,9 +369,43 @@
 	return s.Role() == group.RolePrimary && s.Endpoint() == g.tracker.Primary() && s.Point().Term() == g.tracker.Term()
 }
 
-// AwaitReplicated waits until a replica in the term of point has reached it; it fails with KindNoPrimary at the deadline.
+// AwaitReplicated waits until a second member holds the log up to point.
+//
+// It fails with KindNoPrimary at the deadline, and with KindLostWrite as soon as a failover has lost the point.
 func (g *Group) AwaitReplicated(ctx context.Context, point group.Point, deadline time.Time) error {
-	return g.await(ctx, deadline, func() bool { return g.tracker.Replicated(point) })
+	lost := false
+	err := g.await(ctx, deadline, func() bool {
+		lost = g.lostLocked(point)
+		return lost || g.tracker.Replicated(point)
+	})
+	if err == nil && lost {
+		return fault.New(fault.Config{
+			Kind:    fault.KindLostWrite,
+			Message: "the failover of group " + g.cfg.Name + " lost the write at " + point.String(),
+			Remedy:  "enter the request again",
+		})
+	}
+	return err
+}
+
+// lostLocked reports whether the newest term's log lacks point.
+func (g *Group) lostLocked(point group.Point) bool {
+	_, fate := g.tracker.History().Resolve(point)
+	return fate == group.FateLost || fate == group.FateForgotten
+}
+
+// MayAcknowledge reports whether an answer that rests on point may be given to its caller at this moment: the newest term holds the point and its primary is confirmed.
+func (g *Group) MayAcknowledge(point group.Point) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.permitLocked() && !g.lostLocked(point)
+}
+
+// UnknownPoint stands for an answer in a term that came without a position: it survives no change of term.
+func (g *Group) UnknownPoint() group.Point {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return group.NewPoint(g.tracker.Term(), math.MaxUint64)
 }
 
 // MinLimit is the fewest connections to an endpoint with which an instance can serve: its probe and one more.
--- a/route/tracker.go
+++ b/route/tracker.go
@@ -238,8 +238,14 @@
 	return group.NewPoint(t.Term(), s.position), s.sentAt
 }
 
-// Replicated reports whether a replica is known to hold the log up to point.
+// Replicated reports whether a member besides the primary that wrote it is known to hold the log up to point.
+//
+// After a failover that is the new primary, if the point survived.
 func (t *Tracker) Replicated(point group.Point) bool {
+	if point.Term() < t.Term() {
+		_, fate := t.history.Resolve(point)
+		return fate == group.FateSurvived
+	}
 	for _, name := range t.order {
 		m := t.members[name]
 		if name == t.primary || m.point.Term() != point.Term() {
