Acknowledge a write once a replica has it, for at most a second by default

Cause: a failover of asynchronous replicas loses acknowledged writes.

Change: contracts say wait (default, 1 s), required or off.

The wait costs latency, no connection.

--- a/caller/finish.go
+++ b/caller/finish.go
@@ -7,6 +7,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/monsoontiller/monsoontiller/clock"
+	"github.com/monsoontiller/monsoontiller/contract"
 	"github.com/monsoontiller/monsoontiller/fault"
 	"github.com/monsoontiller/monsoontiller/retry"
 )
@@ -37,14 +38,26 @@
 	return s.awaitReplica(ctx, r, x)
 }
 
-// awaitReplica holds the answer back until a replica has the write, where the contract asks for it.
+// awaitReplica holds the answer back until a replica has the write, as the contract says.
 //
-// The connection is free by then, so that the wait costs latency only.
+// The connection is free by then, so that the wait costs latency only. An answer
+// that goes out without a replica has waited for longer than a permit lasts: the
+// permit that it needs then shows that a replica took part in the term after the
+// write, which a primary that is cut off cannot show.
 func (s *callerSession) awaitReplica(ctx context.Context, r *request, x *exchange) error {
-	if s.onReplica || !s.mayHaveWritten(r, x) || !s.binding.Contract().Writes().Replicated() {
+	writes := s.binding.Contract().Writes()
+	if s.onReplica || !s.mayHaveWritten(r, x) || writes.Replication() == contract.ReplicationOff {
 		return nil
 	}
-	if err := x.group.AwaitReplicated(ctx, x.committed.Point(), r.deadline); err != nil {
+	deadline := r.deadline
+	if writes.Replication() == contract.ReplicationWait {
+		deadline = clock.Now().Add(writes.Wait())
+	}
+	err := x.group.AwaitReplicated(ctx, x.committed.Point(), deadline)
+	if fault.KindOf(err) == fault.KindNoPrimary && writes.Replication() == contract.ReplicationWait {
+		return nil
+	}
+	if err != nil {
 		return unacknowledged(err)
 	}
 	return nil
--- a/contract/contract.go
+++ b/contract/contract.go
@@ -91,13 +91,30 @@
 // Max returns the ceiling of every backoff.
 func (r Retries) Max() time.Duration { return r.max }
 
+// Replication says whether the acknowledgement of a write waits for a replica.
+type Replication uint8
+
+// The rules for acknowledging a write.
+const (
+	// ReplicationWait waits for a replica, but for a bounded time.
+	ReplicationWait Replication = iota
+	// ReplicationRequired waits for a replica as long as the request may take.
+	ReplicationRequired
+	// ReplicationOff does not wait.
+	ReplicationOff
+)
+
 // Writes sets the rules for writes.
 type Writes struct {
-	replicated bool
+	replication Replication
+	wait        time.Duration
 }
 
-// Replicated reports whether a write is acknowledged only once a replica holds it.
-func (w Writes) Replicated() bool { return w.replicated }
+// Replication returns whether acknowledgements wait for a replica.
+func (w Writes) Replication() Replication { return w.replication }
+
+// Wait returns how long an acknowledgement waits for a replica under ReplicationWait.
+func (w Writes) Wait() time.Duration { return w.wait }
 
 // Objectives are the service levels that the burn report measures.
 type Objectives struct {
--- a/contract/parse.go
+++ b/contract/parse.go
@@ -52,7 +52,8 @@
 }
 
 type documentWrites struct {
-	Replicated bool `toml:"replicated"`
+	Replication string `toml:"replication"`
+	Wait        string `toml:"replication_wait"`
 }
 
 type documentRetries struct {
@@ -77,6 +78,7 @@
 	defaultRequestTimeout = 30 * time.Second
 	defaultIdleCheck      = time.Second
 	defaultReplicaWait    = 25 * time.Millisecond
+	defaultReplication    = time.Second
 	defaultRetryRatio     = 0.1
 	defaultRetryPerSecond = 10
 	defaultFirstBackoff   = 10 * time.Millisecond
@@ -219,7 +221,7 @@
 			maxStaleness: p.duration("reads.max_staleness", doc.Reads.MaxStaleness, 0),
 			replicaWait:  p.duration("reads.replica_wait", doc.Reads.ReplicaWait, defaultReplicaWait),
 		},
-		writes:     Writes{replicated: doc.Writes.Replicated},
+		writes:     p.writes(doc.Writes),
 		retries:    p.retries(doc.Retries),
 		objectives: p.objectives(doc.Objectives),
 	}
@@ -287,6 +289,21 @@
 	return r
 }
 
+func (p *parser) writes(doc documentWrites) Writes {
+	w := Writes{wait: p.duration("writes.replication_wait", doc.Wait, defaultReplication)}
+	switch doc.Replication {
+	case "", "wait":
+		w.replication = ReplicationWait
+	case "required":
+		w.replication = ReplicationRequired
+	case "off":
+		w.replication = ReplicationOff
+	default:
+		p.mistake("writes.replication", "not a rule", `use "wait", "required" or "off"`)
+	}
+	return w
+}
+
 func (p *parser) objectives(doc documentObjectives) Objectives {
 	return Objectives{
 		success:      p.share("objectives.success", doc.Success, defaultSuccess),
