--- a/instance/instance.go
+++ b/instance/instance.go
@@ -36,6 +36,9 @@
 	groupCtx context.Context
 	ends     sync.WaitGroup
 	ordered  chan struct{}
+	// places caches this instance's place for each duty among the presences with the digest placesOf.
+	places   map[string]int
+	placesOf membership.Digest
 	evicted  chan error
 }
 
@@ -197,17 +200,20 @@
 }
 
 // rank returns this instance's place among the live ones for a duty, and how many others there are.
-func (i *Instance) rank(duty string) (rank, others int) {
-	var names []string
-	for _, one := range i.node.Alive() {
-		names = append(names, one.Name())
+func (i *Instance) rank(duty string) (place, others int) {
+	alive, digest := i.node.View()
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.placesOf != digest {
+		i.places = map[string]int{}
+		i.placesOf = digest
 	}
-	for place, name := range membership.Rank(duty, names) {
-		if name == i.cfg.Name {
-			return place, len(names) - 1
-		}
+	place, ok := i.places[duty]
+	if !ok {
+		place = membership.Place(duty, alive, i.cfg.Name)
+		i.places[duty] = place
 	}
-	return len(names), len(names)
+	return place, len(alive) - 1
 }
 
 func (i *Instance) logEvent(e event.Event) {
--- a/membership/configuration_test.go
+++ b/membership/configuration_test.go
@@ -254,6 +254,9 @@
 			moved++
 		}
 	}
+	if place := membership.Place("group/1", []membership.Identity{identity("n1", 1), identity("n2", 1), identity("n3", 1)}, "n2"); membership.Rank("group/1", []string{"n1", "n2", "n3"})[place] != "n2" {
+		t.Errorf("Place gave %d, which Rank gives to another", place)
+	}
 	if moved > 3*keys/len(fleet) {
 		t.Errorf("%d of %d keys moved when one of %d left", moved, keys, len(fleet))
 	}
--- a/membership/roster.go
+++ b/membership/roster.go
@@ -1,7 +1,6 @@
 package membership
 
 import (
-	"fmt"
 	"sort"
 	"time"
 
@@ -84,6 +83,16 @@
 	heardAt   map[string]time.Time
 	watched   map[string]time.Time
 	turn      int
+	view      view
+}
+
+// view is what follows from the presences; it is made anew when they change.
+type view struct {
+	digest Digest
+	known  bool
+	alive  []Identity
+	// ring holds the other live instances in ring order after this one.
+	ring []Identity
 }
 
 // NewRoster returns a roster that knows only the instance itself.
@@ -145,27 +154,42 @@
 	r.presences.Apply(NewItem(held.key, held.revision+1, NewPresence(r.cfg.Self, StateLeft)))
 }
 
-// Alive returns the instances in the state alive, this one included, ordered by name.
-func (r *Roster) Alive() []Identity {
-	var out []Identity
+// Alive returns the instances in the state alive, this one included, ordered by name; the caller must not change the result.
+func (r *Roster) Alive() []Identity { return r.current().alive }
+
+// Others returns the live instances but this one, in ring order; the caller must not change the result.
+func (r *Roster) Others() []Identity { return r.current().ring }
+
+// current returns the view of the present set of presences.
+func (r *Roster) current() *view {
+	digest := r.presences.Digest()
+	if r.view.known && r.view.digest == digest {
+		return &r.view
+	}
+	r.view = view{digest: digest, known: true}
 	for _, item := range r.presences.All() {
-		if item.value.state == StateAlive {
-			out = append(out, item.value.identity)
+		if item.value.state != StateAlive {
+			continue
+		}
+		r.view.alive = append(r.view.alive, item.value.identity)
+		if item.key != r.cfg.Self.Name() {
+			r.view.ring = append(r.view.ring, item.value.identity)
 		}
 	}
-	return out
+	r.sortRing()
+	return &r.view
 }
 
-// Others returns the live instances but this one.
-func (r *Roster) Others() []Identity {
-	alive := r.Alive()
-	out := alive[:0]
-	for _, one := range alive {
-		if one.Name() != r.cfg.Self.Name() {
-			out = append(out, one)
-		}
+// sortRing orders the ring by the distance of each name's hash from this instance's.
+func (r *Roster) sortRing() {
+	self := xxhash.Sum64String(r.cfg.Self.Name())
+	distance := make(map[string]uint64, len(r.view.ring))
+	for _, one := range r.view.ring {
+		distance[one.Name()] = xxhash.Sum64String(one.Name()) - self
 	}
-	return out
+	sort.Slice(r.view.ring, func(i, j int) bool {
+		return distance[r.view.ring[i].Name()] < distance[r.view.ring[j].Name()]
+	})
 }
 
 // Targets returns the peers to exchange with next: the instances that this one watches, and one other in turn.
@@ -173,7 +197,7 @@
 // Each instance watches the Fanout live ones that follow it on a ring ordered by
 // the hash of their names, so each is watched by as many whatever the fleet's size.
 func (r *Roster) Targets(now time.Time) []Identity {
-	ring := r.ring()
+	ring := r.current().ring
 	n := min(r.cfg.Fanout, len(ring))
 	targets := append([]Identity(nil), ring[:n]...)
 	for _, one := range targets {
@@ -189,20 +213,10 @@
 	return targets
 }
 
-// ring returns the other live instances in ring order after this one.
-func (r *Roster) ring() []Identity {
-	others := r.Others()
-	self := xxhash.Sum64String(r.cfg.Self.Name())
-	sort.Slice(others, func(i, j int) bool {
-		return xxhash.Sum64String(others[i].Name())-self < xxhash.Sum64String(others[j].Name())-self
-	})
-	return others
-}
-
 // Expire declares dead the watched instances that have not answered for DeadAfter, and returns them.
 func (r *Roster) Expire(now time.Time) []Identity {
 	var dead []Identity
-	ring := r.ring()
+	ring := r.current().ring
 	for _, one := range ring[:min(r.cfg.Fanout, len(ring))] {
 		since, ok := r.watched[one.Name()]
 		if !ok || now.Sub(since) < r.cfg.DeadAfter {
@@ -216,18 +230,44 @@
 	return dead
 }
 
+// weight is the rendezvous weight of a name for a key.
+func weight(key, name string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(key)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(name)
+	return d.Sum64()
+}
+
 // Rank orders names by their rendezvous weight for key, highest first.
 func Rank(key string, names []string) []string {
 	weights := make(map[string]uint64, len(names))
 	for _, name := range names {
-		weights[name] = xxhash.Sum64String(fmt.Sprintf("%s\x00%s", key, name))
+		weights[name] = weight(key, name)
 	}
 	out := append([]string(nil), names...)
 	sort.Slice(out, func(i, j int) bool {
-		if weights[out[i]] != weights[out[j]] {
-			return weights[out[i]] > weights[out[j]]
-		}
-		return out[i] < out[j]
+		return outranks(weights[out[i]], out[i], weights[out[j]], out[j])
 	})
 	return out
 }
+
+func outranks(weightA uint64, a string, weightB uint64, b string) bool {
+	if weightA != weightB {
+		return weightA > weightB
+	}
+	return a < b
+}
+
+// Place returns the place that Rank would give self among the instances and itself, without ordering them.
+func Place(key string, instances []Identity, self string) int {
+	own := weight(key, self)
+	place := 0
+	for _, one := range instances {
+		if outranks(weight(key, one.Name()), one.Name(), own, self) {
+			place++
+		}
+	}
+	return place
+}
--- a/peer/node.go
+++ b/peer/node.go
@@ -157,11 +157,11 @@
 	return err
 }
 
-// Alive returns the live instances, this one included.
-func (n *Node) Alive() []membership.Identity {
+// View returns the live instances, this one included, and the digest of the presences from which they follow.
+func (n *Node) View() ([]membership.Identity, membership.Digest) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.roster.Alive()
+	return n.roster.Alive(), n.roster.Presences().Digest()
 }
 
 // Others returns the live instances but this one.
