--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -106,21 +106,21 @@
 	if err != nil || x.open {
 		return err
 	}
-	return x.awaitSign()
+	return x.awaitPing()
 }
 
-// signTimeout is how long a connection may take to show that it is alive before the endpoint's other answers are weighed.
-const signTimeout = 500 * time.Millisecond
+// pingTimeout is how long a connection may take to show that it is alive before a probe is asked for, and again before its answer is weighed.
+const pingTimeout = 250 * time.Millisecond
 
-// awaitSign waits for the first byte of the answer to a query that takes no time.
+// awaitPing waits for the first byte of the answer to a query that takes no time.
 //
 // It fails when the endpoint has answered a probe on another connection that was
 // sent later: then this connection has gone silent. As long as the endpoint is
 // silent altogether, it waits on.
-func (x *exchange) awaitSign() error {
+func (x *exchange) awaitPing() error {
 	for {
 		now := clock.Now()
-		wait := min(signTimeout, x.deadline.Sub(now))
+		wait := min(pingTimeout, x.deadline.Sub(now))
 		if err := x.conn.SetDeadline(clock.Wall(now.Add(wait))); err != nil {
 			return err
 		}
@@ -134,6 +134,7 @@
 		if x.group.AnsweredAt(x.endpoint).After(x.sentAt) {
 			return errSilent(x.endpoint)
 		}
+		x.group.Kick()
 	}
 }
 
@@ -157,7 +158,7 @@
 		}
 	}
 	if !x.open && (!x.onReplica || x.pinned) {
-		if err := x.plan.sign(); err != nil {
+		if err := x.plan.ping(); err != nil {
 			return err
 		}
 	}
@@ -179,7 +180,7 @@
 	case stepLocal:
 		x.out = append(x.out, s.local...)
 		return nil
-	case stepRestore, stepSign:
+	case stepRestore, stepPing:
 		return x.readHidden(s.kind == stepRestore)
 	case stepPosition:
 		return x.readPosition()
@@ -261,16 +262,16 @@
 	if len(x.out) < flushBytes {
 		return nil
 	}
-	if !x.onReplica && !x.group.PermitValid() {
-		return errPermitLapsed()
+	if !x.onReplica && !x.group.LeaseValid() {
+		return errLeaseLapsed()
 	}
 	return x.flush()
 }
 
-func errPermitLapsed() error {
+func errLeaseLapsed() error {
 	return fault.New(fault.Config{
 		Kind:    fault.KindNoPrimary,
-		Message: "the primary's permit lapsed while it answered",
+		Message: "the primary's lease lapsed while it answered",
 		Remedy:  "try again in a few seconds",
 	})
 }
--- a/caller/execute.go
+++ b/caller/execute.go
@@ -71,7 +71,7 @@
 func (s *callerSession) onPinned(ctx context.Context, r *request) error {
 	g := s.binding.Group()
 	if !s.onReplica {
-		if err := g.AwaitPermit(ctx, r.acquireBy); err != nil {
+		if err := g.AwaitLease(ctx, r.acquireBy); err != nil {
 			return err
 		}
 	}
@@ -165,7 +165,7 @@
 	s.hold(conn, conns, d.Target() == route.TargetReplica)
 	x = s.exchange(g, conn, r, rr)
 	if x.lapsed() {
-		x.failure = retry.FailureNoPermit
+		x.failure = retry.FailureNoLease
 		return x, false, nil
 	}
 	g.View(func(t *route.Tracker) { t.AddLoad(d.Endpoint(), 1) })
@@ -175,9 +175,9 @@
 	return x, whole, nil
 }
 
-// lapsed reports whether the primary's permit ran out while the unit waited for its connection.
+// lapsed reports whether the primary's lease ran out while the unit waited for its connection.
 func (x *exchange) lapsed() bool {
-	return !x.onReplica && !x.group.PermitValid()
+	return !x.onReplica && !x.group.LeaseValid()
 }
 
 // notConnected turns a failed Acquire into a failed attempt, or gives up when a queue said no.
@@ -244,7 +244,7 @@
 			}
 			return d, rr, nil
 		}
-		if err := g.AwaitPermit(ctx, r.acquireBy); err != nil {
+		if err := g.AwaitLease(ctx, r.acquireBy); err != nil {
 			return d, rr, err
 		}
 		if d.Target() == route.TargetPrimary && primaryOf(g) == d.Endpoint() {
@@ -254,7 +254,7 @@
 			return d, rr, errDraining()
 		}
 		if !clock.Now().Before(r.acquireBy) {
-			return d, rr, retry.VerdictNotRun.Error(retry.Attempt{Failure: retry.FailureNoPermit})
+			return d, rr, retry.VerdictNotRun.Error(retry.Attempt{Failure: retry.FailureNoLease})
 		}
 	}
 }
@@ -298,7 +298,7 @@
 	}
 	s.refusedByReplica = s.onReplica
 	s.setActive(nil)
-	if x.refused && x.failure != retry.FailureLost && x.txStatus == 'I' || !x.sent && x.failure == retry.FailureNoPermit {
+	if x.refused && x.failure != retry.FailureLost && x.txStatus == 'I' || !x.sent && x.failure == retry.FailureNoLease {
 		s.connPool.Release(s.conn)
 	} else {
 		s.connPool.Discard(s.conn)
--- a/caller/finish.go
+++ b/caller/finish.go
@@ -26,7 +26,7 @@
 	s.skipping = x.aborted
 	s.openSequence = s.unit.end() == opFlush
 	s.inSequence = x.txStatus != 'I' || s.unit.end() == opFlush
-	s.permitted = s.onReplica
+	s.unleased = s.onReplica
 	if !s.onReplica {
 		if err := s.acknowledge(ctx, r, x); err != nil {
 			s.discard()
@@ -41,9 +41,8 @@
 // awaitReplica holds the answer back until a replica has the write, as the contract says.
 //
 // The connection is free by then, so that the wait costs latency only. An answer
-// that goes out without a replica has waited for longer than a permit lasts: the
-// permit that it needs then shows that a replica took part in the term after the
-// write, which a primary that is cut off cannot show.
+// that goes out without a replica has waited for longer than it takes to replace a
+// primary that is cut off from its replicas, whose leases have run out by then.
 func (s *callerSession) awaitReplica(ctx context.Context, r *request, x *exchange) error {
 	writes := s.binding.Contract().Writes()
 	if s.onReplica || !s.mayHaveWritten(r, x) || writes.Replication() == contract.ReplicationOff {
@@ -73,7 +72,7 @@
 // acknowledge raises the floor and waits until the answer may be given to the caller.
 func (s *callerSession) acknowledge(ctx context.Context, r *request, x *exchange) error {
 	g := x.group
-	if err := g.AwaitPermit(ctx, r.deadline); err != nil {
+	if err := g.AwaitLease(ctx, r.deadline); err != nil {
 		return unacknowledged(err)
 	}
 	s.restsOn = g.UnknownPoint()
--- a/caller/session.go
+++ b/caller/session.go
@@ -50,8 +50,8 @@
 	openSequence bool
 
 	refusedByReplica bool
-	// permitted says that the answer needs no permit, because no primary gave it.
-	permitted bool
+	// unleased says that the answer needs no lease, because no primary gave it.
+	unleased bool
 	// restsOn is the log point on which an answer of the primary rests.
 	restsOn group.Point
 
@@ -249,7 +249,7 @@
 		err = s.answerError(err)
 		r.outcome = outcomeOf(err)
 	}
-	if err == nil && !s.permitted && !s.binding.Group().MayAcknowledge(s.restsOn) {
+	if err == nil && !s.unleased && !s.binding.Group().MayAcknowledge(s.restsOn) {
 		err = s.answerError(unacknowledged(nil))
 		r.outcome = OutcomeUnknown
 	}
--- a/cmd/monsoontiller/operate.go
+++ b/cmd/monsoontiller/operate.go
@@ -315,7 +315,7 @@
 		fmt.Println()
 		printEndpoints(s)
 		for _, g := range s.GetGroups() {
-			if !g.GetPermit() {
+			if !g.GetLease() {
 				fmt.Printf("\ngroup %s: no confirmed primary (%s); writes are refused as not run\n", g.GetName(), g.GetPhase())
 			}
 		}
--- a/cmd/monsoontiller/serve.go
+++ b/cmd/monsoontiller/serve.go
@@ -74,7 +74,7 @@
 		Platform:         platform.NewClient(platform.ClientConfig{URL: s.PlatformURL()}),
 		Seeds:            s.Peers(),
 		Seats:            s.InstanceLimit(),
-		Permit:           s.Permit(),
+		Lease:            s.Lease(),
 		ProbeInterval:    s.ProbeInterval(),
 		Logger:           logger,
 		RequireCallerTLS: s.TLS().RequireCaller,
--- a/contract/parse.go
+++ b/contract/parse.go
@@ -78,7 +78,7 @@
 	defaultRequestTimeout = 30 * time.Second
 	defaultIdleCheck      = time.Second
 	defaultReplicaWait    = 25 * time.Millisecond
-	defaultReplication    = time.Second
+	defaultReplication    = 2 * time.Second
 	defaultRetryRatio     = 0.1
 	defaultRetryPerSecond = 10
 	defaultFirstBackoff   = 10 * time.Millisecond
--- a/contract/book.go
+++ b/contract/registry.go
@@ -34,16 +34,16 @@
 // Contract returns the parsed contract.
 func (e Entry) Contract() *Contract { return e.contract }
 
-// Book keeps the newest known revision of each contract; it is not safe for concurrent use.
-type Book struct {
+// Registry keeps the newest known revision of each contract; it is not safe for concurrent use.
+type Registry struct {
 	entries map[string]Entry
 }
 
-// NewBook returns an empty book.
-func NewBook() *Book { return &Book{entries: map[string]Entry{}} }
+// NewRegistry returns an empty book.
+func NewRegistry() *Registry { return &Registry{entries: map[string]Entry{}} }
 
 // Apply takes e if its revision is higher than the one held and reports whether it did.
-func (b *Book) Apply(e Entry) bool {
+func (b *Registry) Apply(e Entry) bool {
 	if held, ok := b.entries[e.customer]; ok && held.revision >= e.revision {
 		return false
 	}
@@ -52,13 +52,13 @@
 }
 
 // Get returns the entry of a customer.
-func (b *Book) Get(customer string) (e Entry, ok bool) {
+func (b *Registry) Get(customer string) (e Entry, ok bool) {
 	e, ok = b.entries[customer]
 	return e, ok
 }
 
 // List returns all entries in the order of the customers' names.
-func (b *Book) List() []Entry {
+func (b *Registry) List() []Entry {
 	out := make([]Entry, 0, len(b.entries))
 	for _, e := range b.entries {
 		out = append(out, e)
--- a/dev/fleet.go
+++ b/dev/fleet.go
@@ -63,7 +63,7 @@
 	StatementTime time.Duration
 	CallerPort    int
 	OperatorPort  int
-	Permit        time.Duration
+	Lease         time.Duration
 	ProbeInterval time.Duration
 	FreshBound    time.Duration
 	Policy        route.Policy
@@ -227,7 +227,7 @@
 		CallerAddress: address(f.cfg.CallerPort, n),
 		Platform:      f.client(name),
 		Tokens:        tokens,
-		Permit:        f.cfg.Permit,
+		Lease:         f.cfg.Lease,
 		ProbeInterval: f.cfg.ProbeInterval,
 		FreshBound:    f.cfg.FreshBound,
 		Policy:        f.cfg.Policy,
--- a/endpoint/group.go
+++ b/endpoint/group.go
@@ -6,6 +6,7 @@
 	"io"
 	"math"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -27,7 +28,7 @@
 	Members       []Address
 	ProbeInterval time.Duration
 	ProbeTimeout  time.Duration
-	Permit        time.Duration
+	Lease         time.Duration
 	Limit         int
 	Dial          func(ctx context.Context, address, database string) (*Conn, error)
 	Clock         func() time.Time
@@ -57,6 +58,14 @@
 	commands    map[string]chan Command
 	lastError   map[string]error
 	answeredAt  map[string]time.Time
+	heard       map[string]heard
+	probes      atomic.Uint64
+}
+
+// heard is the newest status of a member, whether a probe or a request brought it.
+type heard struct {
+	status group.Status
+	sentAt time.Time
 }
 
 // probeConnections is the number of connections to each member that serve probes only.
@@ -105,6 +114,7 @@
 		commands:    map[string]chan Command{},
 		lastError:   map[string]error{},
 		answeredAt:  map[string]time.Time{},
+		heard:       map[string]heard{},
 	}
 	var names []string
 	for _, m := range cfg.Members {
@@ -144,6 +154,7 @@
 func (g *Group) Observe(sentAt time.Time, s group.Status) {
 	g.mu.Lock()
 	changed := g.tracker.Observe(sentAt, g.cfg.Clock(), s)
+	g.noteLocked(sentAt, s)
 	g.broadcastLocked()
 	g.mu.Unlock()
 	if changed {
@@ -157,12 +168,31 @@
 	defer g.mu.Unlock()
 	before := g.tracker.ConfirmedAt()
 	v := g.tracker.Verify(sentAt, g.cfg.Clock(), s, r)
+	g.noteLocked(sentAt, s)
 	if g.tracker.ConfirmedAt().After(before) {
 		g.broadcastLocked()
 	}
 	return v
 }
 
+func (g *Group) noteLocked(sentAt time.Time, s group.Status) {
+	if sentAt.After(g.heard[s.Endpoint()].sentAt) {
+		g.heard[s.Endpoint()] = heard{status: s, sentAt: sentAt}
+	}
+}
+
+// heardByTraffic returns a member's status if a request brought one within the probe interval, so that a probe can be left out.
+func (g *Group) heardByTraffic(endpoint string) (group.Status, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	h := g.heard[endpoint]
+	recent := g.cfg.Clock().Sub(h.sentAt) < g.cfg.ProbeInterval
+	return h.status, recent && g.answeredAt[endpoint].Before(h.sentAt)
+}
+
+// Probes returns how many probes were sent.
+func (g *Group) Probes() uint64 { return g.probes.Load() }
+
 // dropOldTerm closes the connections that were opened in an earlier term.
 func (g *Group) dropOldTerm() {
 	for _, c := range g.connections {
@@ -175,30 +205,30 @@
 	g.changed = make(chan struct{})
 }
 
-// PermitValid reports whether the primary may be used and answers of it acknowledged at this moment.
-func (g *Group) PermitValid() bool {
+// LeaseValid reports whether the primary may be used and answers of it acknowledged at this moment.
+func (g *Group) LeaseValid() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.permitLocked()
+	return g.leaseLocked()
 }
 
-func (g *Group) permitLocked() bool {
+func (g *Group) leaseLocked() bool {
 	confirmed := g.tracker.ConfirmedAt()
-	return !confirmed.IsZero() && g.cfg.Clock().Sub(confirmed) < g.cfg.Permit
+	return !confirmed.IsZero() && g.cfg.Clock().Sub(confirmed) < g.cfg.Lease
 }
 
-// AwaitPermit waits until the primary may be used; it fails with KindNoPrimary at the deadline.
-func (g *Group) AwaitPermit(ctx context.Context, deadline time.Time) error {
-	return g.await(ctx, deadline, g.permitLocked)
+// AwaitLease waits until the primary may be used; it fails with KindNoPrimary at the deadline.
+func (g *Group) AwaitLease(ctx context.Context, deadline time.Time) error {
+	return g.await(ctx, deadline, g.leaseLocked)
 }
 
-// AwaitFloor returns a position of the primary that was probed at or after since, under a valid permit.
+// AwaitFloor returns a position of the primary that was probed at or after since, under a valid lease.
 func (g *Group) AwaitFloor(ctx context.Context, since, deadline time.Time) (group.Point, time.Time, error) {
 	var point group.Point
 	var at time.Time
 	err := g.await(ctx, deadline, func() bool {
 		point, at = g.tracker.PrimarySample()
-		return !at.Before(since) && !point.IsZero() && g.permitLocked()
+		return !at.Before(since) && !point.IsZero() && g.leaseLocked()
 	})
 	return point, at, err
 }
@@ -235,6 +265,9 @@
 	})
 }
 
+// Kick asks for a probe of every member now.
+func (g *Group) Kick() { g.kick() }
+
 // kick asks every prober to probe now.
 func (g *Group) kick() {
 	for _, k := range g.kicks {
@@ -269,10 +302,16 @@
 	var conn *Conn
 	command := Command(statusCommand)
 	for {
-		conn = g.probe(ctx, m, conn, command)
+		if command != nil {
+			conn = g.probe(ctx, m, conn, command)
+		}
 		command = statusCommand
 		select {
 		case <-ticker.C:
+			if s, ok := g.heardByTraffic(m.Endpoint); ok && conn != nil {
+				g.tell(s)
+				command = nil
+			}
 		case command = <-g.commands[m.Endpoint]:
 		case <-g.kicks[m.Endpoint]:
 			g.pace(ctx, conn)
@@ -314,6 +353,7 @@
 		g.failed(m.Endpoint, err)
 		return nil
 	}
+	g.probes.Add(1)
 	sentAt := g.cfg.Clock()
 	s, err := command(ctx, conn)
 	if err != nil {
@@ -326,10 +366,15 @@
 	g.answeredAt[m.Endpoint] = sentAt
 	g.mu.Unlock()
 	g.Observe(sentAt, s)
+	g.tell(s)
+	return conn
+}
+
+// tell hands a member's status to the observer.
+func (g *Group) tell(s group.Status) {
 	if g.cfg.Observer != nil {
 		g.cfg.Observer.Probed(s)
 	}
-	return conn
 }
 
 func (g *Group) failed(endpoint string, err error) {
@@ -398,7 +443,7 @@
 func (g *Group) MayAcknowledge(point group.Point) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.permitLocked() && !g.lostLocked(point)
+	return g.leaseLocked() && !g.lostLocked(point)
 }
 
 // UnknownPoint stands for an answer in a term that came without a position: it survives no change of term.
--- a/failover/campaign_test.go
+++ b/failover/campaign_test.go
@@ -42,6 +42,7 @@
 	{name: "at once", faults: 200},
 	{name: "replica within 100ms", faults: 20, wait: 100 * time.Millisecond},
 	{name: "replica within 1s", faults: 20, wait: time.Second},
+	{name: "replica within 2s", faults: 20, wait: 2 * time.Second},
 	{name: "replica required", faults: 20, required: true},
 }
 
--- a/failover/doc.go
+++ b/failover/doc.go
@@ -9,10 +9,10 @@
 // # Why it is safe
 //
 // A proxy acknowledges an answer of the primary of term T only under a lease,
-// called a permit in this code, that starts when the primary and one replica were
+// called a lease in this code, that starts when the primary and one replica were
 // asked and both confirmed T. A promotion fences a majority of the members first.
-// Any such pair and any such majority share a member, so the permit started
-// before that member was fenced and has run out one permit duration after the
+// Any such pair and any such majority share a member, so the lease started
+// before that member was fenced and has run out one lease duration after the
 // last fence. A member takes part in one attempt per term only, so two attempts
 // never both hold a majority for the same term; the table's claim makes that
 // collision rare but is not what prevents it. A machine that finds its attempt
--- a/failover/event.go
+++ b/failover/event.go
@@ -136,8 +136,8 @@
 	Group    string
 	Instance string
 	Members  []string
-	// Permit is the longest validity of a permit on any instance.
-	Permit time.Duration
+	// Lease is the longest validity of a lease on any instance.
+	Lease time.Duration
 	// SuspectAfter is how long the primary must be silent before it is suspected.
 	SuspectAfter time.Duration
 	// RefusedAfter is how long it must refuse connections before it is suspected.
--- a/failover/promote.go
+++ b/failover/promote.go
@@ -81,16 +81,16 @@
 	})
 }
 
-// waitOut promotes once no permit of the old term can be valid.
+// waitOut promotes once no lease of the old term can be valid.
 //
-// A permit needs the old primary and a replica. It cannot start after the old
+// A lease needs the old primary and a replica. It cannot start after the old
 // primary was fenced, nor after a majority was; the earlier of the two counts.
 func (m *Machine) waitOut(now time.Time) []Action {
 	if m.collectFenced(now) {
 		return m.abandon(now, "a member has promised a higher term")
 	}
-	wait := m.cfg.Permit + time.Duration(clockDrift*float64(m.cfg.Permit))
-	if now.Sub(m.attempt.noPermitSince()) >= wait {
+	wait := m.cfg.Lease + time.Duration(clockDrift*float64(m.cfg.Lease))
+	if now.Sub(m.attempt.noLeaseSince()) >= wait {
 		return m.promote(now)
 	}
 	if now.Sub(m.stepAt) >= m.cfg.StepTimeout {
@@ -99,8 +99,8 @@
 	return nil
 }
 
-// noPermitSince returns the time after which no permit of the old term can have started.
-func (a *attemptState) noPermitSince() time.Time {
+// noLeaseSince returns the time after which no lease of the old term can have started.
+func (a *attemptState) noLeaseSince() time.Time {
 	if !a.oldFencedAt.IsZero() && a.oldFencedAt.Before(a.majorityAt) {
 		return a.oldFencedAt
 	}
--- a/instance/balancer.go
+++ b/instance/balancer.go
@@ -158,7 +158,7 @@
 // Lost reports whether this instance has lost the primary of a group's term.
 func (b *backend) Lost(groupName string, term uint64) bool {
 	w := b.watched(groupName)
-	return w != nil && w.keeper.lost(termOf(term))
+	return w != nil && w.monitor.lost(termOf(term))
 }
 
 func (b *backend) watched(groupName string) *watched {
@@ -185,7 +185,7 @@
 }
 
 // Lend grants a peer's run connections that are unused here and closed for certain.
-func (b *backend) Lend(name string, word pool.Word) int {
+func (b *backend) Lend(name string, word pool.LoanReport) int {
 	w, shares := b.find(name)
 	if w == nil {
 		return 0
@@ -207,7 +207,7 @@
 }
 
 // Reported takes a peer's word of what it holds of an endpoint's share here.
-func (b *backend) Reported(name string, word pool.Word) {
+func (b *backend) Reported(name string, word pool.LoanReport) {
 	_, shares := b.find(name)
 	if shares == nil {
 		return
--- a/instance/config.go
+++ b/instance/config.go
@@ -25,7 +25,7 @@
 	Seeds            []string
 	Tokens           *session.Codec
 	Seats            int
-	Permit           time.Duration
+	Lease            time.Duration
 	ProbeInterval    time.Duration
 	FreshBound       time.Duration
 	Policy           route.Policy
@@ -43,7 +43,7 @@
 // Timing of an instance.
 const (
 	DefaultSeats         = 9
-	DefaultPermit        = 500 * time.Millisecond
+	DefaultLease         = 500 * time.Millisecond
 	DefaultProbeInterval = 100 * time.Millisecond
 	DefaultFreshBound    = 5 * time.Second
 	probeTimeout         = 200 * time.Millisecond
@@ -51,7 +51,7 @@
 	pollInterval         = time.Second
 	pollPerInstance      = 10 * time.Millisecond
 	groupsInterval       = 5 * time.Second
-	keeperTick           = 50 * time.Millisecond
+	monitorTick          = 50 * time.Millisecond
 	balanceInterval      = 200 * time.Millisecond
 	claimPause           = 200 * time.Millisecond
 	seatGrace            = 60 * time.Second
@@ -65,8 +65,8 @@
 	if c.Seats == 0 {
 		c.Seats = DefaultSeats
 	}
-	if c.Permit == 0 {
-		c.Permit = DefaultPermit
+	if c.Lease == 0 {
+		c.Lease = DefaultLease
 	}
 	if c.ProbeInterval == 0 {
 		c.ProbeInterval = DefaultProbeInterval
--- a/instance/directory.go
+++ b/instance/directory.go
@@ -28,7 +28,7 @@
 	}
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	e, ok := i.book.Get(customer)
+	e, ok := i.contracts.Get(customer)
 	if !ok {
 		return caller.Binding{}, notFound("customer " + customer + " has no contract")
 	}
@@ -77,7 +77,7 @@
 		return
 	}
 	i.mu.Lock()
-	applied := i.book.Apply(e)
+	applied := i.contracts.Apply(e)
 	if applied {
 		i.keepAccount(e)
 	}
@@ -107,7 +107,7 @@
 	i.mu.Unlock()
 	for _, w := range groups {
 		w.group.View(func(t *route.Tracker) { t.SetLeaving(endpoint, leave) })
-		w.keeper.setLeaving(i.leavingOf(w))
+		w.monitor.setLeaving(i.leavingOf(w))
 	}
 	decision := "endpoint_stays"
 	if leave {
--- a/instance/groups.go
+++ b/instance/groups.go
@@ -13,9 +13,9 @@
 
 // watched is one database group as this instance watches it.
 type watched struct {
-	group  *endpoint.Group
-	keeper *keeper
-	shares map[string]*pool.Shares
+	group   *endpoint.Group
+	monitor *monitor
+	shares  map[string]*pool.Shares
 	// lending holds one change of an endpoint's limit at a time.
 	lending sync.Mutex
 }
@@ -74,18 +74,18 @@
 		members = append(members, endpoint.Address{Endpoint: m.GetEndpoint(), Address: m.GetAddress()})
 		w.shares[m.GetEndpoint()] = i.newShares(int(g.GetConnectionLimit()))
 	}
-	w.keeper = newKeeper(i, g.GetName(), members)
+	w.monitor = newMonitor(i, g.GetName(), members)
 	w.group = endpoint.NewGroup(endpoint.GroupConfig{
 		Name:          g.GetName(),
 		Members:       members,
 		ProbeInterval: i.cfg.ProbeInterval,
 		ProbeTimeout:  probeTimeout,
-		Permit:        i.cfg.Permit,
+		Lease:         i.cfg.Lease,
 		Limit:         w.shares[members[0].Endpoint].Usable(),
 		Dial:          i.dial,
-		Observer:      w.keeper,
+		Observer:      w.monitor,
 	})
-	w.keeper.group = w.group
+	w.monitor.group = w.group
 	i.groups[g.GetName()] = w
 	i.start(w)
 }
@@ -107,7 +107,7 @@
 	})
 }
 
-// start runs a group's watch and keeper until the group service ends.
+// start runs a group's watch and monitor until the group service ends.
 func (i *Instance) start(w *watched) {
 	i.ends.Add(2)
 	go func() {
@@ -116,7 +116,7 @@
 	}()
 	go func() {
 		defer i.ends.Done()
-		w.keeper.run(i.groupCtx)
+		w.monitor.run(i.groupCtx)
 	}()
 }
 
@@ -160,7 +160,7 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	user = "monsoontiller"
-	for _, e := range i.book.List() {
+	for _, e := range i.contracts.List() {
 		for _, d := range e.Contract().Databases() {
 			if d.Name() == database || database == "" {
 				return d.User(), d.Password()
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -20,22 +20,22 @@
 
 // Instance is one process of the fleet; it is safe for concurrent use.
 type Instance struct {
-	cfg      Config
-	number   uint32
-	seat     peer.Seat
-	node     *peer.Node
-	server   *caller.Server
-	events   *event.Log
-	counts   *report.Counts
-	metrics  *metrics
-	mu       sync.Mutex
-	book     *contract.Book
-	accounts map[string]*caller.Account
-	leaving  map[string]bool
-	groups   map[string]*watched
-	groupCtx context.Context
-	ends     sync.WaitGroup
-	ordered  chan struct{}
+	cfg       Config
+	number    uint32
+	seat      peer.Seat
+	node      *peer.Node
+	server    *caller.Server
+	events    *event.Log
+	counts    *report.Counts
+	metrics   *metrics
+	mu        sync.Mutex
+	contracts *contract.Registry
+	accounts  map[string]*caller.Account
+	leaving   map[string]bool
+	groups    map[string]*watched
+	groupCtx  context.Context
+	ends      sync.WaitGroup
+	ordered   chan struct{}
 	// places caches this instance's place for each duty among the presences with the digest placesOf.
 	places   map[string]int
 	placesOf membership.Digest
@@ -57,16 +57,16 @@
 		return nil, err
 	}
 	i := &Instance{
-		cfg:      cfg,
-		number:   number,
-		seat:     seat,
-		counts:   report.NewCounts(report.CountsConfig{}),
-		book:     contract.NewBook(),
-		accounts: map[string]*caller.Account{},
-		leaving:  map[string]bool{},
-		groups:   map[string]*watched{},
-		ordered:  make(chan struct{}),
-		evicted:  make(chan error, 1),
+		cfg:       cfg,
+		number:    number,
+		seat:      seat,
+		counts:    report.NewCounts(report.CountsConfig{}),
+		contracts: contract.NewRegistry(),
+		accounts:  map[string]*caller.Account{},
+		leaving:   map[string]bool{},
+		groups:    map[string]*watched{},
+		ordered:   make(chan struct{}),
+		evicted:   make(chan error, 1),
 	}
 	i.metrics = newMetrics(cfg.Scope)
 	i.events = event.NewLog(event.LogConfig{Instance: cfg.Name, OnAdd: i.logEvent})
@@ -187,7 +187,7 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	longest := time.Duration(0)
-	for _, e := range i.book.List() {
+	for _, e := range i.contracts.List() {
 		longest = max(longest, e.Contract().DrainTimeout())
 	}
 	return longest
--- a/instance/metrics.go
+++ b/instance/metrics.go
@@ -78,7 +78,7 @@
 func (i *Instance) objectiveLatency(customer string) time.Duration {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	e, ok := i.book.Get(customer)
+	e, ok := i.contracts.Get(customer)
 	if !ok {
 		return time.Duration(1<<63 - 1)
 	}
@@ -89,7 +89,7 @@
 func (i *Instance) recordGap(groupName string, gap time.Duration) {
 	i.mu.Lock()
 	var customers []string
-	for _, e := range i.book.List() {
+	for _, e := range i.contracts.List() {
 		for _, d := range e.Contract().Databases() {
 			if d.Group() == groupName {
 				customers = append(customers, e.Customer())
@@ -109,7 +109,7 @@
 	var out []report.Customer
 	for _, name := range i.counts.Customers() {
 		i.mu.Lock()
-		e, ok := i.book.Get(name)
+		e, ok := i.contracts.Get(name)
 		i.mu.Unlock()
 		if !ok {
 			continue
--- a/instance/operator.go
+++ b/instance/operator.go
@@ -83,7 +83,7 @@
 	}
 	groups := i.allGroups()
 	for _, w := range groups {
-		if w.group.PermitValid() {
+		if w.group.LeaseValid() {
 			return true
 		}
 	}
@@ -274,7 +274,7 @@
 }
 
 func groupStatus(w *watched) *operatorv1.GroupStatus {
-	out := &operatorv1.GroupStatus{Name: w.group.Name(), Permit: w.group.PermitValid(), Phase: w.keeper.phase()}
+	out := &operatorv1.GroupStatus{Name: w.group.Name(), Lease: w.group.LeaseValid(), Phase: w.monitor.phase()}
 	w.group.View(func(t *route.Tracker) {
 		out.Term = uint64(t.Term())
 		out.Primary = t.Primary()
--- a/membership/items.go
+++ b/membership/items.go
@@ -38,8 +38,8 @@
 // Digest is a hash over all keys and revisions of an Items.
 type Digest uint64
 
-// rumour is an item that is still being passed on.
-type rumour struct {
+// pendingItem is an item that is still being passed on.
+type pendingItem struct {
 	key  string
 	sent int
 }
@@ -49,7 +49,7 @@
 	items   map[string]Item[V]
 	buckets [Buckets]uint64
 	digest  uint64
-	rumours []rumour
+	pending []pendingItem
 }
 
 // NewItems returns an empty set.
@@ -91,13 +91,13 @@
 func bucketOf(key string) int { return int(xxhash.Sum64String(key) % Buckets) }
 
 func (s *Items[V]) spread(key string) {
-	for i, r := range s.rumours {
+	for i, r := range s.pending {
 		if r.key == key {
-			s.rumours[i].sent = 0
+			s.pending[i].sent = 0
 			return
 		}
 	}
-	s.rumours = append(s.rumours, rumour{key: key})
+	s.pending = append(s.pending, pendingItem{key: key})
 }
 
 // Get returns the item of key.
@@ -133,21 +133,21 @@
 // Each item is offered retransmitFactor * log2(size) times and then dropped;
 // whoever has missed it by then is repaired by digest.
 func (s *Items[V]) Deltas(limit, size int) []Item[V] {
-	sort.SliceStable(s.rumours, func(i, j int) bool { return s.rumours[i].sent < s.rumours[j].sent })
+	sort.SliceStable(s.pending, func(i, j int) bool { return s.pending[i].sent < s.pending[j].sent })
 	most := retransmitFactor * (bits.Len(uint(size)) + 1)
-	n := min(limit, len(s.rumours))
+	n := min(limit, len(s.pending))
 	out := make([]Item[V], 0, n)
 	for i := range n {
-		out = append(out, s.items[s.rumours[i].key])
-		s.rumours[i].sent++
+		out = append(out, s.items[s.pending[i].key])
+		s.pending[i].sent++
 	}
-	kept := s.rumours[:0]
-	for _, r := range s.rumours {
+	kept := s.pending[:0]
+	for _, r := range s.pending {
 		if r.sent < most {
 			kept = append(kept, r)
 		}
 	}
-	s.rumours = kept
+	s.pending = kept
 	return out
 }
 
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -171,7 +171,7 @@
 		n.Apply(itemOf(item))
 	}
 	for _, loan := range news.GetLoans() {
-		n.cfg.Backend.Reported(loan.GetEndpoint(), pool.Word{
+		n.cfg.Backend.Reported(loan.GetEndpoint(), pool.LoanReport{
 			Peer:        from.Name(),
 			Incarnation: from.Incarnation(),
 			Addressed:   news.GetAddressed(),
--- a/peer/node.go
+++ b/peer/node.go
@@ -33,9 +33,9 @@
 	// Cancel cancels the statement of a caller's session here and reports whether there was one.
 	Cancel(ctx context.Context, pid uint32, secret []byte) bool
 	// Lend grants a peer's run connections to an endpoint.
-	Lend(endpoint string, w pool.Word) int
+	Lend(endpoint string, w pool.LoanReport) int
 	// Reported takes a peer's word of what it holds of this instance's shares.
-	Reported(endpoint string, w pool.Word)
+	Reported(endpoint string, w pool.LoanReport)
 	// Loans returns what this run holds of a peer.
 	Loans(peer string) []Loan
 	// ItemApplied is told of each configuration item that came into force.
--- a/pool/shares.go
+++ b/pool/shares.go
@@ -84,8 +84,8 @@
 	return total
 }
 
-// Word is what a peer's run says of its dealings with this seat.
-type Word struct {
+// LoanReport is what a peer's run says of its dealings with this seat.
+type LoanReport struct {
 	Peer        string
 	Incarnation uint64
 	// Addressed is the run of this seat that the peer has heard of.
@@ -96,29 +96,29 @@
 	Count int
 }
 
-// outdated reports whether w was meant for another run of this seat, or comes from an earlier run of the peer.
-func (s *Shares) outdated(w Word) bool {
-	return w.Addressed != s.incarnation || w.Incarnation < s.lent[w.Peer].incarnation
+// outdated reports whether r was meant for another run of this seat, or comes from an earlier run of the peer.
+func (s *Shares) outdated(r LoanReport) bool {
+	return r.Addressed != s.incarnation || r.Incarnation < s.lent[r.Peer].incarnation
 }
 
-// Lend grants a peer at most w.Count connections, out of those that are spare here, and returns how many.
+// Lend grants a peer at most r.Count connections, out of those that are spare here, and returns how many.
 //
 // A call that arrives after a later one was heard of gets nothing.
-func (s *Shares) Lend(w Word, spare int) int {
-	if s.outdated(w) || len(s.unconfirmed) > 0 || s.totalBorrowed() > 0 {
+func (s *Shares) Lend(r LoanReport, spare int) int {
+	if s.outdated(r) || len(s.unconfirmed) > 0 || s.totalBorrowed() > 0 {
 		return 0
 	}
-	held := s.lent[w.Peer]
-	if w.Incarnation > held.incarnation {
-		held = loan{incarnation: w.Incarnation}
+	held := s.lent[r.Peer]
+	if r.Incarnation > held.incarnation {
+		held = loan{incarnation: r.Incarnation}
 	}
-	if w.Sequence <= held.sequence {
+	if r.Sequence <= held.sequence {
 		return 0
 	}
-	granted := max(0, min(w.Count, spare, s.maxLent()-s.totalLent()))
+	granted := max(0, min(r.Count, spare, s.maxLent()-s.totalLent()))
 	held.count += granted
-	held.sequence = w.Sequence
-	s.lent[w.Peer] = held
+	held.sequence = r.Sequence
+	s.lent[r.Peer] = held
 	return granted
 }
 
@@ -127,23 +127,23 @@
 // A new run of the peer holds nothing that an earlier run borrowed. The word
 // lowers a loan whose answer or return was lost, and restores what an earlier run
 // of this seat has lent.
-func (s *Shares) Reported(w Word) {
-	if s.outdated(w) {
+func (s *Shares) Reported(r LoanReport) {
+	if s.outdated(r) {
 		return
 	}
-	held := s.lent[w.Peer]
-	if w.Incarnation > held.incarnation {
-		held = loan{incarnation: w.Incarnation}
+	held := s.lent[r.Peer]
+	if r.Incarnation > held.incarnation {
+		held = loan{incarnation: r.Incarnation}
 	}
-	if w.Sequence < held.sequence {
+	if r.Sequence < held.sequence {
 		return
 	}
-	if s.unconfirmed[w.Peer] || w.Count < held.count {
-		held.count = w.Count
+	if s.unconfirmed[r.Peer] || r.Count < held.count {
+		held.count = r.Count
 	}
-	held.sequence = w.Sequence
-	s.lent[w.Peer] = held
-	delete(s.unconfirmed, w.Peer)
+	held.sequence = r.Sequence
+	s.lent[r.Peer] = held
+	delete(s.unconfirmed, r.Peer)
 }
 
 // Gone notes that a peer's connections have all ended for certain.
--- a/retry/judge.go
+++ b/retry/judge.go
@@ -19,10 +19,10 @@
 	FailureReadOnly
 	// FailureBehind means that a replica had not reached what the read must see.
 	FailureBehind
-	// FailureNoPermit means that the attempt was held back before it was sent.
-	FailureNoPermit
-	// FailurePermitLapsed means that the answer came but may not be acknowledged.
-	FailurePermitLapsed
+	// FailureNoLease means that the attempt was held back before it was sent.
+	FailureNoLease
+	// FailureLeaseLapsed means that the answer came but may not be acknowledged.
+	FailureLeaseLapsed
 )
 
 // Request is what a verdict depends on besides the failure.
@@ -78,7 +78,7 @@
 // mayHaveRun reports whether the attempt can have had an effect.
 func mayHaveRun(a Attempt) bool {
 	switch a.Failure {
-	case FailureConnect, FailureNoPermit, FailureReadOnly, FailureBehind:
+	case FailureConnect, FailureNoLease, FailureReadOnly, FailureBehind:
 		return false
 	}
 	return a.SentBytes
@@ -102,7 +102,7 @@
 
 func notRunKind(f Failure) fault.Kind {
 	switch f {
-	case FailureNoPermit, FailurePermitLapsed, FailureReadOnly:
+	case FailureNoLease, FailureLeaseLapsed, FailureReadOnly:
 		return fault.KindNoPrimary
 	case FailureBehind:
 		return fault.KindNoReplica
@@ -118,7 +118,7 @@
 		"the endpoint takes no writes",
 		"the replica is too far behind",
 		"no primary is confirmed",
-		"the primary's permit lapsed",
+		"the primary's lease lapsed",
 	}
 	return names[f]
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -35,7 +35,7 @@
 	PlatformURL     string   `toml:"platform_url"`
 	TokenKey        string   `toml:"token_key"`
 	InstanceLimit   int      `toml:"instance_limit"`
-	Permit          string   `toml:"permit"`
+	Lease           string   `toml:"lease"`
 	ProbeInterval   string   `toml:"probe_interval"`
 	Peers           []string `toml:"peers"`
 	TLS             TLS      `toml:"tls"`
@@ -44,7 +44,7 @@
 // Settings are the checked settings of one instance.
 type Settings struct {
 	file          file
-	permit        time.Duration
+	lease         time.Duration
 	probeInterval time.Duration
 }
 
@@ -72,8 +72,8 @@
 // InstanceLimit returns the largest number of instances, by which connections are divided.
 func (s *Settings) InstanceLimit() int { return s.file.InstanceLimit }
 
-// Permit returns how long the primary may be used after it was confirmed.
-func (s *Settings) Permit() time.Duration { return s.permit }
+// Lease returns how long the primary may be used after it was confirmed.
+func (s *Settings) Lease() time.Duration { return s.lease }
 
 // ProbeInterval returns how often members are asked for their status.
 func (s *Settings) ProbeInterval() time.Duration { return s.probeInterval }
@@ -88,11 +88,11 @@
 const (
 	defaultInstanceLimit = 9
 	maxInstanceLimit     = 4095
-	defaultPermit        = 500 * time.Millisecond
+	defaultLease         = 500 * time.Millisecond
 	defaultProbeInterval = 100 * time.Millisecond
-	maxPermit            = 3 * time.Second
+	maxLease             = 3 * time.Second
 	minProbeInterval     = 10 * time.Millisecond
-	probesPerPermit      = 3
+	probesPerLease       = 3
 	minTokenKey          = 16
 )
 
@@ -162,13 +162,13 @@
 	if f.InstanceLimit < 1 || f.InstanceLimit > maxInstanceLimit {
 		c.mistake("instance_limit", "out of range", "use 1 to 4095, the same on every instance")
 	}
-	s.permit = c.duration("permit", f.Permit, defaultPermit)
+	s.lease = c.duration("lease", f.Lease, defaultLease)
 	s.probeInterval = c.duration("probe_interval", f.ProbeInterval, defaultProbeInterval)
-	if s.permit > maxPermit {
-		c.mistake("permit", "longer than 3s", "use at most 3s, the same on every instance")
+	if s.lease > maxLease {
+		c.mistake("lease", "longer than 3s", "use at most 3s, the same on every instance")
 	}
-	if s.probeInterval < minProbeInterval || probesPerPermit*s.probeInterval > s.permit {
-		c.mistake("probe_interval", "not between 10ms and a third of permit", "leave it out, or lower it")
+	if s.probeInterval < minProbeInterval || probesPerLease*s.probeInterval > s.lease {
+		c.mistake("probe_interval", "not between 10ms and a third of lease", "leave it out, or lower it")
 	}
 	for _, p := range f.Peers {
 		c.address("peers", p)
