--- a/caller/marks.go
+++ b/caller/marks.go
@@ -90,20 +90,21 @@
 // WithComments returns the marks as changed by comments in sqlcommenter form at the start or end of sql.
 func (m Marks) WithComments(sql string) (Marks, error) {
 	text := strings.TrimSpace(sql)
+	marked := m
 	for _, body := range edgeComments(text) {
 		for _, pair := range strings.Split(body, ",") {
 			name, value, ok := strings.Cut(strings.TrimSpace(pair), "=")
 			if !ok {
 				continue
 			}
-			changed, err := m.With(unescape(name), unescape(strings.Trim(value, "'")))
+			changed, err := marked.With(unescape(name), unescape(strings.Trim(value, "'")))
 			if err != nil {
 				return m, err
 			}
-			m = changed
+			marked = changed
 		}
 	}
-	return m, nil
+	return marked, nil
 }
 
 // edgeComments returns the bodies of a comment that starts text and of one that ends it.
--- a/caller/session.go
+++ b/caller/session.go
@@ -48,6 +48,8 @@
 	inSequence bool
 	// openSequence says that the last unit ended with Flush, so that the server awaits more of it.
 	openSequence bool
+	// bounded says that the caller's next request is awaited for a limited time.
+	bounded bool
 
 	refusedByReplica bool
 	// unleased says that the answer needs no lease, because no primary gave it.
@@ -71,8 +73,14 @@
 			s.refuse(errDraining())
 			return
 		}
+		if err := s.boundIdleTransaction(); err != nil {
+			return
+		}
 		msg, err := s.backend.Receive()
 		if err != nil {
+			if s.idleTooLong(err) {
+				return
+			}
 			if s.keepReading(err) {
 				continue
 			}
@@ -82,14 +90,51 @@
 		if err := s.handle(ctx, msg); err != nil {
 			return
 		}
+		if err := s.unboundIdle(); err != nil {
+			return
+		}
 	}
 }
 
+// unboundIdle lifts the limit on a caller that has no transaction open.
+func (s *callerSession) unboundIdle() error {
+	if !s.bounded || s.inSequence || s.server.draining() {
+		return nil
+	}
+	s.bounded = false
+	if err := s.nc.SetReadDeadline(time.Time{}); err != nil || !s.server.draining() {
+		return err
+	}
+	return s.nc.SetReadDeadline(time.Unix(1, 0))
+}
+
 // atRest reports whether nothing of the session is in flight.
 func (s *callerSession) atRest() bool {
 	return s.unit.empty() && s.txStatus == 'I' && !s.inSequence
 }
 
+// boundIdleTransaction limits how long an open transaction may hold its connection without a request.
+func (s *callerSession) boundIdleTransaction() error {
+	if !s.inSequence || s.server.draining() {
+		return nil
+	}
+	s.bounded = true
+	return s.nc.SetReadDeadline(time.Now().Add(s.binding.Contract().Limits().TransactionIdle()))
+}
+
+// idleTooLong ends a session whose transaction has waited for its caller for too long.
+func (s *callerSession) idleTooLong(err error) bool {
+	if !errors.Is(err, os.ErrDeadlineExceeded) || s.server.draining() || !s.inSequence {
+		return false
+	}
+	s.refuse(fault.New(fault.Config{
+		Kind:    fault.KindTimeout,
+		Message: "the transaction was idle for longer than the contract allows; it was rolled back",
+		Remedy:  "commit sooner, or raise limits.transaction_idle in the contract",
+	}))
+	return true
+}
+
 // keepReading reports whether err only woke the session up to notice a drain.
 func (s *callerSession) keepReading(err error) bool {
 	if !errors.Is(err, os.ErrDeadlineExceeded) || !s.server.draining() {
--- a/contract/contract.go
+++ b/contract/contract.go
@@ -38,6 +38,7 @@
 	queueTimeout   time.Duration
 	requestTimeout time.Duration
 	idleCheck      time.Duration
+	txIdle         time.Duration
 }
 
 // Callers returns the most caller connections per instance.
@@ -52,6 +53,9 @@
 // RequestTimeout returns how long a request may take in all.
 func (l Limits) RequestTimeout() time.Duration { return l.requestTimeout }
 
+// TransactionIdle returns how long an open transaction may wait for its caller.
+func (l Limits) TransactionIdle() time.Duration { return l.txIdle }
+
 // IdleCheck returns how long a connection may be unused before it is checked again.
 func (l Limits) IdleCheck() time.Duration { return l.idleCheck }
 
--- a/contract/parse.go
+++ b/contract/parse.go
@@ -43,6 +43,7 @@
 	QueueTimeout   string `toml:"queue_timeout"`
 	RequestTimeout string `toml:"request_timeout"`
 	IdleCheck      string `toml:"idle_check"`
+	TxIdle         string `toml:"transaction_idle"`
 }
 
 type documentReads struct {
@@ -77,6 +78,7 @@
 	defaultQueueTimeout   = 5 * time.Second
 	defaultRequestTimeout = 30 * time.Second
 	defaultIdleCheck      = time.Second
+	defaultTxIdle         = time.Minute
 	defaultReplicaWait    = 25 * time.Millisecond
 	defaultReplication    = 2 * time.Second
 	defaultRetryRatio     = 0.1
@@ -215,6 +217,7 @@
 			queueTimeout:   p.duration("limits.queue_timeout", doc.Limits.QueueTimeout, defaultQueueTimeout),
 			requestTimeout: p.duration("limits.request_timeout", doc.Limits.RequestTimeout, defaultRequestTimeout),
 			idleCheck:      p.duration("limits.idle_check", doc.Limits.IdleCheck, defaultIdleCheck),
+			txIdle:         p.duration("limits.transaction_idle", doc.Limits.TxIdle, defaultTxIdle),
 		},
 		reads: Reads{
 			defaultRead:  p.defaultClass(doc.Reads.Default),
--- a/endpoint/endpointtest/conn.go
+++ b/endpoint/endpointtest/conn.go
@@ -209,6 +209,9 @@
 		time.Sleep(busy)
 	}
 	r := c.engine.run(s, params)
+	if s.takesSlot() && c.server.losesAnswer() {
+		c.nc.Close()
+	}
 	if r.sleep > 0 {
 		select {
 		case <-time.After(r.sleep):
--- a/endpoint/endpointtest/server.go
+++ b/endpoint/endpointtest/server.go
@@ -19,6 +19,7 @@
 	nextPID  atomic.Uint32
 	peak     int
 	refused  int
+	lose     int
 }
 
 func newServer(m *Member) *server {
@@ -169,6 +170,24 @@
 	delete(m.server.blocked, client)
 }
 
+// LoseAnswers makes the member reset the connection in place of the next n answers to statements, after running them.
+func (m *Member) LoseAnswers(n int) {
+	m.server.mu.Lock()
+	defer m.server.mu.Unlock()
+	m.server.lose = n
+}
+
+// losesAnswer takes one lost answer off the count and reports whether there was one.
+func (s *server) losesAnswer() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.lose == 0 {
+		return false
+	}
+	s.lose--
+	return true
+}
+
 // Silence makes every open connection go silent for good while new ones work.
 func (m *Member) Silence() {
 	m.server.mu.Lock()
