Mend a comment that ended the process

Cause: the statement text "/*/" made the search for a closing comment slice past its end; a panic in one session ended them all.

Change: the search stops ahead of the closing mark; a session's defect is logged and ends that session only.

Before: panic.

Conclusion: a caller can no longer end an instance this way.

--- a/caller/marks.go
+++ b/caller/marks.go
@@ -120,7 +120,7 @@
 	if !strings.HasSuffix(text, "*/") {
 		return out
 	}
-	if at := strings.LastIndex(text, "/*"); at >= 0 {
+	if at := strings.LastIndex(text[:len(text)-2], "/*"); at >= 0 {
 		out = append(out, text[at+2:len(text)-2])
 	}
 	return out
--- a/caller/server.go
+++ b/caller/server.go
@@ -4,7 +4,9 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"fmt"
 	"net"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -160,6 +162,7 @@
 // serve runs one connection from its startup to its end.
 func (s *Server) serve(ctx context.Context, nc net.Conn) {
 	defer func() { nc.Close() }()
+	defer s.contain()
 	open := s.open.Add(1)
 	defer s.open.Add(-1)
 	h := &handshake{server: s, nc: nc, full: int(open) > s.cfg.MaxConnections}
@@ -177,6 +180,13 @@
 	one.serve(ctx)
 }
 
+// contain keeps a defect that one session met from ending the others.
+func (s *Server) contain() {
+	if defect := recover(); defect != nil {
+		s.log("session ended by a defect", "level", "error", "defect", fmt.Sprint(defect), "stack", string(debug.Stack()))
+	}
+}
+
 func (s *Server) register(one *callerSession) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
