--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"net"
@@ -78,6 +79,7 @@
 	limit    int
 	contract string
 	delay    time.Duration
+	tls      *tls.Config
 }
 
 func startGroup(t *testing.T, o options) *endpointtest.Group {
@@ -137,8 +139,10 @@
 		Directory: directory{binding: caller.NewBinding(caller.BindingConfig{
 			Contract: c, Database: d, Group: g, Account: caller.NewAccount(c.Retries()),
 		})},
-		Recorder: rec,
-		Tokens:   tokens,
+		Recorder:   rec,
+		Tokens:     tokens,
+		TLS:        o.tls,
+		RequireTLS: o.tls != nil,
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/scram/client.go
+++ b/scram/client.go
@@ -45,7 +45,7 @@
 	if err != nil {
 		return "", err
 	}
-	withoutProof := "c=" + gs2HeaderBase64 + ",r=" + a['r']
+	withoutProof := "c=" + base64.StdEncoding.EncodeToString([]byte(gs2Header)) + ",r=" + a['r']
 	message := c.firstBare + "," + challenge + "," + withoutProof
 	c.signature = sign(k.server, message)
 	proof := xor(k.client, sign(k.stored[:], message))
--- a/scram/scram.go
+++ b/scram/scram.go
@@ -18,13 +18,14 @@
 const Mechanism = "SCRAM-SHA-256"
 
 const (
-	nonceBytes      = 18
-	saltBytes       = 16
-	iterations      = 4096
-	maxIterations   = 1_000_000
-	gs2Header       = "n,,"
-	gs2HeaderBase64 = "biws"
-	verifierPrefix  = Mechanism + "$"
+	nonceBytes    = 18
+	saltBytes     = 16
+	iterations    = 4096
+	maxIterations = 1_000_000
+	gs2Header     = "n,,"
+	// gs2HeaderUnbound is what a client sends that could bind to the channel and was not offered to.
+	gs2HeaderUnbound = "y,,"
+	verifierPrefix   = Mechanism + "$"
 )
 
 // keys are the values derived from a password.
--- a/scram/server.go
+++ b/scram/server.go
@@ -11,6 +11,7 @@
 // Server is the server side of one exchange.
 type Server struct {
 	verifier  Verifier
+	header    string
 	firstBare string
 	challenge string
 	nonce     string
@@ -22,6 +23,11 @@
 // Challenge answers the client's first message; it fails with KindUnauthorized on a malformed one.
 func (s *Server) Challenge(first string) (string, error) {
 	bare, ok := strings.CutPrefix(first, gs2Header)
+	s.header = gs2Header
+	if !ok {
+		bare, ok = strings.CutPrefix(first, gs2HeaderUnbound)
+		s.header = gs2HeaderUnbound
+	}
 	clientNonce := attributes(bare)['r']
 	if !ok || clientNonce == "" {
 		return "", failed("the first message is malformed; channel binding is not offered")
@@ -42,7 +48,7 @@
 	withoutProof, proofText, ok := strings.Cut(final, ",p=")
 	proof, err := base64.StdEncoding.DecodeString(proofText)
 	a := attributes(withoutProof)
-	if !ok || err != nil || len(proof) != sha256.Size || a['r'] != s.nonce || a['c'] != gs2HeaderBase64 {
+	if !ok || err != nil || len(proof) != sha256.Size || a['r'] != s.nonce || a['c'] != base64.StdEncoding.EncodeToString([]byte(s.header)) {
 		return "", failed("the final message is malformed")
 	}
 	message := s.firstBare + "," + s.challenge + "," + withoutProof
