--- a/caller/execute.go
+++ b/caller/execute.go
@@ -170,11 +170,22 @@
 	}
 	g.View(func(t *route.Tracker) { t.AddLoad(d.Endpoint(), 1) })
 	whole = x.run()
-	g.View(func(t *route.Tracker) { t.AddLoad(d.Endpoint(), -1) })
+	g.View(func(t *route.Tracker) { s.noteAttempt(t, d.Endpoint(), x, whole) })
 	r.result.target = d.Target()
 	return x, whole, nil
 }
 
+// noteAttempt tells the tracker how an attempt ended.
+func (s *callerSession) noteAttempt(t *route.Tracker, endpoint string, x *exchange, whole bool) {
+	t.AddLoad(endpoint, -1)
+	switch {
+	case whole:
+		t.Answered(endpoint)
+	case x.failure == retry.FailureLost && x.clientErr == nil:
+		t.Failed(endpoint, clock.Now())
+	}
+}
+
 // lapsed reports whether the primary's lease ran out while the unit waited for its connection.
 func (x *exchange) lapsed() bool {
 	return !x.onReplica && !x.group.LeaseValid()
--- a/caller/properties_test.go
+++ b/caller/properties_test.go
@@ -81,6 +81,32 @@
 	return nil
 }
 
+func TestReplicaThatLosesAnswersIsLeftOut(t *testing.T) {
+	stand := startGroup(t, options{})
+	p := startProxy(t, 1, stand, options{})
+	c := connect(t, p, "&monsoontiller.class=read")
+	value(t, c, "SELECT value FROM kv WHERE key = 'a'")
+	stand.Members()[1].LoseAnswers(1 << 20)
+	const requests = 200
+	unanswered := 0
+	for range requests {
+		if _, err := c.Exec(context.Background(), "SELECT value FROM kv WHERE key = 'a'", pgx.QueryExecModeSimpleProtocol); err != nil {
+			unanswered++
+		}
+	}
+	if unanswered > 0 {
+		t.Errorf("%d of %d reads were not answered while one replica lost answers", unanswered, requests)
+	}
+	retries := 0
+	for _, r := range p.recorder.results {
+		retries += r.Retries()
+	}
+	t.Logf("%d retries for %d reads", retries, requests)
+	if retries > requests/10 {
+		t.Errorf("%d retries for %d reads", retries, requests)
+	}
+}
+
 func TestRefusedAsNotRunDidNotRun(t *testing.T) {
 	o := options{contract: contractText + "[limits]\nqueue_length = 1\nqueue_timeout = \"300ms\"\nrequest_timeout = \"25s\"\n", limit: 2}
 	stand := startGroup(t, o)
--- a/route/decide.go
+++ b/route/decide.go
@@ -92,7 +92,7 @@
 	var bestLoad int
 	for _, name := range t.order {
 		m := t.members[name]
-		if name == t.primary || !t.usable(m) {
+		if name == t.primary || !t.usable(m) || m.ejection.active(now) {
 			continue
 		}
 		wait, ok := t.readyIn(now, m, r)
--- a/route/tracker.go
+++ b/route/tracker.go
@@ -36,6 +36,7 @@
 	down      bool
 	leaving   bool
 	load      int
+	ejection  ejection
 }
 
 // NewTracker returns a tracker that knows no positions yet.
