Refuse to start with another lease or seat count than the fleet's

Cause: the wait of a promotion rests on the lease being the same everywhere; only the manual said so. Change: seats carry both; an instance that finds another value among held seats gives its own up and fails with the remedy.

--- a/dev/fleet.go
+++ b/dev/fleet.go
@@ -64,6 +64,8 @@
 	CallerPort    int
 	OperatorPort  int
 	Lease         time.Duration
+	// LeaseOf overrides Lease for single instances, by number from 0.
+	LeaseOf       map[int]time.Duration
 	ProbeInterval time.Duration
 	FreshBound    time.Duration
 	Policy        route.Policy
@@ -233,6 +235,9 @@
 		Policy:        f.cfg.Policy,
 		Logger:        f.cfg.Logger(name),
 	}
+	if lease, ok := f.cfg.LeaseOf[n]; ok {
+		cfg.Lease = lease
+	}
 	if f.cfg.PeerClient != nil {
 		cfg.PeerClient = f.cfg.PeerClient(name)
 	}
--- a/dev/fleet_test.go
+++ b/dev/fleet_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/monsoontiller/monsoontiller/dev"
 	"github.com/monsoontiller/monsoontiller/endpoint/endpointtest"
+	"github.com/monsoontiller/monsoontiller/fault"
 	"github.com/monsoontiller/monsoontiller/instance"
 	"github.com/monsoontiller/monsoontiller/operator"
 	"github.com/monsoontiller/monsoontiller/operator/operatorv1"
@@ -308,6 +309,13 @@
 	waitUntil(t, "it is ready again", f.Instances()[2].Ready)
 }
 
+func TestInstanceWithAnotherLeaseDoesNotStart(t *testing.T) {
+	f := startFleet(t, dev.Config{Instances: 1, LeaseOf: map[int]time.Duration{1: 3 * time.Second}})
+	if err := f.StartInstance(1); fault.KindOf(err) != fault.KindInvalid {
+		t.Errorf("an instance with a longer lease started: %v", err)
+	}
+}
+
 func TestCancelThroughAnotherInstance(t *testing.T) {
 	f := startFleet(t, dev.Config{Instances: 2})
 	slow := connectTo(t, f, 0)
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -51,9 +51,14 @@
 		Incarnation: incarnation,
 		PeerAddress: cfg.PeerListener.Addr().String(),
 		DataCentre:  cfg.DataCentre,
+		LeaseMillis: cfg.Lease.Milliseconds(),
+		Seats:       cfg.Seats,
 	}
 	number, claimed, err := claimSeat(ctx, cfg, seat)
 	if err != nil {
+		if number != 0 {
+			_ = releaseSeat(context.WithoutCancel(ctx), cfg.Platform, number, seat, cfg.Name)
+		}
 		return nil, err
 	}
 	i := &Instance{
--- a/instance/seat.go
+++ b/instance/seat.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/monsoontiller/monsoontiller/clock"
@@ -20,7 +21,10 @@
 	for {
 		number, item, err := claimOnce(ctx, configuration, cfg, self)
 		if err == nil {
-			return number, item, nil
+			err = checkAgreement(ctx, cfg, self)
+		}
+		if err == nil || fault.KindOf(err) == fault.KindInvalid {
+			return number, item, err
 		}
 		_ = cfg.Logger.Log("level", "warn", "msg", "no seat yet", "error", err.Error())
 		select {
@@ -54,6 +58,29 @@
 	return number, item, err
 }
 
+// checkAgreement compares what must be the same everywhere with the seats that are held after the claim.
+//
+// Of two instances that start at once with different settings, at least one sees
+// the other's seat. It fails with KindInvalid.
+func checkAgreement(ctx context.Context, cfg Config, self peer.Seat) error {
+	items, err := platform.NewConfiguration(cfg.Platform).Poll(ctx)
+	if err != nil {
+		return err
+	}
+	for _, item := range items {
+		_, seat, ok := peer.ParseSeat(item)
+		if !ok || seat.Name == "" || seat.Name == self.Name || seat.Agrees(self) {
+			continue
+		}
+		return fault.New(fault.Config{
+			Kind:    fault.KindInvalid,
+			Message: fmt.Sprintf("lease or instance_limit differ from those of %s (%d ms, %d)", seat.Name, seat.LeaseMillis, seat.Seats),
+			Remedy:  "set both the same on every instance; stop the whole fleet to change them",
+		})
+	}
+	return nil
+}
+
 // chooseSeat returns the seat for an instance and the revision that it is at.
 func chooseSeat(items []platform.ConfigItem, seats int, name string) (uint32, membership.Revision, error) {
 	held := map[uint32]peer.Seat{}
--- a/peer/seat.go
+++ b/peer/seat.go
@@ -18,6 +18,14 @@
 	Incarnation uint64 `json:"incarnation"`
 	PeerAddress string `json:"peer_address"`
 	DataCentre  string `json:"data_centre"`
+	// Lease and Seats are settings that must be the same on every instance.
+	LeaseMillis int64 `json:"lease_ms"`
+	Seats       int   `json:"seats"`
+}
+
+// Agrees reports whether two held seats were set alike in what must be the same everywhere.
+func (s Seat) Agrees(other Seat) bool {
+	return s.LeaseMillis == other.LeaseMillis && s.Seats == other.Seats
 }
 
 // SeatKey returns the configuration key of a seat.
