--- /dev/null
+++ b/caller/proxy_test.go
@@ -0,0 +1,214 @@
+package caller_test
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"github.com/monsoontiller/monsoontiller/caller"
+	"github.com/monsoontiller/monsoontiller/contract"
+	"github.com/monsoontiller/monsoontiller/endpoint"
+	"github.com/monsoontiller/monsoontiller/endpoint/endpointtest"
+	"github.com/monsoontiller/monsoontiller/fault"
+	"github.com/monsoontiller/monsoontiller/session"
+)
+
+const (
+	customer = "baird-lennox"
+	database = "candidates-1"
+)
+
+const contractText = `customer = "baird-lennox"
+drain_timeout = "5s"
+[[database]]
+name = "candidates-1"
+group = "candidates-1"
+`
+
+// directory is a fixed caller.Directory with one database.
+type directory struct {
+	binding caller.Binding
+}
+
+func (d directory) Find(c, db string) (caller.Binding, error) {
+	if c != customer || db != database {
+		return caller.Binding{}, fault.New(fault.Config{Kind: fault.KindNotFound, Message: "no such database", Remedy: "check the contract"})
+	}
+	return d.binding, nil
+}
+
+// recorder counts results.
+type recorder struct {
+	mu      sync.Mutex
+	results []caller.Result
+}
+
+func (r *recorder) Record(one caller.Result) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.results = append(r.results, one)
+}
+
+func (r *recorder) last() caller.Result {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.results[len(r.results)-1]
+}
+
+// proxy is one instance under test.
+type proxy struct {
+	server   *caller.Server
+	group    *endpoint.Group
+	recorder *recorder
+	stop     context.CancelFunc
+	ended    chan error
+}
+
+// options vary a test's set-up.
+type options struct {
+	lag      time.Duration
+	limit    int
+	contract string
+	delay    time.Duration
+	tls      *tls.Config
+}
+
+func startGroup(t *testing.T, o options) *endpointtest.Group {
+	t.Helper()
+	g := endpointtest.NewGroup(endpointtest.GroupConfig{Name: "candidates-1", Lag: o.lag, ConnectDelay: o.delay})
+	ctx, cancel := context.WithCancel(context.Background())
+	done, err := g.Start(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return g
+}
+
+func startProxy(t *testing.T, number uint16, stand *endpointtest.Group, o options) *proxy {
+	t.Helper()
+	if o.contract == "" {
+		o.contract = contractText
+	}
+	if o.limit == 0 {
+		o.limit = 4
+	}
+	c, err := contract.Parse([]byte(o.contract))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var members []endpoint.Address
+	for _, m := range stand.Members() {
+		members = append(members, endpoint.Address{Endpoint: m.Name(), Address: m.Address()})
+	}
+	g := endpoint.NewGroup(endpoint.GroupConfig{
+		Name:          "candidates-1",
+		Members:       members,
+		ProbeInterval: 50 * time.Millisecond,
+		ProbeTimeout:  200 * time.Millisecond,
+		Lease:         800 * time.Millisecond,
+		Limit:         o.limit,
+		Dial: func(ctx context.Context, address, db string) (*endpoint.Conn, error) {
+			return endpoint.Dial(ctx, endpoint.DialConfig{
+				Address: address, User: "monsoontiller", Database: db,
+				Application: fmt.Sprintf("instance-%d", number), Timeout: time.Second,
+			})
+		},
+	})
+	tokens, err := session.NewCodec(session.CodecConfig{Key: []byte("0123456789abcdef")})
+	if err != nil {
+		t.Fatal(err)
+	}
+	d, _ := c.Database(database)
+	rec := &recorder{}
+	s, err := caller.NewServer(caller.Config{
+		Address:        "127.0.0.1:0",
+		InstanceNumber: number,
+		Directory: directory{binding: caller.NewBinding(caller.BindingConfig{
+			Contract: c, Database: d, Group: g, Account: caller.NewAccount(c.Retries()),
+		})},
+		Recorder:   rec,
+		Tokens:     tokens,
+		TLS:        o.tls,
+		RequireTLS: o.tls != nil,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	p := &proxy{server: s, group: g, recorder: rec, stop: cancel, ended: make(chan error, 1)}
+	groupCtx, stopGroup := context.WithCancel(context.Background())
+	groupEnd := make(chan error, 1)
+	go func() { groupEnd <- g.Run(groupCtx) }()
+	go func() { p.ended <- s.Run(ctx, c.DrainTimeout) }()
+	t.Cleanup(func() {
+		cancel()
+		<-p.ended
+		stopGroup()
+		<-groupEnd
+	})
+	return p
+}
+
+func (p *proxy) url() string {
+	return fmt.Sprintf("postgres://%s@%s/%s?sslmode=disable", customer, p.server.Address(), database)
+}
+
+func connect(t *testing.T, p *proxy, extra string) *pgx.Conn {
+	t.Helper()
+	c, err := pgx.Connect(context.Background(), p.url()+extra)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close(context.Background()) })
+	return c
+}
+
+func exec(t *testing.T, c *pgx.Conn, sql string, args ...any) {
+	t.Helper()
+	if _, err := c.Exec(context.Background(), sql, args...); err != nil {
+		t.Fatalf("%s: %v", sql, err)
+	}
+}
+
+func value(t *testing.T, c *pgx.Conn, sql string, args ...any) string {
+	t.Helper()
+	var v string
+	err := c.QueryRow(context.Background(), sql, args...).Scan(&v)
+	if err != nil && !errors.Is(err, pgx.ErrNoRows) {
+		t.Fatalf("%s: %v", sql, err)
+	}
+	return v
+}
+
+func code(err error) string {
+	var e *pgconn.PgError
+	if errors.As(err, &e) {
+		return e.Code
+	}
+	return ""
+}
+
+// waitUntil polls a condition for at most ten seconds.
+func waitUntil(t *testing.T, done func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(10 * time.Second)
+	tick := time.NewTicker(5 * time.Millisecond)
+	defer tick.Stop()
+	for !done() {
+		if time.Now().After(deadline) {
+			t.Fatal("the condition did not come true within 10s")
+		}
+		<-tick.C
+	}
+}
--- a/dev/fleet_test.go
+++ b/dev/fleet_test.go
@@ -113,12 +113,13 @@
 
 func TestContractChangeIsInForceOnEveryInstance(t *testing.T) {
 	f := startFleet(t, dev.Config{Instances: 3})
-	revision, err := apply(f.Instances()[0], f.Contract()+"drain_timeout = \"7s\"\n", 1, "edit")
+	_, err := apply(f.Instances()[0], f.Contract()+"drain_timeout = \"7s\"\n", 1, "edit")
 	if err == nil {
 		t.Fatal("a contract whose last key stands in a database table was accepted")
 	}
 	text := "drain_timeout = \"7s\"\n" + f.Contract()
-	if revision, err = apply(f.Instances()[0], text, 1, "edit"); err != nil || revision != 2 {
+	revision, err := apply(f.Instances()[0], text, 1, "edit")
+	if err != nil || revision != 2 {
 		t.Fatalf("apply: revision %d, %v", revision, err)
 	}
 	for n := range f.Instances() {
--- /dev/null
+++ b/endpoint/lease.go
@@ -0,0 +1,117 @@
+package endpoint
+
+import (
+	"context"
+	"math"
+	"time"
+
+	"github.com/monsoontiller/monsoontiller/clock"
+	"github.com/monsoontiller/monsoontiller/fault"
+	"github.com/monsoontiller/monsoontiller/group"
+)
+
+// LeaseValid reports whether the primary may be used and answers of it acknowledged at this moment.
+func (g *Group) LeaseValid() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.leaseLocked()
+}
+
+func (g *Group) leaseLocked() bool {
+	confirmed := g.tracker.ConfirmedAt()
+	return !confirmed.IsZero() && g.cfg.Clock().Sub(confirmed) < g.cfg.Lease
+}
+
+// AwaitLease waits until the primary may be used; it fails with KindNoPrimary at the deadline.
+func (g *Group) AwaitLease(ctx context.Context, deadline time.Time) error {
+	return g.await(ctx, deadline, g.leaseLocked)
+}
+
+// AwaitFloor returns a position of the primary that was probed at or after since, under a valid lease.
+func (g *Group) AwaitFloor(ctx context.Context, since, deadline time.Time) (group.Point, time.Time, error) {
+	var point group.Point
+	var at time.Time
+	err := g.await(ctx, deadline, func() bool {
+		point, at = g.tracker.PrimarySample()
+		return !at.Before(since) && !point.IsZero() && g.leaseLocked()
+	})
+	return point, at, err
+}
+
+// await probes until ready, called under the lock, reports true.
+func (g *Group) await(ctx context.Context, deadline time.Time, ready func() bool) error {
+	timer := time.NewTimer(clock.Until(deadline))
+	defer timer.Stop()
+	for {
+		g.mu.Lock()
+		ok := ready()
+		changed := g.changed
+		g.mu.Unlock()
+		if ok {
+			return nil
+		}
+		g.kick()
+		select {
+		case <-changed:
+		case <-timer.C:
+			return g.noPrimary(nil)
+		case <-ctx.Done():
+			return g.noPrimary(ctx.Err())
+		}
+	}
+}
+
+func (g *Group) noPrimary(cause error) error {
+	return fault.New(fault.Config{
+		Kind:    fault.KindNoPrimary,
+		Message: "no primary of group " + g.cfg.Name + " is confirmed by a second member",
+		Remedy:  "try again in a few seconds; `monsoontiller explain` names the members that do not answer",
+		Cause:   cause,
+	})
+}
+
+// Leads reports whether s comes from the primary of the newest term known.
+func (g *Group) Leads(s group.Status) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return s.Role() == group.RolePrimary && s.Endpoint() == g.tracker.Primary() && s.Point().Term() == g.tracker.Term()
+}
+
+// AwaitReplicated waits until a second member holds the log up to point.
+//
+// It fails with KindNoPrimary at the deadline, and with KindLostWrite as soon as a failover has lost the point.
+func (g *Group) AwaitReplicated(ctx context.Context, point group.Point, deadline time.Time) error {
+	lost := false
+	err := g.await(ctx, deadline, func() bool {
+		lost = g.lostLocked(point)
+		return lost || g.tracker.Replicated(point)
+	})
+	if err == nil && lost {
+		return fault.New(fault.Config{
+			Kind:    fault.KindLostWrite,
+			Message: "the failover of group " + g.cfg.Name + " lost the write at " + point.String(),
+			Remedy:  "enter the request again",
+		})
+	}
+	return err
+}
+
+// lostLocked reports whether the newest term's log lacks point.
+func (g *Group) lostLocked(point group.Point) bool {
+	_, fate := g.tracker.History().Resolve(point)
+	return fate == group.FateLost || fate == group.FateForgotten
+}
+
+// MayAcknowledge reports whether an answer that rests on point may be given to its caller at this moment: the newest term holds the point and its primary is confirmed.
+func (g *Group) MayAcknowledge(point group.Point) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.leaseLocked() && !g.lostLocked(point)
+}
+
+// UnknownPoint stands for an answer in a term that came without a position: it survives no change of term.
+func (g *Group) UnknownPoint() group.Point {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return group.NewPoint(g.tracker.Term(), math.MaxUint64)
+}
--- /dev/null
+++ b/endpoint/probe.go
@@ -0,0 +1,198 @@
+package endpoint
+
+import (
+	"context"
+	"errors"
+	"io"
+	"syscall"
+	"time"
+
+	"github.com/monsoontiller/monsoontiller/group"
+)
+
+// Command asks a member for something over a connection and returns the status that follows.
+type Command func(ctx context.Context, c *Conn) (group.Status, error)
+
+// maxCommands is the number of commands that may wait for one member; more are dropped, as lost messages are.
+const maxCommands = 16
+
+// Send queues a command to a member; its result reaches the observer like a probe's.
+func (g *Group) Send(endpoint string, command Command) {
+	select {
+	case g.commands[endpoint] <- command:
+	default:
+	}
+}
+
+// Terminate ends this instance's process pid on an endpoint, over the probe's connection.
+func (g *Group) Terminate(endpoint string, pid uint32) bool {
+	result := make(chan bool, 1)
+	g.Send(endpoint, func(ctx context.Context, c *Conn) (group.Status, error) {
+		ended, err := c.terminate(ctx, pid)
+		result <- err == nil && ended
+		if err != nil {
+			return group.Status{}, err
+		}
+		return c.Status(ctx)
+	})
+	select {
+	case ended := <-result:
+		return ended
+	case <-time.After(quarantine):
+		return false
+	}
+}
+
+// heardByTraffic returns a member's status if a request brought one within the probe interval, so that a probe can be left out.
+func (g *Group) heardByTraffic(endpoint string) (group.Status, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	h := g.heard[endpoint]
+	recent := g.cfg.Clock().Sub(h.sentAt) < g.cfg.ProbeInterval
+	return h.status, recent && g.answeredAt[endpoint].Before(h.sentAt)
+}
+
+// Probes returns how many probes were sent.
+func (g *Group) Probes() uint64 { return g.probes.Load() }
+
+// Kick asks for a probe of every member now.
+func (g *Group) Kick() { g.kick() }
+
+// kick asks every prober to probe now.
+func (g *Group) kick() {
+	for _, k := range g.kicks {
+		select {
+		case k <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// Run probes the members until ctx ends.
+func (g *Group) Run(ctx context.Context) error {
+	ends := make(chan error, len(g.cfg.Members))
+	for _, m := range g.cfg.Members {
+		go func() { ends <- g.probeLoop(ctx, m) }()
+	}
+	for range g.cfg.Members {
+		if err := <-ends; err != nil {
+			return err
+		}
+	}
+	for _, c := range g.connections {
+		c.Close()
+	}
+	return nil
+}
+
+// probeLoop probes one member at every interval and on every kick, and sends it the commands.
+func (g *Group) probeLoop(ctx context.Context, m Address) error {
+	ticker := time.NewTicker(g.cfg.ProbeInterval)
+	defer ticker.Stop()
+	var conn *Conn
+	command := Command(statusCommand)
+	for {
+		if command != nil {
+			conn = g.probe(ctx, m, conn, command)
+		}
+		command = statusCommand
+		select {
+		case <-ticker.C:
+			if s, ok := g.heardByTraffic(m.Endpoint); ok && conn != nil {
+				g.tell(s)
+				command = nil
+			}
+		case command = <-g.commands[m.Endpoint]:
+		case <-g.kicks[m.Endpoint]:
+			g.pace(ctx, conn)
+		case <-ctx.Done():
+			if conn != nil {
+				conn.goodbye(goodbyeTimeout)
+				conn.Close()
+			}
+			return nil
+		}
+	}
+}
+
+func statusCommand(ctx context.Context, c *Conn) (group.Status, error) { return c.Status(ctx) }
+
+// pace keeps kicks from redialing an unreachable member without pause.
+func (g *Group) pace(ctx context.Context, conn *Conn) {
+	if conn != nil {
+		return
+	}
+	select {
+	case <-time.After(redialPause):
+	case <-ctx.Done():
+	}
+}
+
+// redialPause is the least time between two dials of an unreachable member.
+const redialPause = 20 * time.Millisecond
+
+// probe sends the member a command over conn, dialing first if conn is nil, and returns the connection for the next one.
+func (g *Group) probe(ctx context.Context, m Address, conn *Conn, command Command) *Conn {
+	ctx, cancel := context.WithTimeout(ctx, g.cfg.ProbeTimeout)
+	defer cancel()
+	var err error
+	if conn == nil {
+		conn, err = g.cfg.Dial(ctx, m.Address, "")
+	}
+	if err != nil {
+		g.failed(m.Endpoint, err)
+		return nil
+	}
+	g.probes.Add(1)
+	sentAt := g.cfg.Clock()
+	s, err := command(ctx, conn)
+	if err != nil {
+		conn.Close()
+		g.failed(m.Endpoint, err)
+		return nil
+	}
+	g.mu.Lock()
+	delete(g.lastError, m.Endpoint)
+	g.answeredAt[m.Endpoint] = sentAt
+	g.mu.Unlock()
+	g.Observe(sentAt, s)
+	g.tell(s)
+	return conn
+}
+
+// tell hands a member's status to the observer.
+func (g *Group) tell(s group.Status) {
+	if g.cfg.Observer != nil {
+		g.cfg.Observer.Probed(s)
+	}
+}
+
+func (g *Group) failed(endpoint string, err error) {
+	g.mu.Lock()
+	g.lastError[endpoint] = err
+	g.tracker.SetDown(endpoint, true)
+	g.broadcastLocked()
+	g.mu.Unlock()
+	if g.cfg.Observer != nil {
+		g.cfg.Observer.ProbeFailed(endpoint, isRefused(err))
+	}
+}
+
+// isRefused reports whether the member's host answered that nothing listens, or reset the connection.
+func isRefused(err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, io.ErrUnexpectedEOF)
+}
+
+// AnsweredAt returns when the newest probe that an endpoint answered was sent.
+func (g *Group) AnsweredAt(endpoint string) time.Time {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.answeredAt[endpoint]
+}
+
+// LastError returns why the newest probe of an endpoint failed, or nil.
+func (g *Group) LastError(endpoint string) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.lastError[endpoint]
+}
