Ask for the status without a row description; hold orders and loans through restarts

A new watch did not know of endpoints that were ordered to leave before it began; loans to an instance whose seat was freed never ended; a change that nobody took was offered without a pause; a status carried 200 bytes of column names in each probe.

Open: one run in about twenty of the write benchmark, old and new, ends a connection unexpectedly; looked into next.

--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -153,9 +153,7 @@
 		}
 	}
 	if x.onReplica && !x.pinned {
-		if err := x.plan.status(stepPosition); err != nil {
-			return err
-		}
+		x.plan.status(stepPosition)
 	}
 	if !x.open && (!x.onReplica || x.pinned) {
 		if err := x.plan.ping(); err != nil {
@@ -171,7 +169,8 @@
 	if x.onReplica || x.unit.end() == opFlush {
 		return nil
 	}
-	return x.plan.status(stepCommitted)
+	x.plan.status(stepCommitted)
+	return nil
 }
 
 // step reads and relays the answer to one step.
--- a/caller/steps.go
+++ b/caller/steps.go
@@ -88,9 +88,9 @@
 }
 
 // status asks for the endpoint's status, to be met as kind.
-func (p *plan) status(kind stepKind) error {
+func (p *plan) status(kind stepKind) {
 	p.expect(step{kind: kind})
-	return p.conn.Queue(&pgproto3.Query{String: endpoint.StatusQuery})
+	p.conn.QueueStatus()
 }
 
 // unit queues the caller's messages, preparing statements that the connection lacks.
--- a/instance/directory.go
+++ b/instance/directory.go
@@ -67,6 +67,7 @@
 		i.applyInstanceOrder(strings.TrimPrefix(item.Key(), instancePrefix), item)
 	case strings.HasPrefix(item.Key(), peer.SeatPrefix):
 		i.checkSeat(item)
+		i.retainSeatHolders()
 	}
 }
 
@@ -137,6 +138,21 @@
 	close(i.ordered)
 }
 
+// retainSeatHolders lets go of loans to instances that no longer hold a seat.
+func (i *Instance) retainSeatHolders() {
+	holders := map[string]bool{}
+	for _, seat := range i.node.Seats() {
+		holders[seat.Name] = true
+	}
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for _, w := range i.groups {
+		for _, shares := range w.shares {
+			shares.Retain(func(peer string) bool { return holders[peer] })
+		}
+	}
+}
+
 // checkSeat stops the instance when its seat was given to another: its connections are no longer its own.
 func (i *Instance) checkSeat(item peer.ConfigItem) {
 	number, seat, ok := peer.ParseSeat(item)
--- a/instance/groups.go
+++ b/instance/groups.go
@@ -9,6 +9,7 @@
 	"github.com/monsoontiller/monsoontiller/endpoint"
 	"github.com/monsoontiller/monsoontiller/platform/platformv1"
 	"github.com/monsoontiller/monsoontiller/pool"
+	"github.com/monsoontiller/monsoontiller/route"
 )
 
 // watched is one database group as this instance watches it.
@@ -87,9 +88,26 @@
 	})
 	w.monitor.group = w.group
 	i.groups[g.GetName()] = w
+	i.applyLeaving(w)
 	i.start(w)
 }
 
+// applyLeaving tells a new watch of the orders that came before it; the instance's lock must be held.
+func (i *Instance) applyLeaving(w *watched) {
+	var names []string
+	for _, m := range w.group.Members() {
+		if i.leaving[m.Endpoint] {
+			names = append(names, m.Endpoint)
+		}
+	}
+	w.group.View(func(t *route.Tracker) {
+		for _, name := range names {
+			t.SetLeaving(name, true)
+		}
+	})
+	w.monitor.setLeaving(names)
+}
+
 // newShares returns the shares of an endpoint; the holders of the other seats may hold loans of an earlier run.
 func (i *Instance) newShares(limit int) *pool.Shares {
 	var others []string
--- a/peer/calls.go
+++ b/peer/calls.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sort"
+	"time"
 
 	"connectrpc.com/connect"
 
@@ -112,6 +113,10 @@
 		if majorityHolds(witnesses, holds) {
 			return nil
 		}
+		select {
+		case <-time.After(spreadPause):
+		case <-ctx.Done():
+		}
 	}
 	return fault.New(fault.Config{
 		Kind:    fault.KindOutcomeUnknown,
@@ -120,6 +125,9 @@
 	})
 }
 
+// spreadPause is the wait before an item is offered again to those that did not answer.
+const spreadPause = 50 * time.Millisecond
+
 func majorityHolds(witnesses []string, holds map[string]bool) bool {
 	count := 0
 	for _, name := range witnesses {
--- a/pool/shares.go
+++ b/pool/shares.go
@@ -152,6 +152,20 @@
 	delete(s.unconfirmed, peer)
 }
 
+// Retain lets go of what is lent to peers for which holds reports false: their connections have all ended.
+func (s *Shares) Retain(holds func(peer string) bool) {
+	for peer := range s.lent {
+		if !holds(peer) {
+			s.Gone(peer)
+		}
+	}
+	for peer := range s.unconfirmed {
+		if !holds(peer) {
+			s.Gone(peer)
+		}
+	}
+}
+
 // Holding is what this run holds of one lender.
 type Holding struct {
 	count    int
