Be ready only once the platform has named its groups

Cause: an instance that had its configuration but not yet the groups said that it was ready and told callers that their database does not exist (3D000, final) instead of to try again.

Seen failing: the new test, with the check taken out.

Conclusion: /readyz and Find wait for the groups; until then 57P03.

--- a/dev/bench_test.go
+++ b/dev/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"runtime"
@@ -46,7 +47,7 @@
 	for {
 		msg, err := c.frontend.Receive()
 		if err != nil {
-			return err
+			return errors.Join(failure, err)
 		}
 		switch m := msg.(type) {
 		case *pgproto3.ErrorResponse:
--- a/dev/fleet_test.go
+++ b/dev/fleet_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -105,6 +106,9 @@
 func revisionOn(t *testing.T, f *dev.Fleet, n int) uint64 {
 	t.Helper()
 	a, err := client(f.Instances()[n]).GetContract(context.Background(), connect.NewRequest(&operatorv1.GetContractRequest{Customer: f.Customer()}))
+	if connect.CodeOf(err) == connect.CodeNotFound {
+		return 0
+	}
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -310,6 +314,48 @@
 	waitUntil(t, "it is ready again", f.Instances()[2].Ready)
 }
 
+// gate holds back the platform's answers about groups until it is opened.
+type gate struct {
+	opened chan struct{}
+	next   http.RoundTripper
+}
+
+func (g *gate) RoundTrip(r *http.Request) (*http.Response, error) {
+	if strings.HasSuffix(r.URL.Path, "/ListGroups") {
+		select {
+		case <-g.opened:
+		case <-r.Context().Done():
+			return nil, r.Context().Err()
+		}
+	}
+	return g.next.RoundTrip(r)
+}
+
+func TestInstanceIsNotReadyBeforeItKnowsTheGroups(t *testing.T) {
+	g := &gate{opened: make(chan struct{}), next: instance.NewPeerClient(nil).Transport}
+	f := startFleet(t, dev.Config{Instances: 1, PlatformClient: func(name string) *http.Client {
+		if name == "entry-2" {
+			return &http.Client{Transport: g}
+		}
+		return http.DefaultClient
+	}})
+	if err := f.StartInstance(1); err != nil {
+		t.Fatal(err)
+	}
+	waitUntil(t, "it is current", func() bool { return revisionOn(t, f, 1) == 1 })
+	if _, err := pgx.Connect(context.Background(), url(f, 1)); code(err) != "57P03" {
+		t.Errorf("a caller got %v, want to be told to try again", err)
+	}
+	if f.Instances()[1].Ready() {
+		t.Error("the instance is ready without knowing a group")
+	}
+	close(g.opened)
+	waitUntil(t, "it is ready", f.Instances()[1].Ready)
+	if _, err := pgx.Connect(context.Background(), url(f, 1)); err != nil {
+		t.Errorf("a ready instance gave %v", err)
+	}
+}
+
 func TestInstanceWithAnotherLeaseDoesNotStart(t *testing.T) {
 	f := startFleet(t, dev.Config{Instances: 1, LeaseOf: map[int]time.Duration{1: 3 * time.Second}})
 	if err := f.StartInstance(1); fault.KindOf(err) != fault.KindInvalid {
--- a/instance/directory.go
+++ b/instance/directory.go
@@ -23,7 +23,7 @@
 
 // Find returns the binding of a customer's database under the contract in force.
 func (i *Instance) Find(customer, database string) (caller.Binding, error) {
-	if !i.node.Current(clock.Now()) {
+	if !i.node.Current(clock.Now()) || !i.learned.Load() {
 		return caller.Binding{}, errStale()
 	}
 	i.mu.Lock()
--- a/instance/groups.go
+++ b/instance/groups.go
@@ -60,6 +60,7 @@
 	for _, g := range groups {
 		s.instance.watch(g)
 	}
+	s.instance.learned.Store(true)
 	return true
 }
 
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"encoding/hex"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/monsoontiller/monsoontiller/caller"
@@ -34,8 +35,10 @@
 	leaving   map[string]bool
 	groups    map[string]*watched
 	groupCtx  context.Context
-	ends      sync.WaitGroup
-	ordered   chan struct{}
+	// learned says that the platform has named its groups to this run.
+	learned atomic.Bool
+	ends    sync.WaitGroup
+	ordered chan struct{}
 	// places caches this instance's place for each duty among the presences with the digest placesOf.
 	places   map[string]int
 	placesOf membership.Digest
--- a/instance/operator.go
+++ b/instance/operator.go
@@ -73,7 +73,7 @@
 
 // Ready reports whether the configuration is current and every group has a confirmed primary or a replica to read from.
 func (i *Instance) Ready() bool {
-	if !i.node.Current(clock.Now()) {
+	if !i.node.Current(clock.Now()) || !i.learned.Load() {
 		return false
 	}
 	select {
