--- a/cmd/monsoontiller/dev.go
+++ b/cmd/monsoontiller/dev.go
@@ -66,6 +66,7 @@
 	first := f.Instances()[0]
 	fmt.Printf("\nmonsoontiller status --operator %s\n", first.OperatorAddress())
 	fmt.Printf("curl http://%s/metrics\n", first.OperatorAddress())
+	fmt.Printf("platform_url = %q lets `monsoontiller serve` join from a process of its own\n", f.PlatformURL())
 	fmt.Println("\nStatements that the stand-in knows: INSERT INTO kv VALUES ('k', 'v'); SELECT value FROM kv WHERE key = 'k';")
 	fmt.Println("A read on a replica: /*class='read'*/ SELECT value FROM kv WHERE key = 'k';")
 	fmt.Println("Stop with Ctrl-C.")
--- a/dev/fleet.go
+++ b/dev/fleet.go
@@ -287,6 +287,9 @@
 // Platform returns the stand-in platform.
 func (f *Fleet) Platform() *platformtest.Server { return f.platform }
 
+// PlatformURL returns where the stand-in platform answers, for instances in processes of their own.
+func (f *Fleet) PlatformURL() string { return f.url }
+
 // Customer returns the customer's name.
 func (f *Fleet) Customer() string { return f.shape.customer }
 
--- a/instance/operator.go
+++ b/instance/operator.go
@@ -140,11 +140,20 @@
 func (s *operatorService) GetContract(_ context.Context, q *connect.Request[operatorv1.GetContractRequest]) (*connect.Response[operatorv1.GetContractResponse], error) {
 	item, ok := s.instance.node.Item(contractPrefix + q.Msg.GetCustomer())
 	if !ok {
-		return nil, operator.Error(notFound("customer " + q.Msg.GetCustomer() + " has no contract"))
+		return nil, operator.Error(noSuch("contract of "+q.Msg.GetCustomer(), "contract list"))
 	}
 	return connect.NewResponse(&operatorv1.GetContractResponse{Contract: contractMessage(item)}), nil
 }
 
+// noSuch tells an operator that something does not exist, and which command lists what does.
+func noSuch(what, command string) error {
+	return fault.New(fault.Config{
+		Kind:    fault.KindNotFound,
+		Message: "there is no " + what + "; nothing was changed",
+		Remedy:  "correct the name; `monsoontiller " + command + "` shows what there is",
+	})
+}
+
 func contractMessage(item peer.ConfigItem) *operatorv1.Contract {
 	customer, _ := platform.KeyUnder(item.Key(), contractPrefix)
 	return &operatorv1.Contract{
@@ -190,13 +199,13 @@
 		err := s.order(ctx, instancePrefix+seat.Name, orderText(seat.Incarnation))
 		return connect.NewResponse(&operatorv1.DrainInstanceResponse{}), operator.Error(err)
 	}
-	return nil, operator.Error(notFound("no instance " + q.Msg.GetInstance() + " holds a seat"))
+	return nil, operator.Error(noSuch("instance "+q.Msg.GetInstance()+" with a seat", "instance list"))
 }
 
 // DrainEndpoint orders an endpoint to get no new work, or takes the order back.
 func (s *operatorService) DrainEndpoint(ctx context.Context, q *connect.Request[operatorv1.DrainEndpointRequest]) (*connect.Response[operatorv1.DrainEndpointResponse], error) {
 	if w, _ := (&backend{instance: s.instance}).find(q.Msg.GetEndpoint()); w == nil {
-		return nil, operator.Error(notFound("no group has the endpoint " + q.Msg.GetEndpoint()))
+		return nil, operator.Error(noSuch("endpoint "+q.Msg.GetEndpoint(), "endpoint list"))
 	}
 	text := orderLeave
 	if q.Msg.GetStay() {
