--- a/failover/machine.go
+++ b/failover/machine.go
@@ -98,7 +98,7 @@
 		m.setLeaving(e.Endpoints)
 		return nil
 	case Tick:
-		return m.tick(now)
+		return m.advance(now)
 	}
 	return nil
 }
@@ -184,8 +184,6 @@
 	m.stepAt = now
 }
 
-func (m *Machine) tick(now time.Time) []Action { return m.advance(now) }
-
 // advance moves on as far as what is known allows.
 func (m *Machine) advance(now time.Time) []Action {
 	switch m.phase {
