--- a/pool/shares_test.go
+++ b/pool/shares_test.go
@@ -16,6 +16,9 @@
 	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
 		_ = f.Value.Set("1")
 	}
+	if f := flag.Lookup("rapid.checks"); f.Value.String() == f.DefValue {
+		_ = f.Value.Set("5000")
+	}
 	os.Exit(m.Run())
 }
 
