--- /dev/null
+++ b/retry/example_test.go
@@ -0,0 +1,20 @@
+package retry_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/monsoontiller/monsoontiller/retry"
+)
+
+func ExampleJudge() {
+	now := time.Unix(100, 0)
+	booking := retry.Request{Deadline: now.Add(time.Second)}
+	lost := retry.Attempt{Failure: retry.FailureLost, SentBytes: true}
+	fmt.Println(retry.Judge(now, booking, lost) == retry.VerdictUnknown)
+	unsent := retry.Attempt{Failure: retry.FailureConnect}
+	fmt.Println(retry.Judge(now, booking, unsent) == retry.VerdictRetry)
+	// Output:
+	// true
+	// true
+}
