--- a/dev/bench_test.go
+++ b/dev/bench_test.go
@@ -71,9 +71,9 @@
 	writeSQL = "UPDATE kv SET value = 'v' WHERE key = 'k'"
 )
 
-func benchFleet(b *testing.B) *dev.Fleet {
+func benchFleet(b *testing.B, seats int) *dev.Fleet {
 	b.Helper()
-	f, err := dev.Start(context.Background(), dev.Config{Instances: 1})
+	f, err := dev.Start(context.Background(), dev.Config{Instances: 1, Seats: seats})
 	if err != nil {
 		b.Fatal(err)
 	}
@@ -90,7 +90,7 @@
 func BenchmarkAddedLatency(b *testing.B) {
 	for _, sql := range []struct{ name, text string }{{"read", readSQL}, {"write", writeSQL}} {
 		b.Run(sql.name, func(b *testing.B) {
-			f := benchFleet(b)
+			f := benchFleet(b, 0)
 			through := dialRaw(b, f.Instances()[0].CallerAddress(), f.Customer(), f.Database())
 			direct := dialRaw(b, f.Groups()[0].Members()[0].Address(), "bench", f.Database())
 			var added, base []time.Duration
@@ -119,9 +119,12 @@
 
 // BenchmarkThroughput sends statements from many callers to one instance, stand-ins and callers in the same process.
 func BenchmarkThroughput(b *testing.B) {
-	for _, sql := range []struct{ name, text string }{{"read", readSQL}, {"write", writeSQL}} {
+	for _, sql := range []struct {
+		name, text string
+		seats      int
+	}{{"read", readSQL, 9}, {"write", writeSQL, 9}, {"read, one seat", readSQL, 1}, {"write, one seat", writeSQL, 1}} {
 		b.Run(sql.name, func(b *testing.B) {
-			f := benchFleet(b)
+			f := benchFleet(b, sql.seats)
 			const callers = 64
 			conns := make([]*rawConn, callers)
 			for i := range conns {
@@ -153,7 +156,7 @@
 
 // BenchmarkIdleCaller measures the memory of a caller that has connected and sends nothing, the caller's own side included.
 func BenchmarkIdleCaller(b *testing.B) {
-	f := benchFleet(b)
+	f := benchFleet(b, 0)
 	var before, after runtime.MemStats
 	runtime.GC()
 	runtime.ReadMemStats(&before)
--- a/dev/fleet.go
+++ b/dev/fleet.go
@@ -64,6 +64,8 @@
 	CallerPort    int
 	OperatorPort  int
 	Lease         time.Duration
+	// Seats is the number of instances by which connections are divided; 0 means the default.
+	Seats int
 	// LeaseOf overrides Lease for single instances, by number from 0.
 	LeaseOf       map[int]time.Duration
 	ProbeInterval time.Duration
@@ -230,6 +232,7 @@
 		Platform:      f.client(name),
 		Tokens:        tokens,
 		Lease:         f.cfg.Lease,
+		Seats:         f.cfg.Seats,
 		ProbeInterval: f.cfg.ProbeInterval,
 		FreshBound:    f.cfg.FreshBound,
 		Policy:        f.cfg.Policy,
