Add the test that a commit claimed; drop dead code and a second copy

Cause: reading the whole change again. Two lists of leaving members, two ways to give up a connection, and exported names that nothing called stood beside them.

No change of behaviour.

Seen failing: the new test, with peers counted as witnesses whatever they prove.

--- a/caller/finish.go
+++ b/caller/finish.go
@@ -10,6 +10,7 @@
 	"github.com/monsoontiller/monsoontiller/contract"
 	"github.com/monsoontiller/monsoontiller/fault"
 	"github.com/monsoontiller/monsoontiller/retry"
+	"github.com/monsoontiller/monsoontiller/route"
 )
 
 // finish completes a unit whose exchange has ended: it may acknowledge it, and hands the connection back.
@@ -151,7 +152,7 @@
 }
 
 // reads reports whether the marks promise that nothing is changed.
-func (m Marks) reads() bool { return m.Class() != 0 }
+func (m Marks) reads() bool { return m.class == route.ClassRead }
 
 func appendError(out []byte, severity string, e *fault.Error) []byte {
 	return appendMessage(out, &pgproto3.ErrorResponse{
--- a/caller/session.go
+++ b/caller/session.go
@@ -172,9 +172,7 @@
 	if s.conn == nil {
 		return
 	}
-	s.setActive(nil)
-	s.connPool.Discard(s.conn)
-	s.conn = nil
+	s.discard()
 }
 
 func (s *callerSession) setActive(conn *endpoint.Conn) {
--- a/endpoint/group.go
+++ b/endpoint/group.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/monsoontiller/monsoontiller/clock"
@@ -51,7 +50,6 @@
 	lastError   map[string]error
 	answeredAt  map[string]time.Time
 	heard       map[string]heard
-	probes      atomic.Uint64
 }
 
 // heard is the newest status of a member, whether a probe or a request brought it.
--- a/endpoint/probe.go
+++ b/endpoint/probe.go
@@ -52,9 +52,6 @@
 	return h.status, recent && g.answeredAt[endpoint].Before(h.sentAt)
 }
 
-// Probes returns how many probes were sent.
-func (g *Group) Probes() uint64 { return g.probes.Load() }
-
 // Kick asks for a probe of every member now.
 func (g *Group) Kick() { g.kick() }
 
@@ -143,7 +140,6 @@
 		g.failed(m.Endpoint, err)
 		return nil
 	}
-	g.probes.Add(1)
 	sentAt := g.cfg.Clock()
 	s, err := command(ctx, conn)
 	if err != nil {
--- a/instance/directory.go
+++ b/instance/directory.go
@@ -120,6 +120,11 @@
 func (i *Instance) leavingOf(w *watched) []string {
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	return i.leavingLocked(w)
+}
+
+// leavingLocked returns the members that are ordered to leave; the instance's lock must be held.
+func (i *Instance) leavingLocked(w *watched) []string {
 	var names []string
 	for _, m := range w.group.Members() {
 		if i.leaving[m.Endpoint] {
--- a/instance/groups.go
+++ b/instance/groups.go
@@ -95,12 +95,7 @@
 
 // applyLeaving tells a new watch of the orders that came before it; the instance's lock must be held.
 func (i *Instance) applyLeaving(w *watched) {
-	var names []string
-	for _, m := range w.group.Members() {
-		if i.leaving[m.Endpoint] {
-			names = append(names, m.Endpoint)
-		}
-	}
+	names := i.leavingLocked(w)
 	w.group.View(func(t *route.Tracker) {
 		for _, name := range names {
 			t.SetLeaving(name, true)
--- a/membership/configuration_test.go
+++ b/membership/configuration_test.go
@@ -264,3 +264,22 @@
 		t.Errorf("%d of %d keys moved when one of %d left", moved, keys, len(fleet))
 	}
 }
+
+// TestRestartedWitnessDoesNotVouch is the case that the property test found first.
+func TestRestartedWitnessDoesNotVouch(t *testing.T) {
+	now := time.Unix(1000, 0)
+	f := membership.NewFreshness(membership.FreshnessConfig{Self: "b", Bound: bound, StartedAt: now})
+	for _, peer := range []string{"a", "c", "d"} {
+		f.Exchanged(now, peer, membership.Proof{}, names)
+	}
+	if f.Current(now) {
+		t.Error("runs that have just started proved another one current")
+	}
+	f.ReadTable(now)
+	for _, peer := range []string{"a", "d"} {
+		f.Exchanged(now.Add(time.Second), peer, membership.Proof{Witness: true}, names)
+	}
+	if f.AsOf() != now.Add(time.Second) {
+		t.Errorf("current as of %v, want the exchange with a majority", f.AsOf())
+	}
+}
--- a/pool/queue.go
+++ b/pool/queue.go
@@ -29,14 +29,6 @@
 // Len returns the number of waiting requests, the late ones included.
 func (q *Queue[T]) Len() int { return q.length }
 
-// LenOf returns the number of waiting requests of one customer.
-func (q *Queue[T]) LenOf(customer string) int {
-	if l := q.lanes[customer]; l != nil {
-		return len(l.waiters)
-	}
-	return 0
-}
-
 // Push appends item to its customer's queue unless limit requests wait there, and reports whether it did.
 func (q *Queue[T]) Push(customer string, limit int, item T, deadline time.Time) bool {
 	l := q.lanes[customer]
--- a/route/decide.go
+++ b/route/decide.go
@@ -44,11 +44,6 @@
 	wait     time.Duration
 }
 
-// NewDecision returns a decision for policies outside this package.
-func NewDecision(target Target, endpoint string, wait time.Duration) Decision {
-	return Decision{target: target, endpoint: endpoint, wait: wait}
-}
-
 // Target returns the kind of endpoint.
 func (d Decision) Target() Target { return d.target }
 
