Share and watch links of any protocol

The pool, probes and leases of a database group move from endpoint to engine and take the connection type as a parameter.

--- a/caller/binding.go
+++ b/caller/binding.go
@@ -6,6 +6,7 @@
 
 	"github.com/monsoontiller/monsoontiller/contract"
 	"github.com/monsoontiller/monsoontiller/endpoint"
+	"github.com/monsoontiller/monsoontiller/engine"
 	"github.com/monsoontiller/monsoontiller/retry"
 	"github.com/monsoontiller/monsoontiller/route"
 )
@@ -14,7 +15,7 @@
 type BindingConfig struct {
 	Contract *contract.Contract
 	Database contract.Database
-	Group    *endpoint.Group
+	Group    *engine.Group[*endpoint.Conn]
 	Account  *Account
 }
 
@@ -33,7 +34,7 @@
 func (b Binding) Database() contract.Database { return b.cfg.Database }
 
 // Group returns the group that holds the database.
-func (b Binding) Group() *endpoint.Group { return b.cfg.Group }
+func (b Binding) Group() *engine.Group[*endpoint.Conn] { return b.cfg.Group }
 
 // Account returns what the customer's sessions share on this instance.
 func (b Binding) Account() *Account { return b.cfg.Account }
--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -10,6 +10,7 @@
 
 	"github.com/monsoontiller/monsoontiller/clock"
 	"github.com/monsoontiller/monsoontiller/endpoint"
+	"github.com/monsoontiller/monsoontiller/engine"
 	"github.com/monsoontiller/monsoontiller/fault"
 	"github.com/monsoontiller/monsoontiller/group"
 	"github.com/monsoontiller/monsoontiller/retry"
@@ -21,7 +22,7 @@
 
 // exchangeConfig describes one attempt at a unit on one connection.
 type exchangeConfig struct {
-	group     *endpoint.Group
+	group     *engine.Group[*endpoint.Conn]
 	conn      *endpoint.Conn
 	client    net.Conn
 	unit      *unit
--- a/caller/execute.go
+++ b/caller/execute.go
@@ -6,6 +6,7 @@
 
 	"github.com/monsoontiller/monsoontiller/clock"
 	"github.com/monsoontiller/monsoontiller/endpoint"
+	"github.com/monsoontiller/monsoontiller/engine"
 	"github.com/monsoontiller/monsoontiller/fault"
 	"github.com/monsoontiller/monsoontiller/group"
 	"github.com/monsoontiller/monsoontiller/retry"
@@ -151,7 +152,7 @@
 		return nil, false, err
 	}
 	conns := g.Connections(d.Endpoint())
-	conn, err := conns.Acquire(ctx, endpoint.Request{
+	conn, err := conns.Acquire(ctx, engine.Request{
 		Customer:   s.customer,
 		Database:   s.database,
 		QueueLimit: s.binding.Contract().Limits().QueueLength(),
@@ -192,7 +193,7 @@
 }
 
 // notConnected turns a failed Acquire into a failed attempt, or gives up when a queue said no.
-func (s *callerSession) notConnected(g *endpoint.Group, d route.Decision, r *request, err error) (*exchange, bool, error) {
+func (s *callerSession) notConnected(g *engine.Group[*endpoint.Conn], d route.Decision, r *request, err error) (*exchange, bool, error) {
 	kind := fault.KindOf(err)
 	if kind == fault.KindTimeout || kind == fault.KindOverloaded {
 		return nil, false, err
@@ -203,14 +204,14 @@
 	return x, false, nil
 }
 
-func (s *callerSession) hold(conn *endpoint.Conn, conns *endpoint.Connections, onReplica bool) {
+func (s *callerSession) hold(conn *endpoint.Conn, conns *engine.Connections[*endpoint.Conn], onReplica bool) {
 	s.conn = conn
 	s.connPool = conns
 	s.onReplica = onReplica
 	s.setActive(conn)
 }
 
-func (s *callerSession) exchange(g *endpoint.Group, conn *endpoint.Conn, r *request, rr route.Request) *exchange {
+func (s *callerSession) exchange(g *engine.Group[*endpoint.Conn], conn *endpoint.Conn, r *request, rr route.Request) *exchange {
 	return newExchange(exchangeConfig{
 		group:     g,
 		conn:      conn,
@@ -230,7 +231,7 @@
 }
 
 // ensureFloor gives a session without a floor the primary's position as of now.
-func (s *callerSession) ensureFloor(ctx context.Context, g *endpoint.Group, r *request) error {
+func (s *callerSession) ensureFloor(ctx context.Context, g *engine.Group[*endpoint.Conn], r *request) error {
 	if s.state.Known() || r.marks.class == route.ClassWrite {
 		return nil
 	}
@@ -243,7 +244,7 @@
 }
 
 // decide routes the unit, waiting for a replica or for a confirmed primary as the decision asks.
-func (s *callerSession) decide(ctx context.Context, g *endpoint.Group, r *request) (route.Decision, route.Request, error) {
+func (s *callerSession) decide(ctx context.Context, g *engine.Group[*endpoint.Conn], r *request) (route.Decision, route.Request, error) {
 	for {
 		d, rr, err := s.decideOnce(g, r)
 		if err != nil && !s.mayLearn(err, r) {
@@ -278,13 +279,13 @@
 // undecidedPause is the wait before a request without a target is routed again.
 const undecidedPause = 5 * time.Millisecond
 
-func primaryOf(g *endpoint.Group) string {
+func primaryOf(g *engine.Group[*endpoint.Conn]) string {
 	var name string
 	g.View(func(t *route.Tracker) { name = t.Primary() })
 	return name
 }
 
-func (s *callerSession) decideOnce(g *endpoint.Group, r *request) (d route.Decision, rr route.Request, err error) {
+func (s *callerSession) decideOnce(g *engine.Group[*endpoint.Conn], r *request) (d route.Decision, rr route.Request, err error) {
 	now := clock.Now()
 	budget := s.binding.Contract().Reads().ReplicaWait() - now.Sub(r.started)
 	g.View(func(t *route.Tracker) {
--- a/caller/proxy_test.go
+++ b/caller/proxy_test.go
@@ -16,6 +16,7 @@
 	"github.com/monsoontiller/monsoontiller/contract"
 	"github.com/monsoontiller/monsoontiller/endpoint"
 	"github.com/monsoontiller/monsoontiller/endpoint/endpointtest"
+	"github.com/monsoontiller/monsoontiller/engine"
 	"github.com/monsoontiller/monsoontiller/fault"
 	"github.com/monsoontiller/monsoontiller/session"
 )
@@ -65,7 +66,7 @@
 // proxy is one instance under test.
 type proxy struct {
 	server   *caller.Server
-	group    *endpoint.Group
+	group    *engine.Group[*endpoint.Conn]
 	recorder *recorder
 	stop     context.CancelFunc
 	ended    chan error
@@ -107,11 +108,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	var members []endpoint.Address
+	var members []engine.Address
 	for _, m := range stand.Members() {
-		members = append(members, endpoint.Address{Endpoint: m.Name(), Address: m.Address()})
+		members = append(members, engine.Address{Endpoint: m.Name(), Address: m.Address()})
 	}
-	g := endpoint.NewGroup(endpoint.GroupConfig{
+	g := engine.NewGroup(engine.GroupConfig[*endpoint.Conn]{
 		Name:          "candidates-1",
 		Members:       members,
 		ProbeInterval: 50 * time.Millisecond,
--- a/caller/session.go
+++ b/caller/session.go
@@ -13,6 +13,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/monsoontiller/monsoontiller/endpoint"
+	"github.com/monsoontiller/monsoontiller/engine"
 	"github.com/monsoontiller/monsoontiller/fault"
 	"github.com/monsoontiller/monsoontiller/group"
 	"github.com/monsoontiller/monsoontiller/route"
@@ -38,7 +39,7 @@
 	token      string
 
 	conn       *endpoint.Conn
-	connPool   *endpoint.Connections
+	connPool   *engine.Connections[*endpoint.Conn]
 	endpoint   string
 	onReplica  bool
 	txStatus   byte
--- a/endpoint/connections.go
+++ b/engine/connections.go
@@ -1,4 +1,4 @@
-package endpoint
+package engine
 
 import (
 	"context"
@@ -10,44 +10,44 @@
 	"github.com/monsoontiller/monsoontiller/pool"
 )
 
-// ConnectionsConfig describes the connections of one endpoint.
-type ConnectionsConfig struct {
+// ConnectionsConfig[L] describes the connections of one endpoint.
+type ConnectionsConfig[L Link[L]] struct {
 	Endpoint string
 	Limit    int
-	Dial     func(ctx context.Context, key string) (*Conn, error)
+	Dial     func(ctx context.Context, key string) (L, error)
 	// Terminator ends connections that do not close by themselves, if set.
-	Terminator Terminator
+	Terminator Terminator[L]
 }
 
 // Connections shares the connections of one endpoint between sessions; it is safe for concurrent use.
-type Connections struct {
+type Connections[L Link[L]] struct {
 	endpoint   string
-	dial       func(ctx context.Context, key string) (*Conn, error)
-	terminator Terminator
+	dial       func(ctx context.Context, key string) (L, error)
+	terminator Terminator[L]
 	mu         sync.Mutex
-	pool       *pool.Pool[*Conn, *waiter]
+	pool       *pool.Pool[L, *waiter[L]]
 	generation uint64
-	inUse      map[*Conn]uint64
+	inUse      map[L]uint64
 }
 
 // waiter is one session that waits for a connection.
-type waiter struct {
+type waiter[L Link[L]] struct {
 	key   string
-	grant chan pool.Grant[*Conn]
+	grant chan pool.Grant[L]
 }
 
 // Key returns the pool key that the waiter needs.
-func (w *waiter) Key() string { return w.key }
+func (w *waiter[L]) Key() string { return w.key }
 
 // NewConnections returns an empty set of connections.
-func NewConnections(cfg ConnectionsConfig) *Connections {
-	return &Connections{
+func NewConnections[L Link[L]](cfg ConnectionsConfig[L]) *Connections[L] {
+	return &Connections[L]{
 		endpoint: cfg.Endpoint,
 		dial:     cfg.Dial,
 
 		terminator: cfg.Terminator,
-		pool:       pool.New[*Conn, *waiter](pool.Config{Limit: cfg.Limit}),
-		inUse:      map[*Conn]uint64{},
+		pool:       pool.New[L, *waiter[L]](pool.Config{Limit: cfg.Limit}),
+		inUse:      map[L]uint64{},
 	}
 }
 
@@ -64,11 +64,12 @@
 //
 // It fails with KindOverloaded when the customer's queue is full, with
 // KindTimeout when the deadline passes, and with the dial's error.
-func (c *Connections) Acquire(ctx context.Context, r Request) (*Conn, error) {
+func (c *Connections[L]) Acquire(ctx context.Context, r Request) (link L, err error) {
+	var none L
 	for {
 		conn, err := c.acquire(ctx, r)
 		if err != nil {
-			return nil, err
+			return none, err
 		}
 		if c.usable(ctx, conn, r) {
 			return conn, nil
@@ -78,10 +79,10 @@
 	}
 }
 
-func (c *Connections) acquire(ctx context.Context, r Request) (*Conn, error) {
-	w := &waiter{key: r.Database, grant: make(chan pool.Grant[*Conn], 1)}
+func (c *Connections[L]) acquire(ctx context.Context, r Request) (link L, err error) {
+	w := &waiter[L]{key: r.Database, grant: make(chan pool.Grant[L], 1)}
 	c.mu.Lock()
-	g := c.pool.Acquire(pool.Ask[*waiter]{
+	g := c.pool.Acquire(pool.Ask[*waiter[L]]{
 		Customer:   r.Customer,
 		Key:        r.Database,
 		Waiter:     w,
@@ -91,14 +92,14 @@
 	c.mu.Unlock()
 	switch g.Action {
 	case pool.ActionRefuse:
-		return nil, c.full(r)
+		return link, c.full(r)
 	case pool.ActionWait:
 		return c.wait(ctx, r, w)
 	}
 	return c.take(ctx, r.Database, g)
 }
 
-func (c *Connections) wait(ctx context.Context, r Request, w *waiter) (*Conn, error) {
+func (c *Connections[L]) wait(ctx context.Context, r Request, w *waiter[L]) (link L, err error) {
 	timer := time.NewTimer(clock.Until(r.Deadline))
 	defer timer.Stop()
 	select {
@@ -113,7 +114,7 @@
 	if !queued {
 		c.giveBack(w)
 	}
-	return nil, fault.New(fault.Config{
+	return link, fault.New(fault.Config{
 		Kind:    fault.KindTimeout,
 		Message: "no connection to " + c.endpoint + " came free in time; the request did not run",
 		Remedy:  "try again in a second, or raise the contract's connections or queue_timeout",
@@ -121,7 +122,7 @@
 }
 
 // giveBack returns a grant that arrived as its waiter gave up.
-func (c *Connections) giveBack(w *waiter) {
+func (c *Connections[L]) giveBack(w *waiter[L]) {
 	select {
 	case g := <-w.grant:
 		if g.Action == pool.ActionUse {
@@ -134,7 +135,7 @@
 	}
 }
 
-func (c *Connections) full(r Request) error {
+func (c *Connections[L]) full(r Request) error {
 	return fault.New(fault.Config{
 		Kind:    fault.KindOverloaded,
 		Message: "the queue of customer " + r.Customer + " for " + c.endpoint + " is full; the request did not run",
@@ -143,7 +144,7 @@
 }
 
 // take turns a grant into a connection, dialing when the grant says so.
-func (c *Connections) take(ctx context.Context, key string, g pool.Grant[*Conn]) (*Conn, error) {
+func (c *Connections[L]) take(ctx context.Context, key string, g pool.Grant[L]) (L, error) {
 	c.retireAll(g.Close)
 	c.mu.Lock()
 	generation := c.generation
@@ -153,7 +154,7 @@
 		opened, err := c.dial(ctx, key)
 		if err != nil {
 			c.discardCount()
-			return nil, err
+			return conn, err
 		}
 		opened.SetAnsweredAt(clock.Now())
 		conn = opened
@@ -165,7 +166,7 @@
 }
 
 // usable checks a connection that has been idle for longer than r allows.
-func (c *Connections) usable(ctx context.Context, conn *Conn, r Request) bool {
+func (c *Connections[L]) usable(ctx context.Context, conn L, r Request) bool {
 	if clock.Since(conn.AnsweredAt()) <= r.MaxIdle {
 		return true
 	}
@@ -182,7 +183,7 @@
 const validationTimeout = 300 * time.Millisecond
 
 // Release returns a connection that is in its initial state.
-func (c *Connections) Release(conn *Conn) {
+func (c *Connections[L]) Release(conn L) {
 	c.mu.Lock()
 	generation := c.inUse[conn]
 	stale := generation != c.generation
@@ -197,7 +198,7 @@
 	c.put(conn)
 }
 
-func (c *Connections) put(conn *Conn) {
+func (c *Connections[L]) put(conn L) {
 	c.mu.Lock()
 	wakes, closes := c.pool.Release(clock.Now(), conn, conn.Key())
 	c.mu.Unlock()
@@ -206,7 +207,7 @@
 }
 
 // Discard ends a connection whose state is not known; it counts until the endpoint has closed it.
-func (c *Connections) Discard(conn *Conn) {
+func (c *Connections[L]) Discard(conn L) {
 	c.mu.Lock()
 	delete(c.inUse, conn)
 	c.mu.Unlock()
@@ -216,7 +217,7 @@
 	}()
 }
 
-func (c *Connections) discardCount() {
+func (c *Connections[L]) discardCount() {
 	c.mu.Lock()
 	wakes := c.pool.Discard(clock.Now())
 	c.mu.Unlock()
@@ -224,21 +225,21 @@
 }
 
 // suspectIdle ends the idle connections after one of them was found silent.
-func (c *Connections) suspectIdle() {
+func (c *Connections[L]) suspectIdle() {
 	for _, conn := range c.takeIdle() {
 		c.Discard(conn)
 	}
 }
 
 // takeIdle removes the idle connections from the pool, still counted.
-func (c *Connections) takeIdle() []*Conn {
+func (c *Connections[L]) takeIdle() []L {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.pool.TakeIdle()
 }
 
 // CloseAll ends the idle connections and marks those in use to be ended on release.
-func (c *Connections) CloseAll() {
+func (c *Connections[L]) CloseAll() {
 	c.mu.Lock()
 	c.generation++
 	c.mu.Unlock()
@@ -246,7 +247,7 @@
 }
 
 // Close ends the idle connections and returns once the endpoint has closed them.
-func (c *Connections) Close() {
+func (c *Connections[L]) Close() {
 	conns := c.takeIdle()
 	ends := make(chan struct{}, len(conns))
 	for _, conn := range conns {
@@ -262,7 +263,7 @@
 }
 
 // SetLimit changes how many connections this instance may hold.
-func (c *Connections) SetLimit(limit int) {
+func (c *Connections[L]) SetLimit(limit int) {
 	c.mu.Lock()
 	wakes, closes := c.pool.SetLimit(clock.Now(), limit)
 	c.mu.Unlock()
@@ -274,7 +275,7 @@
 //
 // What it gives up is closed for certain when it returns; a connection that does
 // not close in time stays counted.
-func (c *Connections) Shrink(limit int) (reached int) {
+func (c *Connections[L]) Shrink(limit int) (reached int) {
 	c.mu.Lock()
 	reached = max(limit, c.pool.Open()-c.pool.Idle())
 	if reached >= c.pool.Limit() {
@@ -289,7 +290,7 @@
 }
 
 // leftOpen retires connections and returns how many of them the endpoint may still count.
-func (c *Connections) leftOpen(conns []*Conn) int {
+func (c *Connections[L]) leftOpen(conns []L) int {
 	left := 0
 	for _, conn := range conns {
 		if !c.retire(conn) {
@@ -300,7 +301,7 @@
 }
 
 // retireLater retires connections that the pool no longer counts because its limit fell.
-func (c *Connections) retireLater(conns []*Conn) {
+func (c *Connections[L]) retireLater(conns []L) {
 	if len(conns) > 0 {
 		go c.retireAll(conns)
 	}
@@ -327,19 +328,19 @@
 func (u Usage) Waiting() int { return u.waiting }
 
 // Usage returns how the connections are used now.
-func (c *Connections) Usage() Usage {
+func (c *Connections[L]) Usage() Usage {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return Usage{limit: c.pool.Limit(), open: c.pool.Open(), idle: c.pool.Idle(), waiting: c.pool.Waiting()}
 }
 
-func wake(wakes []pool.Wake[*Conn, *waiter]) {
+func wake[L Link[L]](wakes []pool.Wake[L, *waiter[L]]) {
 	for _, w := range wakes {
 		w.Waiter.grant <- w.Grant
 	}
 }
 
-func (c *Connections) retireAll(conns []*Conn) {
+func (c *Connections[L]) retireAll(conns []L) {
 	for _, conn := range conns {
 		c.retire(conn)
 	}
--- a/endpoint/group.go
+++ b/engine/group.go
@@ -1,4 +1,4 @@
-package endpoint
+package engine
 
 import (
 	"context"
@@ -16,15 +16,15 @@
 	Address  string
 }
 
-// GroupConfig describes the watch over one database group.
-type GroupConfig struct {
+// GroupConfig[L] describes the watch over one database group.
+type GroupConfig[L Link[L]] struct {
 	Name          string
 	Members       []Address
 	ProbeInterval time.Duration
 	ProbeTimeout  time.Duration
 	Lease         time.Duration
 	Limit         int
-	Dial          func(ctx context.Context, address, database string) (*Conn, error)
+	Dial          func(ctx context.Context, address, database string) (L, error)
 	Clock         func() time.Time
 	// Observer is told of every probe's result, if set.
 	Observer Observer
@@ -39,14 +39,14 @@
 }
 
 // Group watches one database group and shares its connections; it is safe for concurrent use.
-type Group struct {
-	cfg         GroupConfig
+type Group[L Link[L]] struct {
+	cfg         GroupConfig[L]
 	mu          sync.Mutex
 	tracker     *route.Tracker
 	changed     chan struct{}
-	connections map[string]*Connections
+	connections map[string]*Connections[L]
 	kicks       map[string]chan struct{}
-	commands    map[string]chan Command
+	commands    map[string]chan Command[L]
 	lastError   map[string]error
 	answeredAt  map[string]time.Time
 	heard       map[string]heard
@@ -62,16 +62,16 @@
 const probeConnections = 1
 
 // NewGroup returns a group that knows nothing until Run probes it.
-func NewGroup(cfg GroupConfig) *Group {
+func NewGroup[L Link[L]](cfg GroupConfig[L]) *Group[L] {
 	if cfg.Clock == nil {
 		cfg.Clock = clock.Now
 	}
-	g := &Group{
+	g := &Group[L]{
 		cfg:         cfg,
 		changed:     make(chan struct{}),
-		connections: map[string]*Connections{},
+		connections: map[string]*Connections[L]{},
 		kicks:       map[string]chan struct{}{},
-		commands:    map[string]chan Command{},
+		commands:    map[string]chan Command[L]{},
 		lastError:   map[string]error{},
 		answeredAt:  map[string]time.Time{},
 		heard:       map[string]heard{},
@@ -80,11 +80,11 @@
 	for _, m := range cfg.Members {
 		names = append(names, m.Endpoint)
 		g.kicks[m.Endpoint] = make(chan struct{}, 1)
-		g.commands[m.Endpoint] = make(chan Command, maxCommands)
-		g.connections[m.Endpoint] = NewConnections(ConnectionsConfig{
+		g.commands[m.Endpoint] = make(chan Command[L], maxCommands)
+		g.connections[m.Endpoint] = NewConnections(ConnectionsConfig[L]{
 			Endpoint: m.Endpoint,
 			Limit:    max(0, cfg.Limit-probeConnections),
-			Dial: func(ctx context.Context, key string) (*Conn, error) {
+			Dial: func(ctx context.Context, key string) (L, error) {
 				return cfg.Dial(ctx, m.Address, key)
 			},
 			Terminator: g,
@@ -95,23 +95,23 @@
 }
 
 // Name returns the group's name.
-func (g *Group) Name() string { return g.cfg.Name }
+func (g *Group[L]) Name() string { return g.cfg.Name }
 
 // Members returns the addresses of the members.
-func (g *Group) Members() []Address { return append([]Address(nil), g.cfg.Members...) }
+func (g *Group[L]) Members() []Address { return append([]Address(nil), g.cfg.Members...) }
 
 // Connections returns the connections of one member, or nil for an unknown name.
-func (g *Group) Connections(endpoint string) *Connections { return g.connections[endpoint] }
+func (g *Group[L]) Connections(endpoint string) *Connections[L] { return g.connections[endpoint] }
 
 // View calls f with the tracker under the group's lock; f must not block.
-func (g *Group) View(f func(t *route.Tracker)) {
+func (g *Group[L]) View(f func(t *route.Tracker)) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	f(g.tracker)
 }
 
 // Observe takes a status that was asked for at sentAt and acts on a change of term.
-func (g *Group) Observe(sentAt time.Time, s group.Status) {
+func (g *Group[L]) Observe(sentAt time.Time, s group.Status) {
 	g.mu.Lock()
 	changed := g.tracker.Observe(sentAt, g.cfg.Clock(), s)
 	g.noteLocked(sentAt, s)
@@ -123,7 +123,7 @@
 }
 
 // Verify judges a replica's position ahead of a read.
-func (g *Group) Verify(sentAt time.Time, s group.Status, r route.Request) route.Verdict {
+func (g *Group[L]) Verify(sentAt time.Time, s group.Status, r route.Request) route.Verdict {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	before := g.tracker.ConfirmedAt()
@@ -135,20 +135,20 @@
 	return v
 }
 
-func (g *Group) noteLocked(sentAt time.Time, s group.Status) {
+func (g *Group[L]) noteLocked(sentAt time.Time, s group.Status) {
 	if sentAt.After(g.heard[s.Endpoint()].sentAt) {
 		g.heard[s.Endpoint()] = heard{status: s, sentAt: sentAt}
 	}
 }
 
 // dropOldTerm closes the connections that were opened in an earlier term.
-func (g *Group) dropOldTerm() {
+func (g *Group[L]) dropOldTerm() {
 	for _, c := range g.connections {
 		c.CloseAll()
 	}
 }
 
-func (g *Group) broadcastLocked() {
+func (g *Group[L]) broadcastLocked() {
 	close(g.changed)
 	g.changed = make(chan struct{})
 }
@@ -157,11 +157,11 @@
 const MinLimit = probeConnections + 1
 
 // SetEndpointLimit changes how many connections to one member this instance may hold, probes included.
-func (g *Group) SetEndpointLimit(endpoint string, limit int) {
+func (g *Group[L]) SetEndpointLimit(endpoint string, limit int) {
 	g.connections[endpoint].SetLimit(max(0, limit-probeConnections))
 }
 
 // ShrinkEndpoint lowers that limit as far as limit by what is unused, and returns what was reached, probes included.
-func (g *Group) ShrinkEndpoint(endpoint string, limit int) int {
+func (g *Group[L]) ShrinkEndpoint(endpoint string, limit int) int {
 	return g.connections[endpoint].Shrink(max(0, limit-probeConnections)) + probeConnections
 }
--- a/endpoint/lease.go
+++ b/engine/lease.go
@@ -1,4 +1,4 @@
-package endpoint
+package engine
 
 import (
 	"context"
@@ -11,24 +11,24 @@
 )
 
 // LeaseValid reports whether the primary may be used and answers of it acknowledged at this moment.
-func (g *Group) LeaseValid() bool {
+func (g *Group[L]) LeaseValid() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.leaseLocked()
 }
 
-func (g *Group) leaseLocked() bool {
+func (g *Group[L]) leaseLocked() bool {
 	confirmed := g.tracker.ConfirmedAt()
 	return !confirmed.IsZero() && g.cfg.Clock().Sub(confirmed) < g.cfg.Lease
 }
 
 // AwaitLease waits until the primary may be used; it fails with KindNoPrimary at the deadline.
-func (g *Group) AwaitLease(ctx context.Context, deadline time.Time) error {
+func (g *Group[L]) AwaitLease(ctx context.Context, deadline time.Time) error {
 	return g.await(ctx, deadline, g.leaseLocked)
 }
 
 // AwaitFloor returns a position of the primary that was probed at or after since, under a valid lease.
-func (g *Group) AwaitFloor(ctx context.Context, since, deadline time.Time) (group.Point, time.Time, error) {
+func (g *Group[L]) AwaitFloor(ctx context.Context, since, deadline time.Time) (group.Point, time.Time, error) {
 	var point group.Point
 	var at time.Time
 	err := g.await(ctx, deadline, func() bool {
@@ -39,7 +39,7 @@
 }
 
 // await probes until ready, called under the lock, reports true.
-func (g *Group) await(ctx context.Context, deadline time.Time, ready func() bool) error {
+func (g *Group[L]) await(ctx context.Context, deadline time.Time, ready func() bool) error {
 	timer := time.NewTimer(clock.Until(deadline))
 	defer timer.Stop()
 	for {
@@ -61,7 +61,7 @@
 	}
 }
 
-func (g *Group) noPrimary(cause error) error {
+func (g *Group[L]) noPrimary(cause error) error {
 	return fault.New(fault.Config{
 		Kind:    fault.KindNoPrimary,
 		Message: "no primary of group " + g.cfg.Name + " is confirmed by a second member",
@@ -71,7 +71,7 @@
 }
 
 // Leads reports whether s comes from the primary of the newest term known.
-func (g *Group) Leads(s group.Status) bool {
+func (g *Group[L]) Leads(s group.Status) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return s.Role() == group.RolePrimary && s.Endpoint() == g.tracker.Primary() && s.Point().Term() == g.tracker.Term()
@@ -80,7 +80,7 @@
 // AwaitReplicated waits until a second member holds the log up to point.
 //
 // It fails with KindNoPrimary at the deadline, and with KindLostWrite as soon as a failover has lost the point.
-func (g *Group) AwaitReplicated(ctx context.Context, point group.Point, deadline time.Time) error {
+func (g *Group[L]) AwaitReplicated(ctx context.Context, point group.Point, deadline time.Time) error {
 	lost := false
 	err := g.await(ctx, deadline, func() bool {
 		lost = g.lostLocked(point)
@@ -97,20 +97,20 @@
 }
 
 // lostLocked reports whether the newest term's log lacks point.
-func (g *Group) lostLocked(point group.Point) bool {
+func (g *Group[L]) lostLocked(point group.Point) bool {
 	_, fate := g.tracker.History().Resolve(point)
 	return fate == group.FateLost || fate == group.FateForgotten
 }
 
 // MayAcknowledge reports whether an answer that rests on point may be given to its caller at this moment: the newest term holds the point and its primary is confirmed.
-func (g *Group) MayAcknowledge(point group.Point) bool {
+func (g *Group[L]) MayAcknowledge(point group.Point) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.leaseLocked() && !g.lostLocked(point)
 }
 
 // UnknownPoint stands for an answer in a term that came without a position: it survives no change of term.
-func (g *Group) UnknownPoint() group.Point {
+func (g *Group[L]) UnknownPoint() group.Point {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return group.NewPoint(g.tracker.Term(), math.MaxUint64)
--- a/endpoint/probe.go
+++ b/engine/probe.go
@@ -1,4 +1,4 @@
-package endpoint
+package engine
 
 import (
 	"context"
@@ -11,24 +11,24 @@
 )
 
 // Command asks a member for something over a connection and returns the status that follows.
-type Command func(ctx context.Context, c *Conn) (group.Status, error)
+type Command[L Link[L]] func(ctx context.Context, c L) (group.Status, error)
 
 // maxCommands is the number of commands that may wait for one member; more are dropped, as lost messages are.
 const maxCommands = 16
 
 // Send queues a command to a member; its result reaches the observer like a probe's.
-func (g *Group) Send(endpoint string, command Command) {
+func (g *Group[L]) Send(endpoint string, command Command[L]) {
 	select {
 	case g.commands[endpoint] <- command:
 	default:
 	}
 }
 
-// Terminate ends this instance's process pid on an endpoint, over the probe's connection.
-func (g *Group) Terminate(endpoint string, pid uint32) bool {
+// Terminate ends the endpoint's side of link, over the probe's connection.
+func (g *Group[L]) Terminate(endpoint string, link L) bool {
 	result := make(chan bool, 1)
-	g.Send(endpoint, func(ctx context.Context, c *Conn) (group.Status, error) {
-		ended, err := c.terminate(ctx, pid)
+	g.Send(endpoint, func(ctx context.Context, c L) (group.Status, error) {
+		ended, err := c.Terminate(ctx, link)
 		result <- err == nil && ended
 		if err != nil {
 			return group.Status{}, err
@@ -44,7 +44,7 @@
 }
 
 // heardByTraffic returns a member's status if a request brought one within the probe interval, so that a probe can be left out.
-func (g *Group) heardByTraffic(endpoint string) (group.Status, bool) {
+func (g *Group[L]) heardByTraffic(endpoint string) (group.Status, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	h := g.heard[endpoint]
@@ -53,10 +53,10 @@
 }
 
 // Kick asks for a probe of every member now.
-func (g *Group) Kick() { g.kick() }
+func (g *Group[L]) Kick() { g.kick() }
 
 // kick asks every prober to probe now.
-func (g *Group) kick() {
+func (g *Group[L]) kick() {
 	for _, k := range g.kicks {
 		select {
 		case k <- struct{}{}:
@@ -66,7 +66,7 @@
 }
 
 // Run probes the members until ctx ends.
-func (g *Group) Run(ctx context.Context) error {
+func (g *Group[L]) Run(ctx context.Context) error {
 	ends := make(chan error, len(g.cfg.Members))
 	for _, m := range g.cfg.Members {
 		go func() { ends <- g.probeLoop(ctx, m) }()
@@ -83,19 +83,19 @@
 }
 
 // probeLoop probes one member at every interval and on every kick, and sends it the commands.
-func (g *Group) probeLoop(ctx context.Context, m Address) error {
+func (g *Group[L]) probeLoop(ctx context.Context, m Address) error {
 	ticker := time.NewTicker(g.cfg.ProbeInterval)
 	defer ticker.Stop()
-	var conn *Conn
-	command := Command(statusCommand)
+	var none, conn L
+	command := Command[L](statusCommand[L])
 	for {
 		if command != nil {
 			conn = g.probe(ctx, m, conn, command)
 		}
-		command = statusCommand
+		command = statusCommand[L]
 		select {
 		case <-ticker.C:
-			if s, ok := g.heardByTraffic(m.Endpoint); ok && conn != nil {
+			if s, ok := g.heardByTraffic(m.Endpoint); ok && conn != none {
 				g.tell(s)
 				command = nil
 			}
@@ -103,8 +103,8 @@
 		case <-g.kicks[m.Endpoint]:
 			g.pace(ctx, conn)
 		case <-ctx.Done():
-			if conn != nil {
-				conn.goodbye(goodbyeTimeout)
+			if conn != none {
+				conn.Goodbye(goodbyeTimeout)
 				conn.Close()
 			}
 			return nil
@@ -112,11 +112,12 @@
 	}
 }
 
-func statusCommand(ctx context.Context, c *Conn) (group.Status, error) { return c.Status(ctx) }
+func statusCommand[L Link[L]](ctx context.Context, c L) (group.Status, error) { return c.Status(ctx) }
 
 // pace keeps kicks from redialing an unreachable member without pause.
-func (g *Group) pace(ctx context.Context, conn *Conn) {
-	if conn != nil {
+func (g *Group[L]) pace(ctx context.Context, conn L) {
+	var none L
+	if conn != none {
 		return
 	}
 	select {
@@ -129,23 +130,24 @@
 const redialPause = 20 * time.Millisecond
 
 // probe sends the member a command over conn, dialing first if conn is nil, and returns the connection for the next one.
-func (g *Group) probe(ctx context.Context, m Address, conn *Conn, command Command) *Conn {
+func (g *Group[L]) probe(ctx context.Context, m Address, conn L, command Command[L]) L {
 	ctx, cancel := context.WithTimeout(ctx, g.cfg.ProbeTimeout)
 	defer cancel()
+	var none L
 	var err error
-	if conn == nil {
+	if conn == none {
 		conn, err = g.cfg.Dial(ctx, m.Address, "")
 	}
 	if err != nil {
 		g.failed(m.Endpoint, err)
-		return nil
+		return none
 	}
 	sentAt := g.cfg.Clock()
 	s, err := command(ctx, conn)
 	if err != nil {
 		conn.Close()
 		g.failed(m.Endpoint, err)
-		return nil
+		return none
 	}
 	g.mu.Lock()
 	delete(g.lastError, m.Endpoint)
@@ -157,13 +159,13 @@
 }
 
 // tell hands a member's status to the observer.
-func (g *Group) tell(s group.Status) {
+func (g *Group[L]) tell(s group.Status) {
 	if g.cfg.Observer != nil {
 		g.cfg.Observer.Probed(s)
 	}
 }
 
-func (g *Group) failed(endpoint string, err error) {
+func (g *Group[L]) failed(endpoint string, err error) {
 	g.mu.Lock()
 	g.lastError[endpoint] = err
 	g.tracker.SetDown(endpoint, true)
@@ -180,14 +182,14 @@
 }
 
 // AnsweredAt returns when the newest probe that an endpoint answered was sent.
-func (g *Group) AnsweredAt(endpoint string) time.Time {
+func (g *Group[L]) AnsweredAt(endpoint string) time.Time {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.answeredAt[endpoint]
 }
 
 // LastError returns why the newest probe of an endpoint failed, or nil.
-func (g *Group) LastError(endpoint string) error {
+func (g *Group[L]) LastError(endpoint string) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.lastError[endpoint]
--- a/instance/balancer.go
+++ b/instance/balancer.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/monsoontiller/monsoontiller/clock"
-	"github.com/monsoontiller/monsoontiller/endpoint"
+	"github.com/monsoontiller/monsoontiller/engine"
 	"github.com/monsoontiller/monsoontiller/event"
 	"github.com/monsoontiller/monsoontiller/membership"
 	"github.com/monsoontiller/monsoontiller/pool"
@@ -200,7 +200,7 @@
 	i.mu.Lock()
 	usable := shares.Usable()
 	i.mu.Unlock()
-	reached := w.group.ShrinkEndpoint(name, max(endpoint.MinLimit, usable-word.Count))
+	reached := w.group.ShrinkEndpoint(name, max(engine.MinLimit, usable-word.Count))
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	return shares.Lend(word, min(usable, shares.Usable())-reached)
--- a/instance/groups.go
+++ b/instance/groups.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/monsoontiller/monsoontiller/endpoint"
+	"github.com/monsoontiller/monsoontiller/engine"
 	"github.com/monsoontiller/monsoontiller/platform/platformv1"
 	"github.com/monsoontiller/monsoontiller/pool"
 	"github.com/monsoontiller/monsoontiller/route"
@@ -14,7 +15,7 @@
 
 // watched is one database group as this instance watches it.
 type watched struct {
-	group   *endpoint.Group
+	group   *engine.Group[*endpoint.Conn]
 	monitor *monitor
 	shares  map[string]*pool.Shares
 	// lending holds one change of an endpoint's limit at a time.
@@ -71,13 +72,13 @@
 		return
 	}
 	w := &watched{shares: map[string]*pool.Shares{}}
-	var members []endpoint.Address
+	var members []engine.Address
 	for _, m := range g.GetMembers() {
-		members = append(members, endpoint.Address{Endpoint: m.GetEndpoint(), Address: m.GetAddress()})
+		members = append(members, engine.Address{Endpoint: m.GetEndpoint(), Address: m.GetAddress()})
 		w.shares[m.GetEndpoint()] = i.newShares(int(g.GetConnectionLimit()))
 	}
 	w.monitor = newMonitor(i, g.GetName(), members)
-	w.group = endpoint.NewGroup(endpoint.GroupConfig{
+	w.group = engine.NewGroup(engine.GroupConfig[*endpoint.Conn]{
 		Name:          g.GetName(),
 		Members:       members,
 		ProbeInterval: i.cfg.ProbeInterval,
--- a/instance/monitor.go
+++ b/instance/monitor.go
@@ -7,6 +7,7 @@
 
 	"github.com/monsoontiller/monsoontiller/clock"
 	"github.com/monsoontiller/monsoontiller/endpoint"
+	"github.com/monsoontiller/monsoontiller/engine"
 	"github.com/monsoontiller/monsoontiller/event"
 	"github.com/monsoontiller/monsoontiller/failover"
 	"github.com/monsoontiller/monsoontiller/group"
@@ -17,7 +18,7 @@
 type monitor struct {
 	instance *Instance
 	name     string
-	group    *endpoint.Group
+	group    *engine.Group[*endpoint.Conn]
 	mu       sync.Mutex
 	machine  *failover.Machine
 	ctx      context.Context
@@ -36,7 +37,7 @@
 	catchUp       = time.Second
 )
 
-func newMonitor(i *Instance, name string, members []endpoint.Address) *monitor {
+func newMonitor(i *Instance, name string, members []engine.Address) *monitor {
 	var names []string
 	for _, m := range members {
 		names = append(names, m.Endpoint)
--- a/instance/operator.go
+++ b/instance/operator.go
@@ -11,6 +11,7 @@
 	"github.com/monsoontiller/monsoontiller/clock"
 	"github.com/monsoontiller/monsoontiller/contract"
 	"github.com/monsoontiller/monsoontiller/endpoint"
+	"github.com/monsoontiller/monsoontiller/engine"
 	"github.com/monsoontiller/monsoontiller/fault"
 	"github.com/monsoontiller/monsoontiller/group"
 	"github.com/monsoontiller/monsoontiller/membership"
@@ -317,7 +318,7 @@
 	}
 }
 
-func fillUsage(e *operatorv1.EndpointStatus, g *endpoint.Group) {
+func fillUsage(e *operatorv1.EndpointStatus, g *engine.Group[*endpoint.Conn]) {
 	u := g.Connections(e.Name).Usage()
 	e.Limit = uint32(u.Limit())
 	e.Open = uint32(u.Open())
