--- a/cmd/monsoontiller/operate.go
+++ b/cmd/monsoontiller/operate.go
@@ -179,14 +179,14 @@
 }
 
 func printContracts(contracts []*operatorv1.Contract) {
-	t := table("CUSTOMER", "REVISION", "ACCEPTED", "AUTHOR")
+	t := newTable("CUSTOMER", "REVISION", "ACCEPTED", "AUTHOR")
 	for _, c := range contracts {
 		row(t, c.GetCustomer(), c.GetRevision(), time.Unix(c.GetAcceptedUnix(), 0).UTC().Format(time.RFC3339), c.GetAuthor())
 	}
 	t.Flush()
 }
 
-func table(head ...string) *tabwriter.Writer {
+func newTable(head ...string) *tabwriter.Writer {
 	t := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(t, strings.Join(head, "\t"))
 	return t
@@ -223,7 +223,7 @@
 }
 
 func printInstances(s *operatorv1.StatusResponse) {
-	t := table("INSTANCE", "SEAT", "DATA CENTRE", "STATE", "HEARD MS AGO", "PEER ADDRESS")
+	t := newTable("INSTANCE", "SEAT", "DATA CENTRE", "STATE", "HEARD MS AGO", "PEER ADDRESS")
 	for _, i := range s.GetInstances() {
 		row(t, i.GetName(), i.GetNumber(), i.GetDataCentre(), i.GetState(), i.GetHeardAgeMs(), i.GetPeerAddress())
 	}
@@ -270,7 +270,7 @@
 }
 
 func printEndpoints(s *operatorv1.StatusResponse) {
-	t := table("GROUP", "TERM", "ENDPOINT", "ROLE", "POSITION", "LAG MS", "USABLE", "LEAVING", "OPEN", "LIMIT", "WAITING", "ERROR")
+	t := newTable("GROUP", "TERM", "ENDPOINT", "ROLE", "POSITION", "LAG MS", "USABLE", "LEAVING", "OPEN", "LIMIT", "WAITING", "ERROR")
 	for _, g := range s.GetGroups() {
 		for _, e := range g.GetEndpoints() {
 			row(t, g.GetName(), g.GetTerm(), e.GetName(), e.GetRole(), e.GetPosition(), e.GetLagMs(), e.GetUsable(), e.GetLeaving(), e.GetOpen(), e.GetLimit(), e.GetWaiting(), e.GetError())
@@ -339,7 +339,7 @@
 		if err != nil {
 			return err
 		}
-		t := table("TIME", "INSTANCE", "SUBJECT", "DECISION", "EVIDENCE")
+		t := newTable("TIME", "INSTANCE", "SUBJECT", "DECISION", "EVIDENCE")
 		for _, d := range a.Msg.GetDecisions() {
 			at := time.Unix(0, d.GetAtUnixNano()).UTC().Format("15:04:05.000")
 			row(t, at, d.GetInstance(), d.GetSubject(), d.GetDecision(), d.GetEvidence())
--- a/cmd/monsoontiller/serve.go
+++ b/cmd/monsoontiller/serve.go
@@ -15,9 +15,9 @@
 	"github.com/uber-go/tally/v4/prometheus"
 
 	"github.com/monsoontiller/monsoontiller/instance"
-	"github.com/monsoontiller/monsoontiller/platform"
 	"github.com/monsoontiller/monsoontiller/session"
 	"github.com/monsoontiller/monsoontiller/settings"
+	"github.com/monsoontiller/monsoontiller/table"
 )
 
 // serveCommand runs one instance until SIGTERM or an order to leave.
@@ -71,7 +71,7 @@
 		Name:             s.Instance(),
 		DataCentre:       s.DataCentre(),
 		CallerAddress:    s.CallerAddress(),
-		Platform:         platform.NewClient(platform.ClientConfig{URL: s.PlatformURL()}),
+		Platform:         table.NewClient(table.ClientConfig{URL: s.PlatformURL()}),
 		Seeds:            s.Peers(),
 		Seats:            s.InstanceLimit(),
 		Lease:            s.Lease(),
--- a/dev/fleet.go
+++ b/dev/fleet.go
@@ -12,11 +12,11 @@
 
 	"github.com/monsoontiller/monsoontiller/endpoint/endpointtest"
 	"github.com/monsoontiller/monsoontiller/instance"
-	"github.com/monsoontiller/monsoontiller/platform"
-	"github.com/monsoontiller/monsoontiller/platform/platformtest"
-	"github.com/monsoontiller/monsoontiller/platform/platformv1"
 	"github.com/monsoontiller/monsoontiller/route"
 	"github.com/monsoontiller/monsoontiller/session"
+	"github.com/monsoontiller/monsoontiller/table"
+	"github.com/monsoontiller/monsoontiller/table/platformv1"
+	"github.com/monsoontiller/monsoontiller/table/tabletest"
 )
 
 // Preset names a deployment to model.
@@ -87,7 +87,7 @@
 	shape     shape
 	ctx       context.Context
 	groups    []*endpointtest.Group
-	platform  *platformtest.Server
+	platform  *tabletest.Server
 	url       string
 	instances []*running
 	done      []<-chan error
@@ -150,7 +150,7 @@
 		f.groups = append(f.groups, g)
 		groups = append(groups, groupMessage(g, f.shape))
 	}
-	f.platform = platformtest.NewServer()
+	f.platform = tabletest.NewServer()
 	f.platform.SetGroups(groups)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -179,7 +179,7 @@
 }
 
 func (f *Fleet) applyContract(ctx context.Context) error {
-	_, err := platform.NewConfiguration(f.client("dev")).Accept(ctx, platform.Change{
+	_, err := table.NewConfiguration(f.client("dev")).Accept(ctx, table.Change{
 		Key:       "contract/" + f.shape.customer,
 		Text:      f.Contract(),
 		RequestID: "dev",
@@ -189,12 +189,12 @@
 	return err
 }
 
-func (f *Fleet) client(name string) *platform.Client {
-	cfg := platform.ClientConfig{URL: f.url}
+func (f *Fleet) client(name string) *table.Client {
+	cfg := table.ClientConfig{URL: f.url}
 	if f.cfg.PlatformClient != nil {
 		cfg.HTTP = f.cfg.PlatformClient(name)
 	}
-	return platform.NewClient(cfg)
+	return table.NewClient(cfg)
 }
 
 // StartInstance starts instance number n, which may be one that has ended before.
@@ -288,7 +288,7 @@
 func (f *Fleet) Groups() []*endpointtest.Group { return f.groups }
 
 // Platform returns the stand-in platform.
-func (f *Fleet) Platform() *platformtest.Server { return f.platform }
+func (f *Fleet) Platform() *tabletest.Server { return f.platform }
 
 // PlatformURL returns where the stand-in platform answers, for instances in processes of their own.
 func (f *Fleet) PlatformURL() string { return f.url }
--- a/instance/config.go
+++ b/instance/config.go
@@ -9,9 +9,9 @@
 	"github.com/go-kit/log"
 	"github.com/uber-go/tally/v4"
 
-	"github.com/monsoontiller/monsoontiller/platform"
 	"github.com/monsoontiller/monsoontiller/route"
 	"github.com/monsoontiller/monsoontiller/session"
+	"github.com/monsoontiller/monsoontiller/table"
 )
 
 // Config describes an instance.
@@ -21,7 +21,7 @@
 	CallerAddress    string
 	PeerListener     net.Listener
 	OperatorListener net.Listener
-	Platform         *platform.Client
+	Platform         *table.Client
 	Seeds            []string
 	Tokens           *session.Codec
 	Seats            int
--- a/instance/configure.go
+++ b/instance/configure.go
@@ -10,7 +10,7 @@
 	"github.com/monsoontiller/monsoontiller/group"
 	"github.com/monsoontiller/monsoontiller/membership"
 	"github.com/monsoontiller/monsoontiller/peer"
-	"github.com/monsoontiller/monsoontiller/platform"
+	"github.com/monsoontiller/monsoontiller/table"
 )
 
 // loan is what this run holds of a peer's share.
@@ -51,7 +51,7 @@
 // configService reads the table for changes.
 type configService struct {
 	instance      *Instance
-	configuration *platform.Configuration
+	configuration *table.Configuration
 }
 
 // Name returns the service's name.
@@ -87,10 +87,10 @@
 }
 
 // accept writes a configuration change and returns once it is in force on a majority of the instances.
-func (i *Instance) accept(ctx context.Context, change platform.Change) (peer.ConfigItem, error) {
+func (i *Instance) accept(ctx context.Context, change table.Change) (peer.ConfigItem, error) {
 	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
 	defer cancel()
-	item, err := platform.NewConfiguration(i.cfg.Platform).Accept(ctx, change)
+	item, err := table.NewConfiguration(i.cfg.Platform).Accept(ctx, change)
 	if err != nil {
 		return peer.ConfigItem{}, err
 	}
--- a/instance/groups.go
+++ b/instance/groups.go
@@ -8,9 +8,9 @@
 
 	"github.com/monsoontiller/monsoontiller/endpoint"
 	"github.com/monsoontiller/monsoontiller/engine"
-	"github.com/monsoontiller/monsoontiller/platform/platformv1"
 	"github.com/monsoontiller/monsoontiller/pool"
 	"github.com/monsoontiller/monsoontiller/route"
+	"github.com/monsoontiller/monsoontiller/table/platformv1"
 )
 
 // watched is one database group as this instance watches it.
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -15,8 +15,8 @@
 	"github.com/monsoontiller/monsoontiller/kernel"
 	"github.com/monsoontiller/monsoontiller/membership"
 	"github.com/monsoontiller/monsoontiller/peer"
-	"github.com/monsoontiller/monsoontiller/platform"
 	"github.com/monsoontiller/monsoontiller/report"
+	"github.com/monsoontiller/monsoontiller/table"
 )
 
 // Instance is one process of the fleet; it is safe for concurrent use.
@@ -148,7 +148,7 @@
 		&watchService{instance: i},
 		&reaper{instance: i, deadFrom: map[string]time.Time{}},
 		&balancer{instance: i, idleFrom: map[string]time.Time{}},
-		&configService{instance: i, configuration: platform.NewConfiguration(i.cfg.Platform)},
+		&configService{instance: i, configuration: table.NewConfiguration(i.cfg.Platform)},
 		&callerService{instance: i},
 	}
 	for _, s := range services {
--- a/instance/operator.go
+++ b/instance/operator.go
@@ -19,8 +19,8 @@
 	"github.com/monsoontiller/monsoontiller/operator/operatorv1"
 	"github.com/monsoontiller/monsoontiller/operator/operatorv1/operatorv1connect"
 	"github.com/monsoontiller/monsoontiller/peer"
-	"github.com/monsoontiller/monsoontiller/platform"
 	"github.com/monsoontiller/monsoontiller/route"
+	"github.com/monsoontiller/monsoontiller/table"
 )
 
 // operatorService answers operators, probes of the platform and scrapes of metrics.
@@ -100,7 +100,7 @@
 	if err := s.instance.checkGroups(c); err != nil {
 		return nil, operator.Error(err)
 	}
-	item, err := s.instance.accept(ctx, platform.Change{
+	item, err := s.instance.accept(ctx, table.Change{
 		Key:       contractPrefix + c.Customer(),
 		Text:      q.Msg.GetText(),
 		Base:      membership.Revision(q.Msg.GetBaseRevision()),
@@ -156,7 +156,7 @@
 }
 
 func contractMessage(item peer.ConfigItem) *operatorv1.Contract {
-	customer, _ := platform.KeyUnder(item.Key(), contractPrefix)
+	customer, _ := table.KeyUnder(item.Key(), contractPrefix)
 	return &operatorv1.Contract{
 		Customer:     customer,
 		Revision:     uint64(item.Revision()),
@@ -170,7 +170,7 @@
 func (s *operatorService) ListContracts(context.Context, *connect.Request[operatorv1.ListContractsRequest]) (*connect.Response[operatorv1.ListContractsResponse], error) {
 	a := &operatorv1.ListContractsResponse{}
 	for _, item := range s.instance.node.Items() {
-		if _, ok := platform.KeyUnder(item.Key(), contractPrefix); ok {
+		if _, ok := table.KeyUnder(item.Key(), contractPrefix); ok {
 			a.Contracts = append(a.Contracts, contractMessage(item))
 		}
 	}
@@ -179,7 +179,7 @@
 
 // ContractHistory returns the accepted revisions of a contract.
 func (s *operatorService) ContractHistory(ctx context.Context, q *connect.Request[operatorv1.ContractHistoryRequest]) (*connect.Response[operatorv1.ContractHistoryResponse], error) {
-	items, err := platform.NewConfiguration(s.instance.cfg.Platform).History(ctx, contractPrefix+q.Msg.GetCustomer())
+	items, err := table.NewConfiguration(s.instance.cfg.Platform).History(ctx, contractPrefix+q.Msg.GetCustomer())
 	if err != nil {
 		return nil, operator.Error(err)
 	}
@@ -219,7 +219,7 @@
 // refresh reads the table once, so that an order rests on the newest revision; without the table the order fails later.
 func (s *operatorService) refresh(ctx context.Context) {
 	sentAt := clock.Now()
-	items, err := platform.NewConfiguration(s.instance.cfg.Platform).Poll(ctx)
+	items, err := table.NewConfiguration(s.instance.cfg.Platform).Poll(ctx)
 	if err == nil {
 		s.instance.node.ReadTable(sentAt, items)
 	}
@@ -232,7 +232,7 @@
 	if ok && item.Value().Text() == text {
 		return nil
 	}
-	_, err := s.instance.accept(ctx, platform.Change{
+	_, err := s.instance.accept(ctx, table.Change{
 		Key:       key,
 		Text:      text,
 		Base:      item.Revision(),
--- a/instance/seat.go
+++ b/instance/seat.go
@@ -10,14 +10,14 @@
 	"github.com/monsoontiller/monsoontiller/fault"
 	"github.com/monsoontiller/monsoontiller/membership"
 	"github.com/monsoontiller/monsoontiller/peer"
-	"github.com/monsoontiller/monsoontiller/platform"
+	"github.com/monsoontiller/monsoontiller/table"
 )
 
 // claimSeat takes a seat for this run: the one that the instance's name held before, or a free one.
 //
 // It tries until ctx ends, since without a seat the instance owns no connections.
-func claimSeat(ctx context.Context, cfg Config, self peer.Seat) (uint32, platform.ConfigItem, error) {
-	configuration := platform.NewConfiguration(cfg.Platform)
+func claimSeat(ctx context.Context, cfg Config, self peer.Seat) (uint32, table.ConfigItem, error) {
+	configuration := table.NewConfiguration(cfg.Platform)
 	for {
 		number, item, err := claimOnce(ctx, configuration, cfg, self)
 		if err == nil {
@@ -35,19 +35,19 @@
 	}
 }
 
-func claimOnce(ctx context.Context, configuration *platform.Configuration, cfg Config, self peer.Seat) (uint32, platform.ConfigItem, error) {
-	fresh := platform.NewConfiguration(cfg.Platform)
+func claimOnce(ctx context.Context, configuration *table.Configuration, cfg Config, self peer.Seat) (uint32, table.ConfigItem, error) {
+	fresh := table.NewConfiguration(cfg.Platform)
 	items, err := fresh.Poll(ctx)
 	if err != nil {
-		return 0, platform.ConfigItem{}, err
+		return 0, table.ConfigItem{}, err
 	}
 	number, base, err := chooseSeat(items, cfg.Seats, self.Name)
 	if err != nil {
-		return 0, platform.ConfigItem{}, err
+		return 0, table.ConfigItem{}, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
 	defer cancel()
-	item, err := configuration.Accept(ctx, platform.Change{
+	item, err := configuration.Accept(ctx, table.Change{
 		Key:       peer.SeatKey(number),
 		Text:      self.Encode(),
 		Base:      base,
@@ -63,7 +63,7 @@
 // Of two instances that start at once with different settings, at least one sees
 // the other's seat. It fails with KindInvalid.
 func checkAgreement(ctx context.Context, cfg Config, self peer.Seat) error {
-	items, err := platform.NewConfiguration(cfg.Platform).Poll(ctx)
+	items, err := table.NewConfiguration(cfg.Platform).Poll(ctx)
 	if err != nil {
 		return err
 	}
@@ -82,7 +82,7 @@
 }
 
 // chooseSeat returns the seat for an instance and the revision that it is at.
-func chooseSeat(items []platform.ConfigItem, seats int, name string) (uint32, membership.Revision, error) {
+func chooseSeat(items []table.ConfigItem, seats int, name string) (uint32, membership.Revision, error) {
 	held := map[uint32]peer.Seat{}
 	revisions := map[uint32]membership.Revision{}
 	for _, item := range items {
@@ -109,8 +109,8 @@
 }
 
 // releaseSeat frees a seat if it is still held by the given run.
-func releaseSeat(ctx context.Context, client *platform.Client, number uint32, holder peer.Seat, author string) error {
-	configuration := platform.NewConfiguration(client)
+func releaseSeat(ctx context.Context, client *table.Client, number uint32, holder peer.Seat, author string) error {
+	configuration := table.NewConfiguration(client)
 	items, err := configuration.Poll(ctx)
 	if err != nil {
 		return err
@@ -120,7 +120,7 @@
 		if !ok || n != number || seat != holder {
 			continue
 		}
-		_, err := configuration.Accept(ctx, platform.Change{
+		_, err := configuration.Accept(ctx, table.Change{
 			Key:       item.Key(),
 			Text:      peer.Seat{}.Encode(),
 			Base:      item.Revision(),
--- a/peer/peerv1/peerv1connect/peer.connect.go
+++ b/peer/peerv1/peerv1connect/peer.connect.go
@@ -5,13 +5,12 @@
 package peerv1connect
 
 import (
+	connect "connectrpc.com/connect"
 	context "context"
 	errors "errors"
+	peerv1 "github.com/monsoontiller/monsoontiller/peer/peerv1"
 	http "net/http"
 	strings "strings"
-
-	connect "connectrpc.com/connect"
-	peerv1 "github.com/monsoontiller/monsoontiller/peer/peerv1"
 )
 
 // This is a compile-time assertion to ensure that this generated file and the connect package are
--- a/platform/client.go
+++ b/table/client.go
@@ -1,4 +1,4 @@
-package platform
+package table
 
 import (
 	"context"
@@ -8,8 +8,8 @@
 	"connectrpc.com/connect"
 
 	"github.com/monsoontiller/monsoontiller/fault"
-	"github.com/monsoontiller/monsoontiller/platform/platformv1"
-	"github.com/monsoontiller/monsoontiller/platform/platformv1/platformv1connect"
+	"github.com/monsoontiller/monsoontiller/table/platformv1"
+	"github.com/monsoontiller/monsoontiller/table/platformv1/platformv1connect"
 )
 
 // ClientConfig says where the platform's service is and how long a call may take.
--- a/platform/configuration_test.go
+++ b/table/configuration_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package table_test
 
 import (
 	"context"
@@ -12,13 +12,13 @@
 
 	"github.com/monsoontiller/monsoontiller/fault"
 	"github.com/monsoontiller/monsoontiller/membership"
-	"github.com/monsoontiller/monsoontiller/platform"
-	"github.com/monsoontiller/monsoontiller/platform/platformtest"
+	"github.com/monsoontiller/monsoontiller/table"
+	"github.com/monsoontiller/monsoontiller/table/tabletest"
 )
 
-func startPlatform(t *testing.T) (*platformtest.Server, *platform.Client) {
+func startPlatform(t *testing.T) (*tabletest.Server, *table.Client) {
 	t.Helper()
-	s := platformtest.NewServer()
+	s := tabletest.NewServer()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -29,7 +29,7 @@
 		cancel()
 		<-done
 	})
-	return s, platform.NewClient(platform.ClientConfig{URL: "http://" + l.Addr().String()})
+	return s, table.NewClient(table.ClientConfig{URL: "http://" + l.Addr().String()})
 }
 
 // call is one operator's request: a change on top of base, or a read.
@@ -105,18 +105,18 @@
 	}
 }
 
-func change(client *platform.Client, base membership.Revision, id string) (answer, error) {
+func change(client *table.Client, base membership.Revision, id string) (answer, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
-	item, err := platform.NewConfiguration(client).Accept(ctx, platform.Change{Key: key, Text: id, Base: base, RequestID: id, Now: time.Unix(0, 0)})
+	item, err := table.NewConfiguration(client).Accept(ctx, table.Change{Key: key, Text: id, Base: base, RequestID: id, Now: time.Unix(0, 0)})
 	if fault.KindOf(err) == fault.KindConflict {
 		return answer{conflict: true}, nil
 	}
 	return answer{revision: item.Revision()}, err
 }
 
-func read(client *platform.Client) (answer, error) {
-	items, err := platform.NewConfiguration(client).Poll(context.Background())
+func read(client *table.Client) (answer, error) {
+	items, err := table.NewConfiguration(client).Poll(context.Background())
 	if err != nil || len(items) == 0 {
 		return answer{}, err
 	}
@@ -128,7 +128,7 @@
 	server.SetDown(true)
 	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
 	defer cancel()
-	_, err := platform.NewConfiguration(client).Accept(ctx, platform.Change{Key: key, RequestID: "a"})
+	_, err := table.NewConfiguration(client).Accept(ctx, table.Change{Key: key, RequestID: "a"})
 	if fault.KindOf(err) != fault.KindUnavailable {
 		t.Errorf("a change that was never sent gave %v, want not accepted", err)
 	}
--- a/platform/doc.go
+++ b/table/doc.go
@@ -1,4 +1,4 @@
-// Package platform is the adapter to the platform's service.
+// Package table is the adapter to a table service that speaks connect.
 //
 // A Client calls the table, the object store and the lists of instances and
 // groups, each call bounded in time. Configuration keeps versioned items in the
@@ -12,4 +12,4 @@
 //	history/KEY/REVISION     every revision of KEY
 //	log/NUMBER               the KEY that change NUMBER touched
 //	term/GROUP               the newest claimed term of a group
-package platform
+package table
--- a/platform/platformv1/platformv1connect/platform.connect.go
+++ b/table/platformv1/platformv1connect/platform.connect.go
@@ -8,7 +8,7 @@
 	connect "connectrpc.com/connect"
 	context "context"
 	errors "errors"
-	platformv1 "github.com/monsoontiller/monsoontiller/platform/platformv1"
+	platformv1 "github.com/monsoontiller/monsoontiller/table/platformv1"
 	http "net/http"
 	strings "strings"
 )
--- a/platform/platformtest/server.go
+++ b/table/tabletest/server.go
@@ -1,4 +1,4 @@
-package platformtest
+package tabletest
 
 import (
 	"context"
@@ -12,8 +12,8 @@
 
 	"connectrpc.com/connect"
 
-	"github.com/monsoontiller/monsoontiller/platform/platformv1"
-	"github.com/monsoontiller/monsoontiller/platform/platformv1/platformv1connect"
+	"github.com/monsoontiller/monsoontiller/table/platformv1"
+	"github.com/monsoontiller/monsoontiller/table/platformv1/platformv1connect"
 )
 
 // Server is a stand-in platform; it is safe for concurrent use.
--- a/platform/term.go
+++ b/table/term.go
@@ -1,4 +1,4 @@
-package platform
+package table
 
 import (
 	"context"
