--- a/caller/proxy_test.go
+++ b/caller/proxy_test.go
@@ -119,9 +119,9 @@
 		ProbeTimeout:  200 * time.Millisecond,
 		Lease:         800 * time.Millisecond,
 		Limit:         o.limit,
-		Dial: func(ctx context.Context, address, db string) (*endpoint.Conn, error) {
+		Dial: func(ctx context.Context, m engine.Address, db string) (*endpoint.Conn, error) {
 			return endpoint.Dial(ctx, endpoint.DialConfig{
-				Address: address, User: "monsoontiller", Database: db,
+				Address: m.Address, User: "monsoontiller", Database: db,
 				Application: fmt.Sprintf("instance-%d", number), Timeout: time.Second,
 			})
 		},
--- a/engine/group.go
+++ b/engine/group.go
@@ -14,9 +14,13 @@
 type Address struct {
 	Endpoint string
 	Address  string
+	// Near says that the member is in this instance's data centre.
+	Near bool
+	// Slots is the number of requests that the member runs at once, or 0 when that is not known.
+	Slots int
 }
 
-// GroupConfig[L] describes the watch over one database group.
+// GroupConfig describes the watch over one database group.
 type GroupConfig[L Link[L]] struct {
 	Name          string
 	Members       []Address
@@ -24,7 +28,7 @@
 	ProbeTimeout  time.Duration
 	Lease         time.Duration
 	Limit         int
-	Dial          func(ctx context.Context, address, database string) (L, error)
+	Dial          func(ctx context.Context, m Address, key string) (L, error)
 	Clock         func() time.Time
 	// Observer is told of every probe's result, if set.
 	Observer Observer
@@ -40,16 +44,28 @@
 
 // Group watches one database group and shares its connections; it is safe for concurrent use.
 type Group[L Link[L]] struct {
-	cfg         GroupConfig[L]
-	mu          sync.Mutex
-	tracker     *route.Tracker
-	changed     chan struct{}
-	connections map[string]*Connections[L]
-	kicks       map[string]chan struct{}
-	commands    map[string]chan Command[L]
-	lastError   map[string]error
-	answeredAt  map[string]time.Time
-	heard       map[string]heard
+	cfg     GroupConfig[L]
+	mu      sync.Mutex
+	tracker *route.Tracker
+	changed chan struct{}
+	members map[string]*member[L]
+	order   []string
+	limit   int
+	// ctx is the context of Run, or nil while the group does not run.
+	ctx   context.Context
+	loops sync.WaitGroup
+}
+
+// member is one endpoint of the group.
+type member[L Link[L]] struct {
+	address     Address
+	connections *Connections[L]
+	kick        chan struct{}
+	commands    chan Command[L]
+	stop        context.CancelFunc
+	lastError   error
+	answeredAt  time.Time
+	heard       heard
 }
 
 // heard is the newest status of a member, whether a probe or a request brought it.
@@ -67,41 +83,134 @@
 		cfg.Clock = clock.Now
 	}
 	g := &Group[L]{
-		cfg:         cfg,
-		changed:     make(chan struct{}),
-		connections: map[string]*Connections[L]{},
-		kicks:       map[string]chan struct{}{},
-		commands:    map[string]chan Command[L]{},
-		lastError:   map[string]error{},
-		answeredAt:  map[string]time.Time{},
-		heard:       map[string]heard{},
-	}
-	var names []string
-	for _, m := range cfg.Members {
-		names = append(names, m.Endpoint)
-		g.kicks[m.Endpoint] = make(chan struct{}, 1)
-		g.commands[m.Endpoint] = make(chan Command[L], maxCommands)
-		g.connections[m.Endpoint] = NewConnections(ConnectionsConfig[L]{
-			Endpoint: m.Endpoint,
-			Limit:    max(0, cfg.Limit-probeConnections),
+		cfg:     cfg,
+		changed: make(chan struct{}),
+		members: map[string]*member[L]{},
+		limit:   cfg.Limit,
+		tracker: route.NewTracker(route.TrackerConfig{Group: cfg.Name, Lease: cfg.Lease}),
+	}
+	g.SetMembers(cfg.Members)
+	return g
+}
+
+// SetMembers replaces the list of members; a member that moved to another address is watched anew.
+func (g *Group[L]) SetMembers(members []Address) {
+	g.mu.Lock()
+	gone := g.setMembersLocked(members)
+	g.broadcastLocked()
+	g.mu.Unlock()
+	for _, m := range gone {
+		m.connections.CloseAll()
+	}
+}
+
+func (g *Group[L]) setMembersLocked(members []Address) (gone []*member[L]) {
+	kept := map[string]*member[L]{}
+	g.order = nil
+	var tracked []route.Endpoint
+	for _, a := range members {
+		m := g.members[a.Endpoint]
+		if m == nil || m.address.Address != a.Address {
+			m = g.newMember(a)
+		}
+		kept[a.Endpoint] = m
+		g.order = append(g.order, a.Endpoint)
+		tracked = append(tracked, route.Endpoint{Name: a.Endpoint, Near: a.Near, Slots: a.Slots})
+	}
+	for name, m := range g.members {
+		if kept[name] == m {
+			continue
+		}
+		gone = append(gone, m)
+		g.tracker.Forget(name)
+		if m.stop != nil {
+			m.stop()
+		}
+	}
+	g.members = kept
+	g.tracker.SetEndpoints(tracked)
+	for _, m := range kept {
+		g.startLocked(m)
+	}
+	return gone
+}
+
+func (g *Group[L]) newMember(a Address) *member[L] {
+	return &member[L]{
+		address:  a,
+		kick:     make(chan struct{}, 1),
+		commands: make(chan Command[L], maxCommands),
+		connections: NewConnections(ConnectionsConfig[L]{
+			Endpoint: a.Endpoint,
+			Limit:    max(0, g.limit-probeConnections),
 			Dial: func(ctx context.Context, key string) (L, error) {
-				return cfg.Dial(ctx, m.Address, key)
+				return g.cfg.Dial(ctx, a, key)
 			},
 			Terminator: g,
-		})
+		}),
 	}
-	g.tracker = route.NewTracker(route.TrackerConfig{Group: cfg.Name, Endpoints: names})
-	return g
+}
+
+// startLocked starts the probe loop of a member while the group runs.
+func (g *Group[L]) startLocked(m *member[L]) {
+	if g.ctx == nil || m.stop != nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(g.ctx)
+	m.stop = cancel
+	g.loops.Add(1)
+	go func() {
+		defer g.loops.Done()
+		g.probeLoop(ctx, m)
+		m.connections.Close()
+	}()
+}
+
+// Run probes the members until ctx ends.
+func (g *Group[L]) Run(ctx context.Context) error {
+	g.mu.Lock()
+	g.ctx = ctx
+	for _, m := range g.members {
+		g.startLocked(m)
+	}
+	g.mu.Unlock()
+	<-ctx.Done()
+	g.mu.Lock()
+	g.ctx = nil
+	g.mu.Unlock()
+	g.loops.Wait()
+	return nil
 }
 
 // Name returns the group's name.
 func (g *Group[L]) Name() string { return g.cfg.Name }
 
-// Members returns the addresses of the members.
-func (g *Group[L]) Members() []Address { return append([]Address(nil), g.cfg.Members...) }
+// Members returns the addresses of the members, in the order in which they were set.
+func (g *Group[L]) Members() []Address {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	out := make([]Address, 0, len(g.order))
+	for _, name := range g.order {
+		out = append(out, g.members[name].address)
+	}
+	return out
+}
+
+// member returns the member of that name, or nil.
+func (g *Group[L]) member(endpoint string) *member[L] {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.members[endpoint]
+}
 
 // Connections returns the connections of one member, or nil for an unknown name.
-func (g *Group[L]) Connections(endpoint string) *Connections[L] { return g.connections[endpoint] }
+func (g *Group[L]) Connections(endpoint string) *Connections[L] {
+	m := g.member(endpoint)
+	if m == nil {
+		return nil
+	}
+	return m.connections
+}
 
 // View calls f with the tracker under the group's lock; f must not block.
 func (g *Group[L]) View(f func(t *route.Tracker)) {
@@ -122,6 +231,13 @@
 	}
 }
 
+// Reached takes a log point that a request sent at sentAt found at an endpoint.
+func (g *Group[L]) Reached(endpoint string, sentAt time.Time, point group.Point) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.tracker.Reached(endpoint, sentAt, g.cfg.Clock(), point)
+}
+
 // Verify judges a replica's position ahead of a read.
 func (g *Group[L]) Verify(sentAt time.Time, s group.Status, r route.Request) route.Verdict {
 	g.mu.Lock()
@@ -136,15 +252,18 @@
 }
 
 func (g *Group[L]) noteLocked(sentAt time.Time, s group.Status) {
-	if sentAt.After(g.heard[s.Endpoint()].sentAt) {
-		g.heard[s.Endpoint()] = heard{status: s, sentAt: sentAt}
+	m := g.members[s.Endpoint()]
+	if m != nil && sentAt.After(m.heard.sentAt) {
+		m.heard = heard{status: s, sentAt: sentAt}
 	}
 }
 
 // dropOldTerm closes the connections that were opened in an earlier term.
 func (g *Group[L]) dropOldTerm() {
-	for _, c := range g.connections {
-		c.CloseAll()
+	for _, a := range g.Members() {
+		if c := g.Connections(a.Endpoint); c != nil {
+			c.CloseAll()
+		}
 	}
 }
 
@@ -156,12 +275,28 @@
 // MinLimit is the fewest connections to an endpoint with which an instance can serve: its probe and one more.
 const MinLimit = probeConnections + 1
 
+// SetLimit changes how many connections to each member this instance may hold, probes included.
+func (g *Group[L]) SetLimit(limit int) {
+	g.mu.Lock()
+	unchanged := g.limit == limit
+	g.limit = limit
+	g.mu.Unlock()
+	if unchanged {
+		return
+	}
+	for _, a := range g.Members() {
+		g.SetEndpointLimit(a.Endpoint, limit)
+	}
+}
+
 // SetEndpointLimit changes how many connections to one member this instance may hold, probes included.
 func (g *Group[L]) SetEndpointLimit(endpoint string, limit int) {
-	g.connections[endpoint].SetLimit(max(0, limit-probeConnections))
+	if c := g.Connections(endpoint); c != nil {
+		c.SetLimit(max(0, limit-probeConnections))
+	}
 }
 
 // ShrinkEndpoint lowers that limit as far as limit by what is unused, and returns what was reached, probes included.
 func (g *Group[L]) ShrinkEndpoint(endpoint string, limit int) int {
-	return g.connections[endpoint].Shrink(max(0, limit-probeConnections)) + probeConnections
+	return g.Connections(endpoint).Shrink(max(0, limit-probeConnections)) + probeConnections
 }
--- a/engine/probe.go
+++ b/engine/probe.go
@@ -18,8 +18,12 @@
 
 // Send queues a command to a member; its result reaches the observer like a probe's.
 func (g *Group[L]) Send(endpoint string, command Command[L]) {
+	m := g.member(endpoint)
+	if m == nil {
+		return
+	}
 	select {
-	case g.commands[endpoint] <- command:
+	case m.commands <- command:
 	default:
 	}
 }
@@ -44,12 +48,11 @@
 }
 
 // heardByTraffic returns a member's status if a request brought one within the probe interval, so that a probe can be left out.
-func (g *Group[L]) heardByTraffic(endpoint string) (group.Status, bool) {
+func (g *Group[L]) heardByTraffic(m *member[L]) (group.Status, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	h := g.heard[endpoint]
-	recent := g.cfg.Clock().Sub(h.sentAt) < g.cfg.ProbeInterval
-	return h.status, recent && g.answeredAt[endpoint].Before(h.sentAt)
+	recent := g.cfg.Clock().Sub(m.heard.sentAt) < g.cfg.ProbeInterval
+	return m.heard.status, recent && m.answeredAt.Before(m.heard.sentAt)
 }
 
 // Kick asks for a probe of every member now.
@@ -57,33 +60,18 @@
 
 // kick asks every prober to probe now.
 func (g *Group[L]) kick() {
-	for _, k := range g.kicks {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, m := range g.members {
 		select {
-		case k <- struct{}{}:
+		case m.kick <- struct{}{}:
 		default:
 		}
 	}
 }
 
-// Run probes the members until ctx ends.
-func (g *Group[L]) Run(ctx context.Context) error {
-	ends := make(chan error, len(g.cfg.Members))
-	for _, m := range g.cfg.Members {
-		go func() { ends <- g.probeLoop(ctx, m) }()
-	}
-	for range g.cfg.Members {
-		if err := <-ends; err != nil {
-			return err
-		}
-	}
-	for _, c := range g.connections {
-		c.Close()
-	}
-	return nil
-}
-
 // probeLoop probes one member at every interval and on every kick, and sends it the commands.
-func (g *Group[L]) probeLoop(ctx context.Context, m Address) error {
+func (g *Group[L]) probeLoop(ctx context.Context, m *member[L]) {
 	ticker := time.NewTicker(g.cfg.ProbeInterval)
 	defer ticker.Stop()
 	var none, conn L
@@ -95,19 +83,19 @@
 		command = statusCommand[L]
 		select {
 		case <-ticker.C:
-			if s, ok := g.heardByTraffic(m.Endpoint); ok && conn != none {
+			if s, ok := g.heardByTraffic(m); ok && conn != none {
 				g.tell(s)
 				command = nil
 			}
-		case command = <-g.commands[m.Endpoint]:
-		case <-g.kicks[m.Endpoint]:
+		case command = <-m.commands:
+		case <-m.kick:
 			g.pace(ctx, conn)
 		case <-ctx.Done():
 			if conn != none {
 				conn.Goodbye(goodbyeTimeout)
 				conn.Close()
 			}
-			return nil
+			return
 		}
 	}
 }
@@ -129,29 +117,29 @@
 // redialPause is the least time between two dials of an unreachable member.
 const redialPause = 20 * time.Millisecond
 
-// probe sends the member a command over conn, dialing first if conn is nil, and returns the connection for the next one.
-func (g *Group[L]) probe(ctx context.Context, m Address, conn L, command Command[L]) L {
+// probe sends the member a command over conn, dialing first if conn is unset, and returns the connection for the next one.
+func (g *Group[L]) probe(ctx context.Context, m *member[L], conn L, command Command[L]) L {
 	ctx, cancel := context.WithTimeout(ctx, g.cfg.ProbeTimeout)
 	defer cancel()
 	var none L
 	var err error
 	if conn == none {
-		conn, err = g.cfg.Dial(ctx, m.Address, "")
+		conn, err = g.cfg.Dial(ctx, m.address, "")
 	}
 	if err != nil {
-		g.failed(m.Endpoint, err)
+		g.failed(m, err)
 		return none
 	}
 	sentAt := g.cfg.Clock()
 	s, err := command(ctx, conn)
 	if err != nil {
 		conn.Close()
-		g.failed(m.Endpoint, err)
+		g.failed(m, err)
 		return none
 	}
 	g.mu.Lock()
-	delete(g.lastError, m.Endpoint)
-	g.answeredAt[m.Endpoint] = sentAt
+	m.lastError = nil
+	m.answeredAt = sentAt
 	g.mu.Unlock()
 	g.Observe(sentAt, s)
 	g.tell(s)
@@ -165,14 +153,14 @@
 	}
 }
 
-func (g *Group[L]) failed(endpoint string, err error) {
+func (g *Group[L]) failed(m *member[L], err error) {
 	g.mu.Lock()
-	g.lastError[endpoint] = err
-	g.tracker.SetDown(endpoint, true)
+	m.lastError = err
+	g.tracker.SetDown(m.address.Endpoint, true)
 	g.broadcastLocked()
 	g.mu.Unlock()
 	if g.cfg.Observer != nil {
-		g.cfg.Observer.ProbeFailed(endpoint, isRefused(err))
+		g.cfg.Observer.ProbeFailed(m.address.Endpoint, isRefused(err))
 	}
 }
 
@@ -185,12 +173,18 @@
 func (g *Group[L]) AnsweredAt(endpoint string) time.Time {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.answeredAt[endpoint]
+	if m := g.members[endpoint]; m != nil {
+		return m.answeredAt
+	}
+	return time.Time{}
 }
 
 // LastError returns why the newest probe of an endpoint failed, or nil.
 func (g *Group[L]) LastError(endpoint string) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.lastError[endpoint]
+	if m := g.members[endpoint]; m != nil {
+		return m.lastError
+	}
+	return nil
 }
--- a/instance/groups.go
+++ b/instance/groups.go
@@ -157,10 +157,10 @@
 }
 
 // dial opens a connection with the login that the contracts name for a database.
-func (i *Instance) dial(ctx context.Context, address, database string) (*endpoint.Conn, error) {
+func (i *Instance) dial(ctx context.Context, m engine.Address, database string) (*endpoint.Conn, error) {
 	user, password := i.login(database)
 	return endpoint.Dial(ctx, endpoint.DialConfig{
-		Address:     address,
+		Address:     m.Address,
 		User:        user,
 		Password:    password,
 		Database:    database,
--- a/route/decide.go
+++ b/route/decide.go
@@ -76,7 +76,8 @@
 }
 
 func toPrimary(t *Tracker) Decision {
-	if t.primary == "" || t.members[t.primary].leaving {
+	m := t.members[t.primary]
+	if m == nil || m.leaving {
 		return Decision{}
 	}
 	return Decision{target: TargetPrimary, endpoint: t.primary}
--- a/route/samples.go
+++ b/route/samples.go
@@ -117,3 +117,22 @@
 	}
 	return 0, false
 }
+
+// oldestSince returns the oldest sample asked for at or after since and before until.
+func (t *track) oldestSince(since, until time.Time) (found sample, ok bool) {
+	if n := t.newest; !n.sentAt.IsZero() && !n.sentAt.Before(since) && n.sentAt.Before(until) {
+		found, ok = n, true
+	}
+	for _, r := range []*ring{t.fine, t.coarse} {
+		for i := range r.size {
+			s := r.at(i)
+			if s.sentAt.Before(since) {
+				break
+			}
+			if s.sentAt.Before(until) && (!ok || s.sentAt.Before(found.sentAt)) {
+				found, ok = s, true
+			}
+		}
+	}
+	return found, ok
+}
--- a/route/tracker.go
+++ b/route/tracker.go
@@ -13,11 +13,23 @@
 type TrackerConfig struct {
 	Group     string
 	Endpoints []string
+	// Lease is how long a confirmed primary may be used; it bounds which samples count for reads of a stated age.
+	Lease time.Duration
+}
+
+// Endpoint describes a member of a group.
+type Endpoint struct {
+	Name string
+	// Near says that the member is in this instance's data centre.
+	Near bool
+	// Slots is the number of requests that the member runs at once, or 0 when that is not known.
+	Slots int
 }
 
 // Tracker keeps what an instance knows of one group; it is not safe for concurrent use.
 type Tracker struct {
 	name    string
+	lease   time.Duration
 	history group.History
 	primary string
 	members map[string]*member
@@ -37,18 +49,42 @@
 	leaving   bool
 	load      int
 	ejection  ejection
+	near      bool
+	slots     int
+	service   time.Duration
 }
 
 // NewTracker returns a tracker that knows no positions yet.
 func NewTracker(cfg TrackerConfig) *Tracker {
-	t := &Tracker{name: cfg.Group, members: map[string]*member{}, track: newTrack()}
-	for _, e := range cfg.Endpoints {
-		t.members[e] = &member{}
-		t.order = append(t.order, e)
+	t := &Tracker{name: cfg.Group, lease: cfg.Lease, members: map[string]*member{}, track: newTrack()}
+	var endpoints []Endpoint
+	for _, name := range cfg.Endpoints {
+		endpoints = append(endpoints, Endpoint{Name: name})
 	}
+	t.SetEndpoints(endpoints)
 	return t
 }
 
+// SetEndpoints replaces the list of members; what is known of those that stay is kept.
+func (t *Tracker) SetEndpoints(endpoints []Endpoint) {
+	kept := map[string]*member{}
+	t.order = nil
+	for _, e := range endpoints {
+		m := t.members[e.Name]
+		if m == nil {
+			m = &member{}
+		}
+		m.near = e.Near
+		m.slots = e.Slots
+		kept[e.Name] = m
+		t.order = append(t.order, e.Name)
+	}
+	t.members = kept
+}
+
+// Forget drops all that is known of a member, which may come back as another process under its name.
+func (t *Tracker) Forget(endpoint string) { delete(t.members, endpoint) }
+
 // Group returns the group's name.
 func (t *Tracker) Group() string { return t.name }
 
@@ -147,6 +183,33 @@
 	}
 }
 
+// Reached takes a log point that a request sent at sentAt found at an endpoint; it confirms no lease.
+func (t *Tracker) Reached(endpoint string, sentAt, now time.Time, point group.Point) {
+	m := t.members[endpoint]
+	if m == nil || point.Term() != t.Term() || sentAt.Before(m.sampledAt) {
+		return
+	}
+	m.point = point
+	m.sampledAt = sentAt
+	if endpoint == t.primary {
+		t.track.add(sample{sentAt: sentAt, position: point.Position()})
+		return
+	}
+	t.estimateLag(m, now)
+}
+
+// FloorSince returns the lowest known position of the primary that holds every commit acknowledged by since.
+//
+// Such a position was asked for at or after since, while no other primary can
+// have acknowledged a commit; ok is false when there is none.
+func (t *Tracker) FloorSince(since time.Time) (floor group.Point, at time.Time, ok bool) {
+	s, ok := t.track.oldestSince(since, t.ConfirmedAt().Add(t.lease))
+	if !ok || t.ConfirmedAt().IsZero() {
+		return group.Point{}, time.Time{}, false
+	}
+	return group.NewPoint(t.Term(), s.position), s.sentAt, true
+}
+
 // Revoke forgets that the primary was confirmed, after it refused a write.
 func (t *Tracker) Revoke() { t.primaryConfirmedAt = time.Time{} }
 
