--- a/caller/execute.go
+++ b/caller/execute.go
@@ -4,10 +4,8 @@
 	"context"
 	"time"
 
-	"github.com/monsoontiller/monsoontiller/clock"
 	"github.com/monsoontiller/monsoontiller/endpoint"
 	"github.com/monsoontiller/monsoontiller/engine"
-	"github.com/monsoontiller/monsoontiller/fault"
 	"github.com/monsoontiller/monsoontiller/group"
 	"github.com/monsoontiller/monsoontiller/retry"
 	"github.com/monsoontiller/monsoontiller/route"
@@ -19,7 +17,6 @@
 	started   time.Time
 	deadline  time.Time
 	acquireBy time.Time
-	attempts  int
 	result    Result
 }
 
@@ -58,7 +55,7 @@
 		return nil
 	}
 	if s.server.draining() {
-		return errDraining()
+		return engine.ErrDraining()
 	}
 	b, err := s.server.cfg.Directory.Find(s.customer, s.database)
 	if err != nil {
@@ -83,125 +80,91 @@
 
 // withRetries routes the unit and sends it until it is answered or given up.
 func (s *callerSession) withRetries(ctx context.Context, r *request) error {
-	retries := s.binding.Contract().Retries()
-	backoff := retry.NewBackoff(retry.BackoffConfig{First: retries.First(), Max: retries.Max()})
-	for {
-		x, whole, err := s.try(ctx, r)
-		if err != nil {
-			return err
-		}
-		if whole {
-			return s.finish(ctx, r, x, true)
-		}
-		s.dropFailed(x)
-		if x.clientErr != nil {
-			return errClientGone
-		}
-		if err := s.judge(r, x); err != nil {
-			return err
-		}
-		r.result.retries++
-		if x.failure == retry.FailureBehind {
-			continue
-		}
-		if x.failure == retry.FailureReadOnly {
-			s.routeAfterRefusal(r)
-		}
-		if err := sleep(ctx, backoff.Wait(r.result.retries, randomFraction())); err != nil {
-			return errDraining()
-		}
+	contract := s.binding.Contract()
+	w := &work{session: s, request: r}
+	f := engine.NewFlow(engine.FlowConfig[*endpoint.Conn]{
+		Group:  s.binding.Group(),
+		Policy: s.server.cfg.Policy,
+		Ask: engine.Request{
+			Customer:   s.customer,
+			Key:        s.database,
+			QueueLimit: contract.Limits().QueueLength(),
+			Deadline:   r.acquireBy,
+			MaxIdle:    contract.Limits().IdleCheck(),
+		},
+		Deadline:   r.deadline,
+		Idempotent: r.marks.Idempotent(),
+		Backoff:    retry.NewBackoff(retry.BackoffConfig{First: contract.Retries().First(), Max: contract.Retries().Max()}),
+		AllowRetry: s.binding.Account().allowRetry,
+	})
+	_, err := f.Serve(ctx, w)
+	r.result.retries = f.Retries()
+	r.result.target = f.Target()
+	if err != nil {
+		return err
 	}
+	return s.finish(ctx, r, w.exchange, true)
 }
 
-// routeAfterRefusal sends a write that an endpoint refused to a primary that is confirmed anew.
-func (s *callerSession) routeAfterRefusal(r *request) {
-	if s.refusedByReplica {
-		r.marks.class = route.ClassWrite
-		return
-	}
-	s.binding.Group().View(func(t *route.Tracker) { t.Revoke() })
+// work is a unit as the engine carries it.
+type work struct {
+	session  *callerSession
+	request  *request
+	exchange *exchange
 }
 
-// judge returns nil when the unit may be sent again, and the final error otherwise.
-func (s *callerSession) judge(r *request, x *exchange) error {
-	a := x.attempt()
-	now := clock.Now()
-	rules := retry.Request{Idempotent: r.marks.Idempotent(), Deadline: r.deadline}
-	v := retry.Judge(now, rules, a)
-	if v != retry.VerdictRetry {
-		return v.Error(a)
-	}
-	if x.failure == retry.FailureBehind || s.binding.Account().allowRetry(now) {
+// Prepare gives a session without a floor the primary's position as of now.
+func (w *work) Prepare(ctx context.Context) error {
+	s := w.session
+	if s.state.Known() || w.request.marks.class == route.ClassWrite {
 		return nil
 	}
-	if x.sent && x.failure == retry.FailureLost {
-		return retry.VerdictUnknown.Error(a)
-	}
-	return retry.VerdictNotRun.Error(a)
-}
-
-// try makes one attempt; an error means that the unit did not run and is given up.
-func (s *callerSession) try(ctx context.Context, r *request) (x *exchange, whole bool, err error) {
-	r.attempts++
-	g := s.binding.Group()
-	if err := s.ensureFloor(ctx, g, r); err != nil {
-		return nil, false, err
-	}
-	d, rr, err := s.decide(ctx, g, r)
+	point, at, err := s.binding.Group().AwaitFloor(ctx, s.state.ConnectedAt(), w.request.acquireBy)
 	if err != nil {
-		return nil, false, err
-	}
-	conns := g.Connections(d.Endpoint())
-	conn, err := conns.Acquire(ctx, engine.Request{
-		Customer:   s.customer,
-		Database:   s.database,
-		QueueLimit: s.binding.Contract().Limits().QueueLength(),
-		Deadline:   r.acquireBy,
-		MaxIdle:    s.binding.Contract().Limits().IdleCheck(),
-	})
-	if err != nil {
-		return s.notConnected(g, d, r, err)
-	}
-	s.endpoint = d.Endpoint()
-	s.hold(conn, conns, d.Target() == route.TargetReplica)
-	x = s.exchange(g, conn, r, rr)
-	if x.lapsed() {
-		x.failure = retry.FailureNoLease
-		return x, false, nil
+		return err
 	}
-	g.View(func(t *route.Tracker) { t.AddLoad(d.Endpoint(), 1) })
-	whole = x.run()
-	g.View(func(t *route.Tracker) { s.noteAttempt(t, d.Endpoint(), x, whole) })
-	r.result.target = d.Target()
-	return x, whole, nil
+	s.state.Probed(point, at)
+	return nil
 }
 
-// noteAttempt tells the tracker how an attempt ended.
-func (s *callerSession) noteAttempt(t *route.Tracker, endpoint string, x *exchange, whole bool) {
-	t.AddLoad(endpoint, -1)
-	switch {
-	case whole:
-		t.Answered(endpoint)
-	case x.failure == retry.FailureLost && x.clientErr == nil:
-		t.Failed(endpoint, clock.Now())
+// Route returns what the routing decision depends on.
+func (w *work) Route(now time.Time, t *route.Tracker) (route.Request, error) {
+	s := w.session
+	budget := s.binding.Contract().Reads().ReplicaWait() - now.Sub(w.request.started)
+	floor := group.NewPoint(t.Term(), 0)
+	if s.state.Known() {
+		var err error
+		if floor, err = s.state.Resolve(t.History(), now); err != nil {
+			return route.Request{}, err
+		}
 	}
+	_, floorAt := s.state.Floor()
+	return s.routeRequest(w.request.marks, floor, floorAt, budget), nil
 }
 
-// lapsed reports whether the primary's lease ran out while the unit waited for its connection.
-func (x *exchange) lapsed() bool {
-	return !x.onReplica && !x.group.LeaseValid()
-}
-
-// notConnected turns a failed Acquire into a failed attempt, or gives up when a queue said no.
-func (s *callerSession) notConnected(g *engine.Group[*endpoint.Conn], d route.Decision, r *request, err error) (*exchange, bool, error) {
-	kind := fault.KindOf(err)
-	if kind == fault.KindTimeout || kind == fault.KindOverloaded {
-		return nil, false, err
+// Exchange sends the unit over the link that the engine chose.
+func (w *work) Exchange(h engine.Held[*endpoint.Conn]) engine.Outcome {
+	s := w.session
+	s.endpoint = h.Endpoint
+	s.hold(h.Link, h.Connections, h.OnReplica)
+	x := s.exchange(s.binding.Group(), h.Link, w.request, h.Request)
+	w.exchange = x
+	if x.run() {
+		return engine.Outcome{Answered: true}
+	}
+	s.setActive(nil)
+	s.conn = nil
+	if x.failure == retry.FailureReadOnly && h.OnReplica {
+		w.request.marks.class = route.ClassWrite
+	}
+	o := engine.Outcome{
+		Attempt:  x.attempt(),
+		Reusable: x.refused && x.failure != retry.FailureLost && x.txStatus == 'I',
 	}
-	g.View(func(t *route.Tracker) { t.SetDown(d.Endpoint(), true) })
-	x := &exchange{exchangeConfig: exchangeConfig{deadline: r.deadline}}
-	x.failure = retry.FailureConnect
-	return x, false, nil
+	if x.clientErr != nil {
+		o.Err = errClientGone
+	}
+	return o
 }
 
 func (s *callerSession) hold(conn *endpoint.Conn, conns *engine.Connections[*endpoint.Conn], onReplica bool) {
@@ -230,104 +193,9 @@
 	})
 }
 
-// ensureFloor gives a session without a floor the primary's position as of now.
-func (s *callerSession) ensureFloor(ctx context.Context, g *engine.Group[*endpoint.Conn], r *request) error {
-	if s.state.Known() || r.marks.class == route.ClassWrite {
-		return nil
-	}
-	point, at, err := g.AwaitFloor(ctx, s.state.ConnectedAt(), r.acquireBy)
-	if err != nil {
-		return err
-	}
-	s.state.Probed(point, at)
-	return nil
-}
-
-// decide routes the unit, waiting for a replica or for a confirmed primary as the decision asks.
-func (s *callerSession) decide(ctx context.Context, g *engine.Group[*endpoint.Conn], r *request) (route.Decision, route.Request, error) {
-	for {
-		d, rr, err := s.decideOnce(g, r)
-		if err != nil && !s.mayLearn(err, r) {
-			return d, rr, err
-		}
-		if d.Target() == route.TargetReplica {
-			if err := sleep(ctx, d.Wait()); err != nil {
-				return d, rr, errDraining()
-			}
-			return d, rr, nil
-		}
-		if err := g.AwaitLease(ctx, r.acquireBy); err != nil {
-			return d, rr, err
-		}
-		if d.Target() == route.TargetPrimary && primaryOf(g) == d.Endpoint() {
-			return d, rr, nil
-		}
-		if err := sleep(ctx, undecidedPause); err != nil {
-			return d, rr, errDraining()
-		}
-		if !clock.Now().Before(r.acquireBy) {
-			return d, rr, retry.VerdictNotRun.Error(retry.Attempt{Failure: retry.FailureNoLease})
-		}
-	}
-}
-
-// mayLearn reports whether err only says that the session has seen a newer term than this instance, and time is left to hear of it.
-func (s *callerSession) mayLearn(err error, r *request) bool {
-	return fault.KindOf(err) == fault.KindNoPrimary && clock.Now().Before(r.acquireBy)
-}
-
-// undecidedPause is the wait before a request without a target is routed again.
-const undecidedPause = 5 * time.Millisecond
-
-func primaryOf(g *engine.Group[*endpoint.Conn]) string {
-	var name string
-	g.View(func(t *route.Tracker) { name = t.Primary() })
-	return name
-}
-
-func (s *callerSession) decideOnce(g *engine.Group[*endpoint.Conn], r *request) (d route.Decision, rr route.Request, err error) {
-	now := clock.Now()
-	budget := s.binding.Contract().Reads().ReplicaWait() - now.Sub(r.started)
-	g.View(func(t *route.Tracker) {
-		floor := group.NewPoint(t.Term(), 0)
-		if s.state.Known() {
-			floor, err = s.state.Resolve(t.History(), now)
-		}
-		if err != nil {
-			return
-		}
-		_, floorAt := s.state.Floor()
-		rr = s.routeRequest(r.marks, floor, floorAt, budget)
-		d = s.server.cfg.Policy.Decide(now, t, rr)
-	})
-	return d, rr, err
-}
-
-// dropFailed gives up the connection of a failed attempt; one whose answer was read to the end is kept.
-func (s *callerSession) dropFailed(x *exchange) {
-	if s.conn == nil {
-		return
-	}
-	s.refusedByReplica = s.onReplica
-	s.setActive(nil)
-	if x.refused && x.failure != retry.FailureLost && x.txStatus == 'I' || !x.sent && x.failure == retry.FailureNoLease {
-		s.connPool.Release(s.conn)
-	} else {
-		s.connPool.Discard(s.conn)
-	}
-	s.conn = nil
-}
-
-func sleep(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
+// dropFailed gives up the connection of a failed attempt inside a transaction.
+func (s *callerSession) dropFailed() {
+	if s.conn != nil {
+		s.discard()
 	}
 }
--- a/caller/finish.go
+++ b/caller/finish.go
@@ -17,7 +17,7 @@
 func (s *callerSession) finish(ctx context.Context, r *request, x *exchange, whole bool) error {
 	s.out = x.out
 	if !whole {
-		s.dropFailed(x)
+		s.dropFailed()
 		if x.clientErr != nil {
 			return errClientGone
 		}
--- a/caller/handshake.go
+++ b/caller/handshake.go
@@ -11,6 +11,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/monsoontiller/monsoontiller/clock"
+	"github.com/monsoontiller/monsoontiller/engine"
 	"github.com/monsoontiller/monsoontiller/fault"
 	"github.com/monsoontiller/monsoontiller/group"
 	"github.com/monsoontiller/monsoontiller/scram"
@@ -163,7 +164,7 @@
 		return errTooMany("this instance has no room for another caller")
 	}
 	if h.server.draining() {
-		return errDraining()
+		return engine.ErrDraining()
 	}
 	if h.server.cfg.RequireTLS && !h.secure {
 		return fault.New(fault.Config{
--- a/caller/server.go
+++ b/caller/server.go
@@ -13,6 +13,7 @@
 
 	"github.com/go-kit/log"
 
+	"github.com/monsoontiller/monsoontiller/engine"
 	"github.com/monsoontiller/monsoontiller/route"
 	"github.com/monsoontiller/monsoontiller/session"
 )
@@ -173,7 +174,7 @@
 	}
 	defer one.binding.Account().Leave()
 	if !s.register(one) {
-		one.refuse(errDraining())
+		one.refuse(engine.ErrDraining())
 		return
 	}
 	defer s.unregister(one)
--- a/caller/session.go
+++ b/caller/session.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"net"
 	"os"
 	"sync"
@@ -51,7 +50,6 @@
 	// bounded says that the caller's next request is awaited for a limited time.
 	bounded bool
 
-	refusedByReplica bool
 	// unleased says that the answer needs no lease, because no primary gave it.
 	unleased bool
 	// restsOn is the log point on which an answer of the primary rests.
@@ -70,7 +68,7 @@
 	defer s.releaseAtEnd()
 	for {
 		if s.server.draining() && s.atRest() {
-			s.refuse(errDraining())
+			s.refuse(engine.ErrDraining())
 			return
 		}
 		if err := s.boundIdleTransaction(); err != nil {
@@ -160,14 +158,6 @@
 	_ = s.flushOut()
 }
 
-func errDraining() error {
-	return fault.New(fault.Config{
-		Kind:    fault.KindDraining,
-		Message: "this instance is shutting down; nothing of this request ran",
-		Remedy:  "connect again; the balancer leads to another instance",
-	})
-}
-
 // releaseAtEnd gives up the connection that the session still holds.
 func (s *callerSession) releaseAtEnd() {
 	if s.conn == nil {
@@ -213,5 +203,3 @@
 		WaitBudget:   budget,
 	}
 }
-
-func randomFraction() float64 { return rand.Float64() }
--- a/engine/connections.go
+++ b/engine/connections.go
@@ -54,7 +54,7 @@
 // Request says who asks for a connection and how long it may wait.
 type Request struct {
 	Customer   string
-	Database   string
+	Key        string
 	QueueLimit int
 	Deadline   time.Time
 	MaxIdle    time.Duration
@@ -80,11 +80,11 @@
 }
 
 func (c *Connections[L]) acquire(ctx context.Context, r Request) (link L, err error) {
-	w := &waiter[L]{key: r.Database, grant: make(chan pool.Grant[L], 1)}
+	w := &waiter[L]{key: r.Key, grant: make(chan pool.Grant[L], 1)}
 	c.mu.Lock()
 	g := c.pool.Acquire(pool.Ask[*waiter[L]]{
 		Customer:   r.Customer,
-		Key:        r.Database,
+		Key:        r.Key,
 		Waiter:     w,
 		QueueLimit: r.QueueLimit,
 		Deadline:   r.Deadline,
@@ -96,7 +96,7 @@
 	case pool.ActionWait:
 		return c.wait(ctx, r, w)
 	}
-	return c.take(ctx, r.Database, g)
+	return c.take(ctx, r.Key, g)
 }
 
 func (c *Connections[L]) wait(ctx context.Context, r Request, w *waiter[L]) (link L, err error) {
@@ -104,7 +104,7 @@
 	defer timer.Stop()
 	select {
 	case g := <-w.grant:
-		return c.take(ctx, r.Database, g)
+		return c.take(ctx, r.Key, g)
 	case <-timer.C:
 	case <-ctx.Done():
 	}
--- /dev/null
+++ b/engine/flow.go
@@ -0,0 +1,281 @@
+package engine
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/monsoontiller/monsoontiller/fault"
+	"github.com/monsoontiller/monsoontiller/retry"
+	"github.com/monsoontiller/monsoontiller/route"
+)
+
+// Work is one request as the session of its protocol sees it.
+type Work[L Link[L]] interface {
+	// Prepare waits for what a routing decision needs; it fails when the request cannot run in time.
+	Prepare(ctx context.Context) error
+	// Route returns what the decision depends on at now; the group is locked meanwhile.
+	Route(now time.Time, t *route.Tracker) (route.Request, error)
+	// Exchange sends the request over the held link and reads the answer.
+	Exchange(h Held[L]) Outcome
+}
+
+// Held is a link that serves a request, and how it came to be chosen.
+type Held[L Link[L]] struct {
+	Link        L
+	Connections *Connections[L]
+	Endpoint    string
+	OnReplica   bool
+	Request     route.Request
+}
+
+// Release returns the link, which must be in its initial state.
+func (h Held[L]) Release() { h.Connections.Release(h.Link) }
+
+// Discard ends the link, whose state is not known.
+func (h Held[L]) Discard() { h.Connections.Discard(h.Link) }
+
+// Outcome says how one exchange ended.
+type Outcome struct {
+	// Answered says that the answer is whole; the attempt then means nothing.
+	Answered bool
+	Attempt  retry.Attempt
+	// Reusable says that the link of a failed attempt is in its initial state.
+	Reusable bool
+	// Err ends the request at once, whatever the retry rules say.
+	Err error
+}
+
+// FlowConfig describes a request to the engine.
+type FlowConfig[L Link[L]] struct {
+	Group  *Group[L]
+	Policy route.Policy
+	// Ask says how the request waits for a link.
+	Ask        Request
+	Deadline   time.Time
+	Idempotent bool
+	Backoff    retry.Backoff
+	// AllowRetry takes one retry from the customer's budget and reports whether there was one.
+	AllowRetry func(now time.Time) bool
+}
+
+// Flow carries one request to an endpoint: it routes, waits for a link, sends, judges failures and repeats.
+type Flow[L Link[L]] struct {
+	cfg      FlowConfig[L]
+	attempts int
+	target   route.Target
+}
+
+// NewFlow returns the flow of one request.
+func NewFlow[L Link[L]](cfg FlowConfig[L]) *Flow[L] { return &Flow[L]{cfg: cfg} }
+
+// Retries returns how many times the request was sent again.
+func (f *Flow[L]) Retries() int { return max(0, f.attempts-1) }
+
+// Target returns where the request was sent last, or TargetNone.
+func (f *Flow[L]) Target() route.Target { return f.target }
+
+// Serve carries w until it is answered, and returns the link that served it, still held.
+//
+// An error says whether the request can have run; no link is held then.
+func (f *Flow[L]) Serve(ctx context.Context, w Work[L]) (Held[L], error) {
+	for {
+		h, o, err := f.try(ctx, w)
+		if err != nil {
+			return Held[L]{}, err
+		}
+		if o.Answered {
+			return h, nil
+		}
+		f.giveUp(h, o)
+		if o.Err != nil {
+			return Held[L]{}, o.Err
+		}
+		if err := f.judge(o.Attempt); err != nil {
+			return Held[L]{}, err
+		}
+		if err := f.pause(ctx, h, o.Attempt); err != nil {
+			return Held[L]{}, err
+		}
+	}
+}
+
+// try makes one attempt; an error means that the request did not run and is given up.
+func (f *Flow[L]) try(ctx context.Context, w Work[L]) (h Held[L], o Outcome, err error) {
+	f.attempts++
+	if err := w.Prepare(ctx); err != nil {
+		return h, o, err
+	}
+	d, r, err := f.decide(ctx, w)
+	if err != nil {
+		return h, o, err
+	}
+	h = Held[L]{
+		Connections: f.cfg.Group.Connections(d.Endpoint()),
+		Endpoint:    d.Endpoint(),
+		OnReplica:   d.Target() == route.TargetReplica,
+		Request:     r,
+	}
+	if h.Connections == nil {
+		return f.notConnected(h, nil)
+	}
+	h.Link, err = h.Connections.Acquire(ctx, f.cfg.Ask)
+	if err != nil {
+		return f.notConnected(h, err)
+	}
+	f.target = d.Target()
+	if !h.OnReplica && !f.cfg.Group.LeaseValid() {
+		return h, Outcome{Attempt: retry.Attempt{Failure: retry.FailureNoLease}, Reusable: true}, nil
+	}
+	return h, f.exchange(w, h), nil
+}
+
+// exchange runs the attempt and tells the tracker how it ended.
+func (f *Flow[L]) exchange(w Work[L], h Held[L]) Outcome {
+	g := f.cfg.Group
+	started := g.cfg.Clock()
+	g.View(func(t *route.Tracker) { t.AddLoad(h.Endpoint, 1) })
+	o := w.Exchange(h)
+	now := g.cfg.Clock()
+	g.View(func(t *route.Tracker) {
+		t.AddLoad(h.Endpoint, -1)
+		switch {
+		case o.Answered:
+			t.Answered(h.Endpoint)
+			t.Took(h.Endpoint, now.Sub(started))
+		case o.Attempt.Failure == retry.FailureLost && o.Err == nil:
+			t.Failed(h.Endpoint, now)
+		}
+	})
+	return o
+}
+
+// notConnected turns a failed Acquire into a failed attempt, or gives up when a queue said no.
+func (f *Flow[L]) notConnected(h Held[L], err error) (Held[L], Outcome, error) {
+	kind := fault.KindOf(err)
+	if err != nil && (kind == fault.KindTimeout || kind == fault.KindOverloaded) {
+		return h, Outcome{}, err
+	}
+	f.cfg.Group.View(func(t *route.Tracker) { t.SetDown(h.Endpoint, true) })
+	h.Connections = nil
+	return h, Outcome{Attempt: retry.Attempt{Failure: retry.FailureConnect}}, nil
+}
+
+// giveUp lets go of the link of a failed attempt; one whose answer was read to the end is kept.
+func (f *Flow[L]) giveUp(h Held[L], o Outcome) {
+	switch {
+	case h.Connections == nil:
+	case o.Reusable:
+		h.Release()
+	default:
+		h.Discard()
+	}
+}
+
+// judge returns nil when the request may be sent again, and the final error otherwise.
+func (f *Flow[L]) judge(a retry.Attempt) error {
+	now := f.cfg.Group.cfg.Clock()
+	v := retry.Judge(now, retry.Request{Idempotent: f.cfg.Idempotent, Deadline: f.cfg.Deadline}, a)
+	if v != retry.VerdictRetry {
+		return v.Error(a)
+	}
+	if a.Failure == retry.FailureBehind || f.cfg.AllowRetry(now) {
+		return nil
+	}
+	if a.SentBytes && a.Failure == retry.FailureLost {
+		return retry.VerdictUnknown.Error(a)
+	}
+	return retry.VerdictNotRun.Error(a)
+}
+
+// pause waits before the next attempt as the failure asks.
+func (f *Flow[L]) pause(ctx context.Context, h Held[L], a retry.Attempt) error {
+	if a.Failure == retry.FailureBehind {
+		return nil
+	}
+	if a.Failure == retry.FailureReadOnly && !h.OnReplica {
+		f.cfg.Group.View(func(t *route.Tracker) { t.Revoke() })
+	}
+	if Sleep(ctx, f.cfg.Backoff.Wait(f.attempts, rand.Float64())) != nil {
+		return ErrDraining()
+	}
+	return nil
+}
+
+// undecidedPause is the wait before a request without a target is routed again.
+const undecidedPause = 5 * time.Millisecond
+
+// decide routes the request, waiting for a replica or for a confirmed primary as the decision asks.
+func (f *Flow[L]) decide(ctx context.Context, w Work[L]) (route.Decision, route.Request, error) {
+	g := f.cfg.Group
+	for {
+		d, r, err := f.decideOnce(w)
+		if err != nil && !f.mayLearn(err) {
+			return d, r, err
+		}
+		if d.Target() == route.TargetReplica {
+			if Sleep(ctx, d.Wait()) != nil {
+				return d, r, ErrDraining()
+			}
+			return d, r, nil
+		}
+		if err := g.AwaitLease(ctx, f.cfg.Ask.Deadline); err != nil {
+			return d, r, err
+		}
+		if d.Target() == route.TargetPrimary && g.Primary() == d.Endpoint() {
+			return d, r, nil
+		}
+		if Sleep(ctx, undecidedPause) != nil {
+			return d, r, ErrDraining()
+		}
+		if !g.cfg.Clock().Before(f.cfg.Ask.Deadline) {
+			return d, r, retry.VerdictNotRun.Error(retry.Attempt{Failure: retry.FailureNoLease})
+		}
+	}
+}
+
+// mayLearn reports whether err only says that the session has seen a newer term than this instance, and time is left to hear of it.
+func (f *Flow[L]) mayLearn(err error) bool {
+	return fault.KindOf(err) == fault.KindNoPrimary && f.cfg.Group.cfg.Clock().Before(f.cfg.Ask.Deadline)
+}
+
+func (f *Flow[L]) decideOnce(w Work[L]) (d route.Decision, r route.Request, err error) {
+	now := f.cfg.Group.cfg.Clock()
+	f.cfg.Group.View(func(t *route.Tracker) {
+		if r, err = w.Route(now, t); err == nil {
+			d = f.cfg.Policy.Decide(now, t, r)
+		}
+	})
+	return d, r, err
+}
+
+// Primary returns the primary of the newest term known, or "".
+func (g *Group[L]) Primary() string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.tracker.Primary()
+}
+
+// ErrDraining returns the error of a request that an instance no longer takes because it shuts down.
+func ErrDraining() error {
+	return fault.New(fault.Config{
+		Kind:    fault.KindDraining,
+		Message: "this instance is shutting down; nothing of this request ran",
+		Remedy:  "connect again; the balancer leads to another instance",
+	})
+}
+
+// Sleep waits for d; it fails with the context's error when ctx ends first.
+func Sleep(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- a/engine/group.go
+++ b/engine/group.go
@@ -14,6 +14,8 @@
 type Address struct {
 	Endpoint string
 	Address  string
+	// Incarnation tells runs of the member apart, or is 0 when that is not known.
+	Incarnation int64
 	// Near says that the member is in this instance's data centre.
 	Near bool
 	// Slots is the number of requests that the member runs at once, or 0 when that is not known.
@@ -93,7 +95,7 @@
 	return g
 }
 
-// SetMembers replaces the list of members; a member that moved to another address is watched anew.
+// SetMembers replaces the list of members; a member that started again or moved is watched anew.
 func (g *Group[L]) SetMembers(members []Address) {
 	g.mu.Lock()
 	gone := g.setMembersLocked(members)
@@ -110,7 +112,7 @@
 	var tracked []route.Endpoint
 	for _, a := range members {
 		m := g.members[a.Endpoint]
-		if m == nil || m.address.Address != a.Address {
+		if m == nil || m.address.Address != a.Address || m.address.Incarnation != a.Incarnation {
 			m = g.newMember(a)
 		}
 		kept[a.Endpoint] = m
--- a/route/tracker.go
+++ b/route/tracker.go
@@ -127,6 +127,22 @@
 	}
 }
 
+// serviceDecay is the weight of the past in the estimate of how long an endpoint takes to answer.
+const serviceDecay = 0.9
+
+// Took notes how long an endpoint took to answer a request.
+func (t *Tracker) Took(endpoint string, d time.Duration) {
+	m := t.members[endpoint]
+	if m == nil {
+		return
+	}
+	if m.service == 0 {
+		m.service = d
+		return
+	}
+	m.service = time.Duration(serviceDecay*float64(m.service) + (1-serviceDecay)*float64(d))
+}
+
 // Observe takes a member's status, asked for at sentAt and received at now, and reports whether the term changed.
 func (t *Tracker) Observe(sentAt, now time.Time, s group.Status) bool {
 	m := t.members[s.Endpoint()]
