--- /dev/null
+++ b/contract/config.go
@@ -0,0 +1,67 @@
+package contract
+
+import "time"
+
+// Config lists the terms of a contract that comes from the platform rather than as text; zero values take the defaults.
+type Config struct {
+	Customer       string
+	Database       string
+	Group          string
+	Consistency    Consistency
+	MaxStaleness   time.Duration
+	RequestTimeout time.Duration
+	// TargetLatency is the time within which an operation is worth its full price.
+	TargetLatency   time.Duration
+	TransactionIdle time.Duration
+	// Priority is the customer's place where requests compete; 0 goes first.
+	Priority int
+	// ReplicationRequired makes the acknowledgement of a write wait for a replica.
+	ReplicationRequired bool
+}
+
+// New returns the contract described by cfg.
+func New(cfg Config) *Contract {
+	c := &Contract{
+		customer:  cfg.Customer,
+		databases: []Database{{name: cfg.Database, group: cfg.Group}},
+		limits: Limits{
+			callers:        defaultCallers,
+			queueLength:    defaultQueueLength,
+			requestTimeout: orDefault(cfg.RequestTimeout, defaultRequestTimeout),
+			idleCheck:      defaultIdleCheck,
+			txIdle:         orDefault(cfg.TransactionIdle, defaultTxIdle),
+			priority:       cfg.Priority,
+		},
+		reads: Reads{
+			consistency:  cfg.Consistency,
+			maxStaleness: cfg.MaxStaleness,
+			replicaWait:  defaultReplicaWait,
+		},
+		writes: Writes{replication: ReplicationOff, wait: defaultReplication},
+		retries: Retries{
+			ratio:     defaultRetryRatio,
+			perSecond: defaultRetryPerSecond,
+			first:     defaultFirstBackoff,
+			max:       defaultMaxBackoff,
+		},
+		drain: defaultDrainTimeout,
+		objectives: Objectives{
+			success:      defaultSuccess,
+			replicaShare: defaultReplicaShare,
+			latency:      orDefault(cfg.TargetLatency, defaultLatency),
+			failoverGap:  defaultFailoverGap,
+		},
+	}
+	c.limits.queueTimeout = min(defaultQueueTimeout, c.limits.requestTimeout)
+	if cfg.ReplicationRequired {
+		c.writes.replication = ReplicationRequired
+	}
+	return c
+}
+
+func orDefault(d, fallback time.Duration) time.Duration {
+	if d <= 0 {
+		return fallback
+	}
+	return d
+}
--- a/contract/contract.go
+++ b/contract/contract.go
@@ -39,8 +39,12 @@
 	requestTimeout time.Duration
 	idleCheck      time.Duration
 	txIdle         time.Duration
+	priority       int
 }
 
+// Priority returns the customer's place where requests compete; 0 goes first.
+func (l Limits) Priority() int { return l.priority }
+
 // Callers returns the most caller connections per instance.
 func (l Limits) Callers() int { return l.callers }
 
@@ -59,13 +63,30 @@
 // IdleCheck returns how long a connection may be unused before it is checked again.
 func (l Limits) IdleCheck() time.Duration { return l.idleCheck }
 
+// Consistency says what reads of a customer must see.
+type Consistency uint8
+
+// The rules for what a read must see.
+const (
+	// ConsistencySession reads see the session's own writes.
+	ConsistencySession Consistency = iota
+	// ConsistencyPrimary reads see every acknowledged write.
+	ConsistencyPrimary
+	// ConsistencyBounded reads see data of a stated greatest age.
+	ConsistencyBounded
+)
+
 // Reads sets the rules for reads.
 type Reads struct {
+	consistency  Consistency
 	defaultRead  bool
 	maxStaleness time.Duration
 	replicaWait  time.Duration
 }
 
+// Consistency returns what reads must see, besides the age limit.
+func (r Reads) Consistency() Consistency { return r.consistency }
+
 // DefaultRead reports whether an unmarked statement counts as a read.
 func (r Reads) DefaultRead() bool { return r.defaultRead }
 
--- a/failover/machine.go
+++ b/failover/machine.go
@@ -95,7 +95,7 @@
 	case ClaimResult:
 		return m.claimed(now, e)
 	case Leaving:
-		m.setLeaving(e.Endpoints)
+		m.SetLeaving(e.Endpoints)
 		return nil
 	case Tick:
 		return m.advance(now)
@@ -108,7 +108,8 @@
 	return term >= m.term && m.primaryLost(now)
 }
 
-func (m *Machine) setLeaving(endpoints []string) {
+// SetLeaving tells which members are to get no new work.
+func (m *Machine) SetLeaving(endpoints []string) {
 	for _, s := range m.members {
 		s.leaving = false
 	}
@@ -119,6 +120,19 @@
 	}
 }
 
+// SetMembers replaces the list of members; what is known of those that stay is kept.
+func (m *Machine) SetMembers(endpoints []string) {
+	kept := map[string]*memberState{}
+	for _, name := range endpoints {
+		kept[name] = m.members[name]
+		if kept[name] == nil {
+			kept[name] = &memberState{}
+		}
+	}
+	m.members = kept
+	m.cfg.Members = append([]string(nil), endpoints...)
+}
+
 func (m *Machine) probed(now time.Time, s group.Status) []Action {
 	state := m.members[s.Endpoint()]
 	if state == nil {
--- a/instance/balancer.go
+++ b/instance/balancer.go
@@ -158,7 +158,7 @@
 // Lost reports whether this instance has lost the primary of a group's term.
 func (b *backend) Lost(groupName string, term uint64) bool {
 	w := b.watched(groupName)
-	return w != nil && w.monitor.lost(termOf(term))
+	return w != nil && w.monitor.Lost(termOf(term))
 }
 
 func (b *backend) watched(groupName string) *watched {
--- a/instance/directory.go
+++ b/instance/directory.go
@@ -108,7 +108,7 @@
 	i.mu.Unlock()
 	for _, w := range groups {
 		w.group.View(func(t *route.Tracker) { t.SetLeaving(endpoint, leave) })
-		w.monitor.setLeaving(i.leavingOf(w))
+		w.monitor.SetLeaving(i.leavingOf(w))
 	}
 	decision := "endpoint_stays"
 	if leave {
--- a/instance/groups.go
+++ b/instance/groups.go
@@ -77,7 +77,7 @@
 		members = append(members, engine.Address{Endpoint: m.GetEndpoint(), Address: m.GetAddress()})
 		w.shares[m.GetEndpoint()] = i.newShares(int(g.GetConnectionLimit()))
 	}
-	w.monitor = newMonitor(i, g.GetName(), members)
+	w.monitor = newMonitor(i, g.GetName(), members, &orders{group: func() *engine.Group[*endpoint.Conn] { return w.group }})
 	w.group = engine.NewGroup(engine.GroupConfig[*endpoint.Conn]{
 		Name:          g.GetName(),
 		Members:       members,
@@ -88,7 +88,6 @@
 		Dial:          i.dial,
 		Observer:      w.monitor,
 	})
-	w.monitor.group = w.group
 	i.groups[g.GetName()] = w
 	i.applyLeaving(w)
 	i.start(w)
@@ -102,7 +101,7 @@
 			t.SetLeaving(name, true)
 		}
 	})
-	w.monitor.setLeaving(names)
+	w.monitor.SetLeaving(names)
 }
 
 // newShares returns the shares of an endpoint; the holders of the other seats may hold loans of an earlier run.
@@ -131,7 +130,7 @@
 	}()
 	go func() {
 		defer i.ends.Done()
-		w.monitor.run(i.groupCtx)
+		w.monitor.Run(i.groupCtx, w.group)
 	}()
 }
 
--- a/instance/monitor.go
+++ b/instance/monitor.go
@@ -2,31 +2,15 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
-	"github.com/monsoontiller/monsoontiller/clock"
 	"github.com/monsoontiller/monsoontiller/endpoint"
 	"github.com/monsoontiller/monsoontiller/engine"
 	"github.com/monsoontiller/monsoontiller/event"
 	"github.com/monsoontiller/monsoontiller/failover"
 	"github.com/monsoontiller/monsoontiller/group"
-	"github.com/monsoontiller/monsoontiller/route"
 )
 
-// monitor runs the failover machine of one group.
-type monitor struct {
-	instance *Instance
-	name     string
-	group    *engine.Group[*endpoint.Conn]
-	mu       sync.Mutex
-	machine  *failover.Machine
-	ctx      context.Context
-	// confirmedAt is when the primary was last known to lead, and lapsedAt that time once the lease has run out.
-	confirmedAt time.Time
-	lapsedAt    time.Time
-}
-
 // Timing of the failover machine, as multiples of what the instance is set to.
 const (
 	suspectProbes = 4
@@ -37,15 +21,16 @@
 	catchUp       = time.Second
 )
 
-func newMonitor(i *Instance, name string, members []engine.Address) *monitor {
+// monitor runs the failover machine of one group of PostgreSQL endpoints.
+type monitor = engine.Monitor[*endpoint.Conn]
+
+func newMonitor(i *Instance, name string, members []engine.Address, orders engine.Orders) *monitor {
 	var names []string
 	for _, m := range members {
 		names = append(names, m.Endpoint)
 	}
-	return &monitor{
-		instance: i,
-		name:     name,
-		machine: failover.New(failover.Config{
+	return engine.NewMonitor(engine.MonitorConfig[*endpoint.Conn]{
+		Failover: failover.Config{
 			Group:         name,
 			Instance:      i.cfg.Name,
 			Members:       names,
@@ -56,120 +41,60 @@
 			StepTimeout:   stepTimeout,
 			TakeOverAfter: i.cfg.Lease + takeOverExtra,
 			CatchUp:       catchUp,
-		}),
-	}
+		},
+		Fleet:        &fleet{instance: i},
+		Orders:       orders,
+		Tick:         monitorTick,
+		PublishPause: pollInterval,
+	})
 }
 
-// run feeds time and the fleet's size to the machine until ctx ends.
-func (m *monitor) run(ctx context.Context) {
-	m.mu.Lock()
-	m.ctx = ctx
-	m.mu.Unlock()
-	ticker := time.NewTicker(monitorTick)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-			rank, others := m.instance.rank("group/" + m.name)
-			m.step(failover.Fleet{Others: others, Rank: rank})
-			m.step(failover.Tick{})
-			m.measureGap(clock.Now())
-		case <-ctx.Done():
-			return
-		}
-	}
+// fleet answers a monitor from the peers and the table.
+type fleet struct {
+	instance *Instance
 }
 
-// measureGap records how long writes were impossible once they are possible again: from the primary's last confirmation on.
-func (m *monitor) measureGap(now time.Time) {
-	var confirmed time.Time
-	m.group.View(func(t *route.Tracker) { confirmed = t.ConfirmedAt() })
-	valid := m.group.LeaseValid()
-	if confirmed.After(m.confirmedAt) && valid {
-		m.confirmedAt = confirmed
-	}
-	switch {
-	case !valid && m.lapsedAt.IsZero():
-		m.lapsedAt = m.confirmedAt
-	case valid && !m.lapsedAt.IsZero():
-		m.instance.recordGap(m.name, now.Sub(m.lapsedAt))
-		m.lapsedAt = time.Time{}
-	}
-}
+// Place returns this instance's place for a duty among the live ones and how many others there are.
+func (f *fleet) Place(duty string) (place, others int) { return f.instance.rank(duty) }
 
-// step gives the machine an event and carries out its actions.
-func (m *monitor) step(e failover.Event) {
-	m.mu.Lock()
-	ctx := m.ctx
-	actions := m.machine.Step(clock.Now(), e)
-	m.mu.Unlock()
-	if ctx == nil {
-		return
-	}
-	for _, a := range actions {
-		m.act(ctx, a)
-	}
+// Views asks the others whether they have lost a primary.
+func (f *fleet) Views(ctx context.Context, name string, term group.Term, take func(failover.View)) {
+	f.instance.node.Views(ctx, name, term, take)
 }
 
-func (m *monitor) act(ctx context.Context, a failover.Action) {
-	switch a := a.(type) {
-	case failover.AskViews:
-		go m.instance.node.Views(ctx, m.name, a.Term, func(v failover.View) { m.step(v) })
-	case failover.Claim:
-		go m.claim(ctx, a)
-	case failover.Fence:
-		m.group.Send(a.Endpoint, func(ctx context.Context, c *endpoint.Conn) (group.Status, error) {
-			return c.Fence(ctx, a.Term, a.Attempt)
-		})
-	case failover.Promote:
-		m.group.Send(a.Endpoint, func(ctx context.Context, c *endpoint.Conn) (group.Status, error) {
-			return c.Promote(ctx, a.Term, a.Attempt)
-		})
-	case failover.Publish:
-		go m.publish(ctx, a)
-	case failover.Explain:
-		m.instance.events.Add(event.Config{Subject: "group/" + m.name, Decision: string(a.Decision), Evidence: a.Evidence})
-	}
+// Claim records an attempt in the table.
+func (f *fleet) Claim(ctx context.Context, name string, term group.Term, attempt string) (failover.ClaimOutcome, group.Term) {
+	return f.instance.cfg.Platform.ClaimTerm(ctx, name, term, attempt)
 }
 
-func (m *monitor) claim(ctx context.Context, a failover.Claim) {
-	outcome, term := m.instance.cfg.Platform.ClaimTerm(ctx, m.name, a.Term, a.Attempt)
-	m.step(failover.ClaimResult{Attempt: a.Attempt, Outcome: outcome, Term: term})
+// Publish records the new primary in the table.
+func (f *fleet) Publish(ctx context.Context, name string, term group.Term, endpoint string) error {
+	return f.instance.cfg.Platform.PublishTerm(ctx, name, term, endpoint)
 }
 
-// publish records the new primary in the table once that answers.
-func (m *monitor) publish(ctx context.Context, a failover.Publish) {
-	for ctx.Err() == nil {
-		if m.instance.cfg.Platform.PublishTerm(ctx, m.name, a.Term, a.Endpoint) == nil {
-			return
-		}
-		select {
-		case <-time.After(pollInterval):
-		case <-ctx.Done():
-		}
-	}
+// Explain keeps a decision for operators.
+func (f *fleet) Explain(subject, decision, evidence string) {
+	f.instance.events.Add(event.Config{Subject: subject, Decision: decision, Evidence: evidence})
 }
 
-// Probed feeds a member's status to the machine.
-func (m *monitor) Probed(s group.Status) { m.step(failover.Probed{Status: s}) }
-
-// ProbeFailed feeds a member's silence to the machine.
-func (m *monitor) ProbeFailed(endpoint string, refused bool) {
-	m.step(failover.ProbeFailed{Endpoint: endpoint, Refused: refused})
-}
+// Gap counts a failover gap.
+func (f *fleet) Gap(name string, d time.Duration) { f.instance.recordGap(name, d) }
 
-func (m *monitor) setLeaving(endpoints []string) {
-	m.step(failover.Leaving{Endpoints: endpoints})
+// orders sends the members of a group the orders of a promotion.
+type orders struct {
+	group func() *engine.Group[*endpoint.Conn]
 }
 
-func (m *monitor) lost(term group.Term) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.machine.Lost(clock.Now(), term)
+// Fence asks a member to promise a term.
+func (o *orders) Fence(name string, term group.Term, attempt string) {
+	o.group().Send(name, func(ctx context.Context, c *endpoint.Conn) (group.Status, error) {
+		return c.Fence(ctx, term, attempt)
+	})
 }
 
-func (m *monitor) phase() string {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.machine.Phase()
+// Promote asks a member to lead a term.
+func (o *orders) Promote(name string, term group.Term, attempt string) {
+	o.group().Send(name, func(ctx context.Context, c *endpoint.Conn) (group.Status, error) {
+		return c.Promote(ctx, term, attempt)
+	})
 }
--- a/instance/operator.go
+++ b/instance/operator.go
@@ -284,7 +284,7 @@
 }
 
 func groupStatus(w *watched) *operatorv1.GroupStatus {
-	out := &operatorv1.GroupStatus{Name: w.group.Name(), Lease: w.group.LeaseValid(), Phase: w.monitor.phase()}
+	out := &operatorv1.GroupStatus{Name: w.group.Name(), Lease: w.group.LeaseValid(), Phase: w.monitor.Phase()}
 	w.group.View(func(t *route.Tracker) {
 		out.Term = uint64(t.Term())
 		out.Primary = t.Primary()
