--- a/caller/binding.go
+++ b/caller/binding.go
@@ -49,7 +49,7 @@
 // Account is shared by the sessions of one customer; it is safe for concurrent use.
 type Account struct {
 	mu      sync.Mutex
-	budget  *retry.Budget
+	budget  *retry.SharedBudget
 	callers int
 }
 
@@ -58,23 +58,15 @@
 
 // NewAccount returns an account with the contract's retry budget.
 func NewAccount(r contract.Retries) *Account {
-	return &Account{budget: newBudget(r)}
+	return &Account{budget: retry.NewSharedBudget(budgetOf(r))}
 }
 
-func newBudget(r contract.Retries) *retry.Budget {
-	return retry.NewBudget(retry.BudgetConfig{
-		Ratio:     r.Ratio(),
-		PerSecond: r.PerSecond(),
-		Burst:     retryBurst,
-	})
+func budgetOf(r contract.Retries) retry.BudgetConfig {
+	return retry.BudgetConfig{Ratio: r.Ratio(), PerSecond: r.PerSecond(), Burst: retryBurst}
 }
 
 // SetRetries changes the retry budget to that of a new contract revision.
-func (a *Account) SetRetries(r contract.Retries) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.budget = newBudget(r)
-}
+func (a *Account) SetRetries(r contract.Retries) { a.budget.Set(budgetOf(r)) }
 
 // Enter counts a session in and reports whether limit allows it.
 func (a *Account) Enter(limit int) bool {
@@ -101,17 +93,9 @@
 	return a.callers
 }
 
-func (a *Account) request() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.budget.Request()
-}
+func (a *Account) request() { a.budget.Request() }
 
-func (a *Account) allowRetry(now time.Time) bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.budget.Allow(now)
-}
+func (a *Account) allowRetry(now time.Time) bool { return a.budget.Allow(now) }
 
 // Outcome says how a request ended for its caller.
 type Outcome uint8
--- a/cmd/monsoontiller/main.go
+++ b/cmd/monsoontiller/main.go
@@ -23,6 +23,7 @@
 // options are the subcommands.
 type options struct {
 	Serve    serveCommand    `command:"serve" description:"Run one instance"`
+	Node     nodeCommand     `command:"node" description:"Run one instance on a machine of the platform"`
 	Dev      devCommand      `command:"dev" description:"Run instances with a stand-in platform and databases in one process"`
 	Check    checkCommand    `command:"check" description:"Report every mistake of settings and contract files"`
 	Contract contractCommand `command:"contract" description:"Apply and read contracts"`
--- a/cmd/monsoontiller/operate.go
+++ b/cmd/monsoontiller/operate.go
@@ -16,10 +16,10 @@
 	"connectrpc.com/connect"
 
 	"github.com/monsoontiller/monsoontiller/contract"
-	"github.com/monsoontiller/monsoontiller/instance"
 	"github.com/monsoontiller/monsoontiller/operator"
 	"github.com/monsoontiller/monsoontiller/operator/operatorv1"
 	"github.com/monsoontiller/monsoontiller/operator/operatorv1/operatorv1connect"
+	"github.com/monsoontiller/monsoontiller/peer"
 	"github.com/monsoontiller/monsoontiller/settings"
 )
 
@@ -47,7 +47,7 @@
 
 func (r *remote) transport() (*http.Client, string, error) {
 	if r.Cert == "" {
-		return instance.NewPeerClient(nil), r.Operator, nil
+		return peer.NewClient(nil), r.Operator, nil
 	}
 	_, client, err := settings.TLS{PeerCert: r.Cert, PeerKey: r.Key, PeerCA: r.CA}.PeerTLS()
 	if err != nil {
@@ -56,7 +56,7 @@
 	return newTLSClient(client), "https://" + r.Operator, nil
 }
 
-func newTLSClient(cfg *tls.Config) *http.Client { return instance.NewPeerClient(cfg) }
+func newTLSClient(cfg *tls.Config) *http.Client { return peer.NewClient(cfg) }
 
 // contractCommand groups the subcommands on contracts.
 type contractCommand struct {
--- a/cmd/monsoontiller/serve.go
+++ b/cmd/monsoontiller/serve.go
@@ -15,6 +15,7 @@
 	"github.com/uber-go/tally/v4/prometheus"
 
 	"github.com/monsoontiller/monsoontiller/instance"
+	"github.com/monsoontiller/monsoontiller/peer"
 	"github.com/monsoontiller/monsoontiller/session"
 	"github.com/monsoontiller/monsoontiller/settings"
 	"github.com/monsoontiller/monsoontiller/table"
@@ -95,7 +96,7 @@
 	}
 	cfg.PeerServerTLS = server
 	cfg.OperatorTLS = server
-	cfg.PeerClient = instance.NewPeerClient(client)
+	cfg.PeerClient = peer.NewClient(client)
 	if cfg.PeerListener, err = net.Listen("tcp", s.PeerAddress()); err != nil {
 		return cfg, err
 	}
--- a/dev/control_test.go
+++ b/dev/control_test.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"github.com/monsoontiller/monsoontiller/dev"
-	"github.com/monsoontiller/monsoontiller/instance"
+	"github.com/monsoontiller/monsoontiller/peer"
 )
 
 // countedConn counts the bytes of the connections between peers.
@@ -35,7 +35,7 @@
 // countingClient returns a peer client whose connections add their bytes to a counter.
 func countingClient(bytes *atomic.Int64) *http.Client {
 	var d net.Dialer
-	c := instance.NewPeerClient(nil)
+	c := peer.NewClient(nil)
 	c.Transport.(*http.Transport).DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 		nc, err := d.DialContext(ctx, network, address)
 		return countedConn{Conn: nc, bytes: bytes}, err
--- a/dev/fleet_test.go
+++ b/dev/fleet_test.go
@@ -13,8 +13,8 @@
 	"github.com/monsoontiller/monsoontiller/dev"
 	"github.com/monsoontiller/monsoontiller/endpoint/endpointtest"
 	"github.com/monsoontiller/monsoontiller/fault"
-	"github.com/monsoontiller/monsoontiller/instance"
 	"github.com/monsoontiller/monsoontiller/operator/operatorv1"
+	"github.com/monsoontiller/monsoontiller/peer"
 )
 
 func TestContractChangeIsInForceOnEveryInstance(t *testing.T) {
@@ -74,12 +74,12 @@
 }
 
 func TestInstanceWithoutPlatformAndPeersStops(t *testing.T) {
-	c := &cutter{next: instance.NewPeerClient(nil).Transport}
+	c := &cutter{next: peer.NewClient(nil).Transport}
 	links := func(name string) *http.Client {
 		if name == "entry-1" {
 			return &http.Client{Transport: c}
 		}
-		return instance.NewPeerClient(nil)
+		return peer.NewClient(nil)
 	}
 	f := startFleet(t, dev.Config{Instances: 3, PeerClient: links, PlatformClient: links, FreshBound: 2 * time.Second})
 	one := connectTo(t, f, 0)
@@ -202,7 +202,7 @@
 }
 
 func TestInstanceIsNotReadyBeforeItKnowsTheGroups(t *testing.T) {
-	g := &gate{opened: make(chan struct{}), next: instance.NewPeerClient(nil).Transport}
+	g := &gate{opened: make(chan struct{}), next: peer.NewClient(nil).Transport}
 	f := startFleet(t, dev.Config{Instances: 1, PlatformClient: func(name string) *http.Client {
 		if name == "entry-2" {
 			return &http.Client{Transport: g}
--- a/dev/helpers_test.go
+++ b/dev/helpers_test.go
@@ -19,6 +19,7 @@
 	"github.com/monsoontiller/monsoontiller/operator"
 	"github.com/monsoontiller/monsoontiller/operator/operatorv1"
 	"github.com/monsoontiller/monsoontiller/operator/operatorv1/operatorv1connect"
+	"github.com/monsoontiller/monsoontiller/peer"
 )
 
 // patience bounds every wait; nothing in a test depends on how much of it is used.
@@ -88,7 +89,7 @@
 }
 
 func client(i *instance.Instance) operatorv1connect.OperatorServiceClient {
-	return operator.NewClient(operator.ClientConfig{Address: i.OperatorAddress(), HTTP: instance.NewPeerClient(nil)})
+	return operator.NewClient(operator.ClientConfig{Address: i.OperatorAddress(), HTTP: peer.NewClient(nil)})
 }
 
 func apply(i *instance.Instance, text string, base uint64, id string) (uint64, error) {
--- a/endpoint/tcp.go
+++ b/endpoint/tcp.go
@@ -5,10 +5,9 @@
 	"crypto/tls"
 	"errors"
 	"net"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"github.com/monsoontiller/monsoontiller/transport"
 )
 
 const (
@@ -20,15 +19,12 @@
 
 // dialTCP connects with keepalive and TCP_USER_TIMEOUT set, so that a peer that vanished is noticed.
 func dialTCP(ctx context.Context, cfg DialConfig) (net.Conn, error) {
-	d := net.Dialer{
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable:   true,
-			Idle:     keepAliveIdle,
-			Interval: keepAliveInterval,
-			Count:    keepAliveCount,
-		},
-		Control: setUserTimeout,
-	}
+	d := transport.Dialer(transport.Config{
+		Idle:        keepAliveIdle,
+		Interval:    keepAliveInterval,
+		Count:       keepAliveCount,
+		UserTimeout: userTimeout,
+	})
 	nc, err := d.DialContext(ctx, "tcp", cfg.Address)
 	if err != nil || cfg.TLS == nil {
 		return nc, err
@@ -36,14 +32,6 @@
 	return startTLS(ctx, nc, cfg)
 }
 
-func setUserTimeout(_, _ string, rc syscall.RawConn) error {
-	var optErr error
-	err := rc.Control(func(fd uintptr) {
-		optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
-	})
-	return errors.Join(err, optErr)
-}
-
 var sslRequest = []byte{0, 0, 0, 8, 4, 210, 22, 47}
 
 // startTLS asks the endpoint for TLS and fails when it declines.
--- a/engine/group.go
+++ b/engine/group.go
@@ -36,7 +36,7 @@
 	Observer Observer
 }
 
-// Observer takes the results of probes and commands; it must be safe for concurrent use.
+// Observer takes the results of probes and orders; it must be safe for concurrent use.
 type Observer interface {
 	// Probed takes a member's status.
 	Probed(s group.Status)
@@ -63,7 +63,7 @@
 	address     Address
 	connections *Connections[L]
 	kick        chan struct{}
-	commands    chan Command[L]
+	orders      chan Order[L]
 	stop        context.CancelFunc
 	lastError   error
 	answeredAt  time.Time
@@ -139,9 +139,9 @@
 
 func (g *Group[L]) newMember(a Address) *member[L] {
 	return &member[L]{
-		address:  a,
-		kick:     make(chan struct{}, 1),
-		commands: make(chan Command[L], maxCommands),
+		address: a,
+		kick:    make(chan struct{}, 1),
+		orders:  make(chan Order[L], maxOrders),
 		connections: NewConnections(ConnectionsConfig[L]{
 			Endpoint: a.Endpoint,
 			Limit:    max(0, g.limit-probeConnections),
--- a/engine/probe.go
+++ b/engine/probe.go
@@ -7,23 +7,24 @@
 	"syscall"
 	"time"
 
+	"github.com/monsoontiller/monsoontiller/fault"
 	"github.com/monsoontiller/monsoontiller/group"
 )
 
-// Command asks a member for something over a connection and returns the status that follows.
-type Command[L Link[L]] func(ctx context.Context, c L) (group.Status, error)
+// Order asks a member for something over a connection and returns the status that follows.
+type Order[L Link[L]] func(ctx context.Context, c L) (group.Status, error)
 
-// maxCommands is the number of commands that may wait for one member; more are dropped, as lost messages are.
-const maxCommands = 16
+// maxOrders is the number of orders that may wait for one member; more are dropped, as lost messages are.
+const maxOrders = 16
 
-// Send queues a command to a member; its result reaches the observer like a probe's.
-func (g *Group[L]) Send(endpoint string, command Command[L]) {
+// Send queues an order to a member; its result reaches the observer like a probe's.
+func (g *Group[L]) Send(endpoint string, order Order[L]) {
 	m := g.member(endpoint)
 	if m == nil {
 		return
 	}
 	select {
-	case m.commands <- command:
+	case m.orders <- order:
 	default:
 	}
 }
@@ -70,24 +71,24 @@
 	}
 }
 
-// probeLoop probes one member at every interval and on every kick, and sends it the commands.
+// probeLoop probes one member at every interval and on every kick, and sends it the orders.
 func (g *Group[L]) probeLoop(ctx context.Context, m *member[L]) {
 	ticker := time.NewTicker(g.cfg.ProbeInterval)
 	defer ticker.Stop()
 	var none, conn L
-	command := Command[L](statusCommand[L])
+	order := Order[L](statusOrder[L])
 	for {
-		if command != nil {
-			conn = g.probe(ctx, m, conn, command)
+		if order != nil {
+			conn = g.probe(ctx, m, conn, order)
 		}
-		command = statusCommand[L]
+		order = statusOrder[L]
 		select {
 		case <-ticker.C:
 			if s, ok := g.heardByTraffic(m); ok && conn != none {
 				g.tell(s)
-				command = nil
+				order = nil
 			}
-		case command = <-m.commands:
+		case order = <-m.orders:
 		case <-m.kick:
 			g.pace(ctx, conn)
 		case <-ctx.Done():
@@ -100,7 +101,7 @@
 	}
 }
 
-func statusCommand[L Link[L]](ctx context.Context, c L) (group.Status, error) { return c.Status(ctx) }
+func statusOrder[L Link[L]](ctx context.Context, c L) (group.Status, error) { return c.Status(ctx) }
 
 // pace keeps kicks from redialing an unreachable member without pause.
 func (g *Group[L]) pace(ctx context.Context, conn L) {
@@ -117,8 +118,8 @@
 // redialPause is the least time between two dials of an unreachable member.
 const redialPause = 20 * time.Millisecond
 
-// probe sends the member a command over conn, dialing first if conn is unset, and returns the connection for the next one.
-func (g *Group[L]) probe(ctx context.Context, m *member[L], conn L, command Command[L]) L {
+// probe sends the member a order over conn, dialing first if conn is unset, and returns the connection for the next one.
+func (g *Group[L]) probe(ctx context.Context, m *member[L], conn L, order Order[L]) L {
 	ctx, cancel := context.WithTimeout(ctx, g.cfg.ProbeTimeout)
 	defer cancel()
 	var none L
@@ -131,7 +132,10 @@
 		return none
 	}
 	sentAt := g.cfg.Clock()
-	s, err := command(ctx, conn)
+	s, err := order(ctx, conn)
+	if fault.KindOf(err) == fault.KindOverloaded {
+		return conn
+	}
 	if err != nil {
 		conn.Close()
 		g.failed(m, err)
--- /dev/null
+++ b/engine/session.go
@@ -0,0 +1,249 @@
+package engine
+
+import (
+	"context"
+	"time"
+
+	"github.com/monsoontiller/monsoontiller/contract"
+	"github.com/monsoontiller/monsoontiller/fault"
+	"github.com/monsoontiller/monsoontiller/group"
+	"github.com/monsoontiller/monsoontiller/retry"
+	"github.com/monsoontiller/monsoontiller/route"
+)
+
+// Terms is what the contract in force grants to a session.
+type Terms[L Link[L]] struct {
+	Contract *contract.Contract
+	Group    *Group[L]
+	Retries  *retry.SharedBudget
+	// Revision is the version of the configuration that the terms come from.
+	Revision uint64
+}
+
+// TermsSource finds the contract in force for a database.
+type TermsSource[L Link[L]] interface {
+	// Terms returns the terms for a database; it fails with KindNotFound, or KindStale before any configuration is known.
+	Terms(database string) (Terms[L], error)
+}
+
+// SessionConfig describes the session of one caller.
+type SessionConfig[L StatementLink[L]] struct {
+	ID       string
+	Database string
+	Source   TermsSource[L]
+	Policy   route.Policy
+	Recorder SessionRecorder
+	Clock    func() time.Time
+}
+
+// SessionRecorder takes the outcome of each statement that went to an endpoint or was refused; it must be safe for concurrent use.
+type SessionRecorder interface {
+	// Record takes one outcome.
+	Record(r Record)
+}
+
+// Record says how a statement ended and what decided it.
+type Record struct {
+	Session  string
+	Request  string
+	Database string
+	Op       Op
+	Endpoint string
+	Target   route.Target
+	Floor    group.Point
+	Retries  int
+	Took     time.Duration
+	Revision uint64
+	// Refusal is nil for a success.
+	Refusal *Refusal
+}
+
+// Session carries the statements of one caller; it is not safe for concurrent use.
+type Session[L StatementLink[L]] struct {
+	cfg      SessionConfig[L]
+	values   map[string]string
+	prepared map[string]*prepared
+	// floor is the log point of the session's newest commit.
+	floor group.Point
+	terms Terms[L]
+	tx    *transaction[L]
+	// commands and answers are reused from one statement to the next.
+	commands []Command
+	answers  []Answer
+}
+
+// NewSession returns a session without values or transaction.
+func NewSession[L StatementLink[L]](cfg SessionConfig[L]) *Session[L] {
+	return &Session[L]{cfg: cfg, values: map[string]string{}, prepared: map[string]*prepared{}}
+}
+
+// State returns the state between two statements.
+func (s *Session[L]) State() TxState {
+	switch {
+	case s.tx == nil:
+		return TxNone
+	case s.tx.failed:
+		return TxFailed
+	}
+	return TxOpen
+}
+
+// Holding reports whether the session holds a link in an open transaction.
+func (s *Session[L]) Holding() bool { return s.tx != nil && s.tx.open }
+
+// TransactionIdle returns how long the open transaction may wait for its next statement.
+func (s *Session[L]) TransactionIdle() time.Duration {
+	return s.terms.Contract.Limits().TransactionIdle()
+}
+
+// Do answers one statement that arrived at receivedAt.
+func (s *Session[L]) Do(ctx context.Context, st Statement, receivedAt time.Time) Answer {
+	if s.tx != nil {
+		return s.inTransaction(ctx, st, receivedAt)
+	}
+	switch st.Op {
+	case OpCommit, OpRollback:
+		return refuse(ReasonMalformed, "no transaction is open", TxNone)
+	case OpBegin, OpBeginRead:
+		return s.begin(st, receivedAt)
+	case OpRead, OpWrite, OpExecute:
+		return s.single(ctx, st, receivedAt)
+	}
+	return s.local(st)
+}
+
+// local answers the statements that only change the session.
+func (s *Session[L]) local(st Statement) Answer {
+	switch st.Op {
+	case OpSet:
+		s.values[st.Name] = st.Argument
+	case OpPrepare:
+		s.prepared[st.Name] = newPrepared(st.Argument, st.Writes)
+	case OpDeallocate:
+		delete(s.prepared, st.Name)
+	default:
+		return refuse(ReasonMalformed, "the statement is not known", s.State())
+	}
+	return done(s.State())
+}
+
+// begin opens a transaction, which takes a link only with its first statement.
+func (s *Session[L]) begin(st Statement, receivedAt time.Time) Answer {
+	if err := s.bind(); err != nil {
+		return s.refusal(st, err, TxNone)
+	}
+	s.tx = &transaction[L]{readOnly: st.Op == OpBeginRead, startedAt: receivedAt}
+	return done(TxOpen)
+}
+
+// bind takes the terms in force now.
+func (s *Session[L]) bind() error {
+	t, err := s.cfg.Source.Terms(s.cfg.Database)
+	if err != nil {
+		return err
+	}
+	s.terms = t
+	return nil
+}
+
+// single runs a statement outside a transaction.
+func (s *Session[L]) single(ctx context.Context, st Statement, receivedAt time.Time) Answer {
+	if err := s.bind(); err != nil {
+		return s.refusal(st, err, TxNone)
+	}
+	j, refused := s.newJob(st, receivedAt)
+	if refused != nil {
+		return *refused
+	}
+	h, f, err := s.serve(ctx, j)
+	if err != nil {
+		return s.record(j, f, h, s.refusal(st, err, TxNone))
+	}
+	h.Release()
+	return s.record(j, f, h, j.answer)
+}
+
+// newJob returns the work of a statement; refused is set when its prepared statement is not known.
+func (s *Session[L]) newJob(st Statement, receivedAt time.Time) (j *job[L], refused *Answer) {
+	j = &job[L]{session: s, statement: st, receivedAt: receivedAt, writes: st.Op == OpWrite}
+	if st.Op == OpExecute {
+		j.needs = s.prepared[st.Name]
+		if j.needs == nil {
+			a := refuse(ReasonUnknownStatement, st.Name+" is not prepared", s.State())
+			return nil, &a
+		}
+		j.writes = j.needs.writes
+	}
+	j.deadline = receivedAt.Add(s.terms.Contract.Limits().RequestTimeout())
+	return j, nil
+}
+
+// serve carries a job through the engine.
+func (s *Session[L]) serve(ctx context.Context, j *job[L]) (Held[L], *Flow[L], error) {
+	c := s.terms.Contract
+	f := NewFlow(FlowConfig[L]{
+		Group:  s.terms.Group,
+		Policy: s.cfg.Policy,
+		Ask: Request{
+			Customer:   c.Customer(),
+			QueueLimit: c.Limits().QueueLength(),
+			Deadline:   j.deadline,
+			MaxIdle:    noIdleCheck,
+		},
+		Deadline:   j.deadline,
+		Idempotent: !j.writes || s.tx != nil,
+		Backoff:    retry.NewBackoff(retry.BackoffConfig{First: c.Retries().First(), Max: c.Retries().Max()}),
+		AllowRetry: s.terms.Retries.Allow,
+	})
+	s.terms.Retries.Request()
+	h, err := f.Serve(ctx, j)
+	return h, f, err
+}
+
+// noIdleCheck leaves out the check of idle links: a lost one shows when it is used.
+const noIdleCheck = time.Hour
+
+// refusal turns an error of the proxy into an answer.
+func (s *Session[L]) refusal(st Statement, err error, state TxState) Answer {
+	e := fault.As(err)
+	reason := ReasonOverloaded
+	switch {
+	case e.Kind() == fault.KindNotFound:
+		reason = ReasonNoDatabase
+	case e.Kind().Ran() == fault.RanUnknown && st.Op != OpRead:
+		reason = ReasonInDoubt
+	}
+	return refuse(reason, e.Message(), state)
+}
+
+// record reports the outcome of a statement and returns its answer.
+func (s *Session[L]) record(j *job[L], f *Flow[L], h Held[L], a Answer) Answer {
+	if s.cfg.Recorder == nil {
+		return a
+	}
+	r := Record{
+		Session:  s.cfg.ID,
+		Request:  j.statement.ID,
+		Database: s.cfg.Database,
+		Op:       j.statement.Op,
+		Endpoint: j.endpoint,
+		Floor:    h.Request.Floor,
+		Took:     s.cfg.Clock().Sub(j.receivedAt),
+		Revision: s.terms.Revision,
+		Refusal:  a.Refusal,
+	}
+	if f != nil {
+		r.Target = f.Target()
+		r.Retries = f.Retries()
+	}
+	s.cfg.Recorder.Record(r)
+	return a
+}
+
+// Close ends the session; an open transaction is rolled back.
+func (s *Session[L]) Close() {
+	if s.tx != nil {
+		s.rollback()
+		s.tx = nil
+	}
+}
--- a/failover/promote.go
+++ b/failover/promote.go
@@ -123,9 +123,9 @@
 }
 
 func (m *Machine) better(name string, s group.Status, best string) bool {
-	than := m.attempt.fenced[best].Point()
-	if s.Point() != than {
-		return than.Less(s.Point())
+	than := m.attempt.fenced[best].Received()
+	if s.Received() != than {
+		return than.Less(s.Received())
 	}
 	return m.members[best].leaving && !m.members[name].leaving
 }
@@ -134,7 +134,7 @@
 	m.attempt.chosen = m.choose()
 	m.enter(now, phasePromoting)
 	chosen := m.attempt.fenced[m.attempt.chosen]
-	evidence := fmt.Sprintf("%s at %v has the longest log of %d fenced members", m.attempt.chosen, chosen.Point(), len(m.attempt.fenced))
+	evidence := fmt.Sprintf("%s at %v has the longest log of %d fenced members", m.attempt.chosen, chosen.Received(), len(m.attempt.fenced))
 	return []Action{Explain{Decision: DecisionChoose, Evidence: evidence}, m.promoteAction()}
 }
 
@@ -186,7 +186,7 @@
 		return m.abandon(now, "a member has promised a higher term")
 	}
 	old, fenced := m.attempt.fenced[m.attempt.old]
-	if fenced && m.hasCaughtUp(old.Point()) {
+	if fenced && m.hasCaughtUp(old.Received()) {
 		return m.startFencing(now)
 	}
 	if now.Sub(m.since) >= m.cfg.CatchUp {
@@ -204,7 +204,7 @@
 		if name == m.attempt.old || s.leaving || !s.heard {
 			continue
 		}
-		if s.status.Point() == point {
+		if s.status.Received() == point {
 			return true
 		}
 	}
--- /dev/null
+++ b/fleet/backend.go
@@ -0,0 +1,40 @@
+package fleet
+
+import (
+	"context"
+
+	"github.com/monsoontiller/monsoontiller/group"
+	"github.com/monsoontiller/monsoontiller/peer"
+	"github.com/monsoontiller/monsoontiller/pool"
+)
+
+// backend answers peers for an instance.
+//
+// Connections are not lent here: the endpoints' own limit is shared by size.
+type backend[L Link[L]] struct {
+	instance *Instance[L]
+}
+
+// Lost reports whether this instance has lost the primary of a group's term.
+func (b *backend[L]) Lost(name string, term uint64) bool {
+	w := b.instance.members.find(name)
+	return w != nil && w.monitor.Lost(group.Term(term))
+}
+
+// ItemApplied takes what a peer has from the store.
+func (b *backend[L]) ItemApplied(item peer.ConfigItem) { b.instance.itemApplied(item) }
+
+// PeerChanged brings the shares of connections in line with the fleet's size.
+func (b *backend[L]) PeerChanged() { b.instance.members.cutShares() }
+
+// Cancel reports false: the protocol of the callers has no cancel requests.
+func (b *backend[L]) Cancel(context.Context, uint32, []byte) bool { return false }
+
+// Lend grants nothing.
+func (b *backend[L]) Lend(string, pool.LoanReport) int { return 0 }
+
+// Reported ignores loans.
+func (b *backend[L]) Reported(string, pool.LoanReport) {}
+
+// Loans returns none.
+func (b *backend[L]) Loans(string) []peer.Loan { return nil }
--- /dev/null
+++ b/fleet/config.go
@@ -0,0 +1,70 @@
+package fleet
+
+import (
+	"net"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/monsoontiller/monsoontiller/store"
+)
+
+// Config describes an instance.
+type Config[L Link[L]] struct {
+	Name         string
+	DataCentre   string
+	PeerListener net.Listener
+	Seeds        []string
+	Store        store.Store
+	Adapter      Adapter[L]
+	Logger       log.Logger
+	Scope        tally.Scope
+}
+
+// Timing of the watch over endpoints.
+const (
+	// lease is how long the primary may be used after it was confirmed: it bounds the wait of a promotion,
+	// and must outlast a few probes that wait behind a full queue at the endpoint.
+	lease = 900 * time.Millisecond
+	// probeInterval allows four probes a lease.
+	probeInterval = 200 * time.Millisecond
+	// probeTimeout is longer than a full queue takes at an endpoint and shorter than the lease.
+	probeTimeout = 700 * time.Millisecond
+	// suspectAfter is how long a primary must be silent: longer than any probe may take.
+	suspectAfter = 1100 * time.Millisecond
+	// refusedAfter is how long it must refuse connections: longer than a process takes to listen again after a reset.
+	refusedAfter = 250 * time.Millisecond
+	// stagger keeps instances from claiming the same promotion at once.
+	stagger = 300 * time.Millisecond
+	// stepTimeout bounds each step of a promotion.
+	stepTimeout = 300 * time.Millisecond
+	// takeOverAfter is how long another promotion may go without a primary; one takes lease and the platform's time.
+	takeOverAfter = lease + 2*time.Second
+	// catchUp is how long a switchover waits for a replica.
+	catchUp = time.Second
+	// monitorTick is the interval at which a failover machine looks at the time.
+	monitorTick = 50 * time.Millisecond
+	// publishPause is the wait before a decision is written to the store again.
+	publishPause = time.Second
+)
+
+// Timing of the store.
+const (
+	// retryPause is the wait before the store is asked again after a failure.
+	retryPause = 250 * time.Millisecond
+	// maxRetryPause is the longest such wait: outages last for seconds, and each call has its price.
+	maxRetryPause = time.Second
+	// goneGrace is how long an endpoint that answers is kept without its entry: entries that lapse in an
+	// outage of the store are back within two seconds of its end.
+	goneGrace = 2500 * time.Millisecond
+	// dutyLease is how long the holder of a duty keeps it without renewal.
+	dutyLease = 5 * time.Second
+	// dutyMargin is taken off the holder's own view of its lease, for an order that is on its way.
+	dutyMargin = 1500 * time.Millisecond
+	// claimTries is how often a claim meets another writer before it is given up.
+	claimTries = 3
+)
+
+// reservedInstances is the number of instances that may join before shares of connections are cut again.
+const reservedInstances = 2
--- /dev/null
+++ b/fleet/directory.go
@@ -0,0 +1,91 @@
+package fleet
+
+import (
+	"sync"
+
+	"github.com/monsoontiller/monsoontiller/contract"
+	"github.com/monsoontiller/monsoontiller/engine"
+	"github.com/monsoontiller/monsoontiller/fault"
+	"github.com/monsoontiller/monsoontiller/retry"
+)
+
+// retryBurst is the most retries that a customer can save up.
+const retryBurst = 20
+
+// directory keeps the configuration in force; it is safe for concurrent use.
+type directory[L Link[L]] struct {
+	mu       sync.RWMutex
+	document Document
+	known    bool
+	budgets  map[string]*retry.SharedBudget
+	group    func(name string) *engine.Group[L]
+}
+
+// Apply brings a version into force unless a newer one is, and reports whether it did.
+func (d *directory[L]) Apply(doc Document) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.known && doc.Version <= d.document.Version {
+		return false
+	}
+	budgets := map[string]*retry.SharedBudget{}
+	for name, c := range doc.Contracts {
+		budgets[name] = d.budgets[name]
+		if budgets[name] == nil {
+			budgets[name] = newBudget(c.Retries())
+		}
+	}
+	d.budgets = budgets
+	d.document = doc
+	d.known = true
+	return true
+}
+
+func newBudget(r contract.Retries) *retry.SharedBudget {
+	return retry.NewSharedBudget(retry.BudgetConfig{Ratio: r.Ratio(), PerSecond: r.PerSecond(), Burst: retryBurst})
+}
+
+// Version returns the version in force; known is false before there is one.
+func (d *directory[L]) Version() (version uint64, known bool) {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.document.Version, d.known
+}
+
+// Group returns what the configuration says of a database group.
+func (d *directory[L]) Group(name string) (GroupTerms, bool) {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	g, ok := d.document.Groups[name]
+	return g, ok
+}
+
+// Terms returns what the contract in force grants on a database.
+func (d *directory[L]) Terms(database string) (engine.Terms[L], error) {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	if !d.known {
+		return engine.Terms[L]{}, fault.New(fault.Config{
+			Kind:    fault.KindStale,
+			Message: "this instance has not learned its configuration yet; nothing ran",
+			Remedy:  "connect through another instance, or try again in a second",
+		})
+	}
+	c := d.document.Contracts[database]
+	if c == nil {
+		return engine.Terms[L]{}, fault.New(fault.Config{
+			Kind:    fault.KindNotFound,
+			Message: "no contract names the database " + database + "; nothing ran",
+			Remedy:  "connect to a database that the configuration names",
+		})
+	}
+	g := d.group(c.Databases()[0].Group())
+	if g == nil {
+		return engine.Terms[L]{}, fault.New(fault.Config{
+			Kind:    fault.KindUnavailable,
+			Message: "no endpoint of the database " + database + " is known yet; nothing ran",
+			Remedy:  "try again in a second",
+		})
+	}
+	return engine.Terms[L]{Contract: c, Group: g, Retries: d.budgets[database], Revision: d.document.Version}, nil
+}
--- /dev/null
+++ b/fleet/follow.go
@@ -0,0 +1,99 @@
+package fleet
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"github.com/monsoontiller/monsoontiller/engine"
+	"github.com/monsoontiller/monsoontiller/fault"
+	"github.com/monsoontiller/monsoontiller/store"
+)
+
+// follower keeps up with one table of the store.
+type follower struct {
+	store  store.Store
+	table  string
+	logger log.Logger
+	// whole takes all rows of the table, and changed those that changed since.
+	whole   func(s store.Snapshot)
+	changed func(s store.Snapshot)
+	version uint64
+	known   bool
+	lost    bool
+}
+
+// Name returns the service's name.
+func (f *follower) Name() string { return "follow_" + f.table }
+
+// Run follows the table until ctx ends.
+func (f *follower) Run(ctx context.Context) error {
+	pause := retryPause
+	for ctx.Err() == nil {
+		err := f.step(ctx)
+		if ctx.Err() != nil {
+			return nil
+		}
+		f.note(err)
+		if err == nil || fault.KindOf(err) == fault.KindStale {
+			pause = retryPause
+			continue
+		}
+		// The jitter keeps instances from asking a store that has just returned all at once.
+		if engine.Sleep(ctx, pause/2+rand.N(pause)) != nil {
+			return nil
+		}
+		pause = min(2*pause, maxRetryPause)
+	}
+	return nil
+}
+
+// step reads the table once, or waits for its next change.
+func (f *follower) step(ctx context.Context) error {
+	if !f.known {
+		s, err := f.store.All(ctx, f.table)
+		if err != nil {
+			return err
+		}
+		f.whole(s)
+		f.version = s.Version
+		f.known = true
+		return nil
+	}
+	s, err := f.store.Changes(ctx, f.table, f.version)
+	if err != nil {
+		f.known = fault.KindOf(err) != fault.KindStale
+		return err
+	}
+	f.version = max(f.version, s.Version)
+	if len(s.Rows) > 0 {
+		f.changed(s)
+	}
+	return nil
+}
+
+// note logs when the store is lost and when it is back.
+func (f *follower) note(err error) {
+	switch {
+	case err != nil && !f.lost:
+		f.lost = true
+		f.log("level", "warn", "msg", "store_lost", "table", f.table, "version", f.version, "error", err.Error())
+	case err == nil && f.lost:
+		f.lost = false
+		f.log("level", "info", "msg", "store_regained", "table", f.table, "version", f.version)
+	}
+}
+
+func (f *follower) log(keyvals ...any) { logLine(f.logger, keyvals...) }
+
+// logLine writes a line; a logger that fails has nowhere to say so.
+func logLine(l log.Logger, keyvals ...any) {
+	if err := l.Log(keyvals...); err != nil {
+		return
+	}
+}
+
+// timeSince is the age of something for logs, in whole milliseconds.
+func timeSince(now, at time.Time) int64 { return now.Sub(at).Milliseconds() }
--- /dev/null
+++ b/fleet/instance.go
@@ -0,0 +1,255 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/monsoontiller/monsoontiller/engine"
+	"github.com/monsoontiller/monsoontiller/event"
+	"github.com/monsoontiller/monsoontiller/failover"
+	"github.com/monsoontiller/monsoontiller/fault"
+	"github.com/monsoontiller/monsoontiller/group"
+	"github.com/monsoontiller/monsoontiller/kernel"
+	"github.com/monsoontiller/monsoontiller/membership"
+	"github.com/monsoontiller/monsoontiller/peer"
+	"github.com/monsoontiller/monsoontiller/store"
+)
+
+// Instance is one process of the fleet; it is safe for concurrent use.
+type Instance[L Link[L]] struct {
+	cfg       Config[L]
+	node      *peer.Node
+	events    *event.Log
+	directory *directory[L]
+	members   *members[L]
+	duty      *duty
+	recorder  *recorder
+	stopping  atomic.Bool
+	// listed says that the endpoints of the store are known.
+	listed atomic.Bool
+	mu     sync.Mutex
+	// places caches this instance's place for each duty among the presences with the digest placesOf.
+	places   map[string]int
+	placesOf membership.Digest
+}
+
+// New returns an instance that knows nothing until Run.
+func New[L Link[L]](cfg Config[L]) *Instance[L] {
+	i := &Instance[L]{cfg: cfg, places: map[string]int{}}
+	i.events = event.NewLog(event.LogConfig{Instance: cfg.Name, OnAdd: i.logEvent})
+	i.duty = newDuty(dutyConfig{Store: cfg.Store, Name: cfg.Name})
+	i.recorder = newRecorder(cfg.Logger, cfg.Scope)
+	i.directory = &directory[L]{group: func(name string) *engine.Group[L] { return i.members.group(name) }}
+	i.members = newMembers(i)
+	i.node = peer.NewNode(peer.Config{
+		Self: membership.NewIdentity(membership.IdentityConfig{
+			Incarnation: uint64(time.Now().UnixNano()),
+			Name:        cfg.Name,
+			PeerAddress: cfg.PeerListener.Addr().String(),
+			DataCentre:  cfg.DataCentre,
+		}),
+		Listener: cfg.PeerListener,
+		Client:   peer.NewClient(nil),
+		Server:   peer.NewServer(nil),
+		Seeds:    cfg.Seeds,
+		Backend:  &backend[L]{instance: i},
+		Events:   i.events,
+		Logger:   cfg.Logger,
+	})
+	return i
+}
+
+// Terms returns what the contract in force grants on a database.
+func (i *Instance[L]) Terms(database string) (engine.Terms[L], error) {
+	return i.directory.Terms(database)
+}
+
+// Record counts and logs how a statement ended.
+func (i *Instance[L]) Record(r engine.Record) { i.recorder.Record(r) }
+
+// Ready reports whether this instance takes callers.
+func (i *Instance[L]) Ready() bool {
+	_, known := i.directory.Version()
+	return known && i.listed.Load() && !i.stopping.Load()
+}
+
+// Run runs the instance and the services that face callers until ctx ends; those end first.
+func (i *Instance[L]) Run(ctx context.Context, facing ...kernel.Service) error {
+	k := kernel.New()
+	services := []kernel.Service{
+		i.node,
+		i.members,
+		&follower{
+			store: i.cfg.Store, table: i.cfg.Adapter.ConfigurationTable, logger: i.cfg.Logger,
+			whole: i.takeConfiguration, changed: i.takeConfiguration,
+		},
+		&follower{
+			store: i.cfg.Store, table: i.cfg.Adapter.EndpointTable, logger: i.cfg.Logger,
+			whole: i.takeEndpoints, changed: i.takeEndpointChanges,
+		},
+	}
+	for _, s := range append(services, facing...) {
+		if err := k.Register(s); err != nil {
+			return err
+		}
+	}
+	stop := context.AfterFunc(ctx, func() { i.stopping.Store(true) })
+	defer stop()
+	logLine(i.cfg.Logger, "level", "info", "msg", "started", "data_centre", i.cfg.DataCentre)
+	err := k.Run(ctx)
+	logLine(i.cfg.Logger, "level", "info", "msg", "stopped", "error", errorText(err))
+	return err
+}
+
+// takeConfiguration brings the newest configuration into force.
+func (i *Instance[L]) takeConfiguration(s store.Snapshot) {
+	for _, row := range s.Rows {
+		if row.Key != i.cfg.Adapter.ConfigurationKey || row.Deleted {
+			continue
+		}
+		if version, ok := i.applyDocument(row.Value, "store"); ok {
+			i.node.Hold(newItem(configurationItem, version, string(row.Value)))
+		}
+	}
+}
+
+// applyDocument brings a configuration into force unless a newer one is, and returns its version.
+func (i *Instance[L]) applyDocument(text []byte, source string) (version uint64, ok bool) {
+	d, err := i.cfg.Adapter.ParseDocument(text)
+	if err != nil {
+		logLine(i.cfg.Logger, "level", "error", "msg", "configuration_unreadable", "source", source, "error", err.Error())
+		return 0, false
+	}
+	before, _ := i.directory.Version()
+	if !i.directory.Apply(d) {
+		return 0, false
+	}
+	logLine(i.cfg.Logger, "level", "info", "msg", "configuration_applied", "version", d.Version, "before", before,
+		"source", source, "contracts", len(d.Contracts), "groups", len(d.Groups))
+	i.members.cutShares()
+	return d.Version, true
+}
+
+// takeEndpoints takes the whole list of endpoints.
+func (i *Instance[L]) takeEndpoints(s store.Snapshot) {
+	listed := map[string]bool{}
+	for _, row := range s.Rows {
+		if i.takeEndpoint(row) {
+			listed[row.Key] = true
+		}
+	}
+	i.members.Retain(listed, s.Version)
+	i.listed.Store(true)
+}
+
+func (i *Instance[L]) takeEndpointChanges(s store.Snapshot) {
+	for _, row := range s.Rows {
+		if !i.takeEndpoint(row) {
+			i.members.Remove(row.Key, row.Version)
+		}
+	}
+}
+
+// takeEndpoint takes one row and reports whether it names an endpoint to use.
+func (i *Instance[L]) takeEndpoint(row store.Row) bool {
+	text := string(row.Value)
+	if row.Deleted {
+		text = ""
+	}
+	i.node.Hold(newItem(endpointItem+row.Key, row.Version, text))
+	return !row.Deleted && i.putEntry(row.Key, row.Value, row.Version)
+}
+
+func (i *Instance[L]) putEntry(key string, value []byte, version uint64) bool {
+	e, err := i.cfg.Adapter.ParseEntry(key, value)
+	if err != nil {
+		logLine(i.cfg.Logger, "level", "warn", "msg", "endpoint_entry_left_out", "endpoint", key, "version", version, "error", err.Error())
+		return false
+	}
+	i.members.Put(e, version)
+	return true
+}
+
+// Items that instances tell each other, by key.
+const (
+	configurationItem = "configuration"
+	endpointItem      = "endpoint/"
+)
+
+func newItem(key string, version uint64, text string) peer.ConfigItem {
+	return membership.NewItem(key, membership.Revision(version), membership.NewEntry(membership.EntryConfig{Text: text}))
+}
+
+// itemApplied takes what a peer has from the store.
+func (i *Instance[L]) itemApplied(item peer.ConfigItem) {
+	text := item.Value().Text()
+	name, isEndpoint := strings.CutPrefix(item.Key(), endpointItem)
+	switch {
+	case item.Key() == configurationItem:
+		i.applyDocument([]byte(text), "peer")
+	case isEndpoint && text == "":
+		i.members.Remove(name, uint64(item.Revision()))
+	case isEndpoint:
+		i.putEntry(name, []byte(text), uint64(item.Revision()))
+	}
+}
+
+// Place returns this instance's place for a duty among the live ones, 0 first, and how many others there are.
+func (i *Instance[L]) Place(duty string) (place, others int) {
+	alive, digest := i.node.View()
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.placesOf != digest {
+		i.places = map[string]int{}
+		i.placesOf = digest
+	}
+	place, ok := i.places[duty]
+	if !ok {
+		place = membership.Place(duty, alive, i.cfg.Name)
+		i.places[duty] = place
+	}
+	return place, len(alive) - 1
+}
+
+// Views asks the others whether they have lost the primary of a group's term.
+func (i *Instance[L]) Views(ctx context.Context, name string, term group.Term, take func(failover.View)) {
+	i.node.Views(ctx, name, term, take)
+}
+
+// Claim takes the duty of promotions for an attempt.
+func (i *Instance[L]) Claim(ctx context.Context, name string, term group.Term, attempt string) (failover.ClaimOutcome, group.Term) {
+	err := i.duty.Claim(ctx)
+	token, _ := i.duty.Held()
+	logLine(i.cfg.Logger, "level", "info", "msg", "duty_claimed", "group", name, "term", uint64(term), "attempt", attempt,
+		"token", token, "error", errorText(err))
+	var race errRace
+	switch {
+	case err == nil:
+		return failover.ClaimWon, term
+	case fault.KindOf(err) == fault.KindConflict || errors.As(err, &race):
+		return failover.ClaimTaken, 0
+	}
+	return failover.ClaimUnavailable, 0
+}
+
+// Publish does nothing: the members tell who leads.
+func (i *Instance[L]) Publish(context.Context, string, group.Term, string) error { return nil }
+
+// Explain keeps and logs a decision.
+func (i *Instance[L]) Explain(subject, decision, evidence string) {
+	i.events.Add(event.Config{Subject: subject, Decision: decision, Evidence: evidence})
+}
+
+// Gap logs how long the writes of a group were impossible.
+func (i *Instance[L]) Gap(name string, d time.Duration) {
+	i.Explain("group/"+name, "writes_possible_again", "after "+strconv.FormatInt(d.Milliseconds(), 10)+" ms")
+}
+
+func (i *Instance[L]) logEvent(e event.Event) {
+	logLine(i.cfg.Logger, "level", "info", "msg", e.Decision(), "subject", e.Subject(), "evidence", e.Evidence())
+}
--- /dev/null
+++ b/fleet/members.go
@@ -0,0 +1,268 @@
+package fleet
+
+import (
+	"context"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"github.com/monsoontiller/monsoontiller/clock"
+	"github.com/monsoontiller/monsoontiller/engine"
+	"github.com/monsoontiller/monsoontiller/route"
+)
+
+// watched is one database group as this instance watches it.
+type watched[L Link[L]] struct {
+	group   *engine.Group[L]
+	monitor *engine.Monitor[L]
+	orders  *orders[L]
+}
+
+// known is an endpoint's newest entry.
+type known struct {
+	entry   Entry
+	version uint64
+	// goneAt is when the entry was found missing, or zero while it is there.
+	goneAt time.Time
+}
+
+// members keeps the endpoints that the store lists, in groups that are watched; it is safe for concurrent use.
+type members[L Link[L]] struct {
+	instance *Instance[L]
+	logger   log.Logger
+	mu       sync.Mutex
+	entries  map[string]*known
+	groups   map[string]*watched[L]
+	ctx      context.Context
+	loops    sync.WaitGroup
+}
+
+func newMembers[L Link[L]](i *Instance[L]) *members[L] {
+	return &members[L]{instance: i, logger: i.cfg.Logger, entries: map[string]*known{}, groups: map[string]*watched[L]{}}
+}
+
+// Name returns the service's name.
+func (m *members[L]) Name() string { return "endpoints" }
+
+// goneInterval is how often endpoints without an entry are looked at.
+const goneInterval = 500 * time.Millisecond
+
+// Run watches the groups until ctx ends.
+func (m *members[L]) Run(ctx context.Context) error {
+	m.mu.Lock()
+	m.ctx = ctx
+	for _, w := range m.groups {
+		m.startLocked(w)
+	}
+	m.mu.Unlock()
+	ticker := time.NewTicker(goneInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			m.dropGone(clock.Now())
+			m.cutShares()
+		case <-ctx.Done():
+			m.loops.Wait()
+			return nil
+		}
+	}
+}
+
+// startLocked runs the watch and the monitor of a group.
+func (m *members[L]) startLocked(w *watched[L]) {
+	if m.ctx == nil {
+		return
+	}
+	ctx := m.ctx
+	m.loops.Add(2)
+	go func() {
+		defer m.loops.Done()
+		if err := w.group.Run(ctx); err != nil {
+			logLine(m.logger, "level", "error", "msg", "group_watch_ended", "group", w.group.Name(), "error", err.Error())
+		}
+	}()
+	go func() {
+		defer m.loops.Done()
+		w.monitor.Run(ctx, w.group)
+	}()
+}
+
+// Put takes an entry as of a version of the store; an older version changes nothing.
+func (m *members[L]) Put(e Entry, version uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	held := m.entries[e.Endpoint]
+	if held != nil && held.version >= version {
+		return
+	}
+	m.entries[e.Endpoint] = &known{entry: e, version: version}
+	if held == nil || held.entry != e || !held.goneAt.IsZero() {
+		m.logLocked("endpoint_listed", e, version)
+		m.regroupLocked(e.Group)
+	}
+	if held != nil && held.entry.Group != e.Group {
+		m.regroupLocked(held.entry.Group)
+	}
+}
+
+// Remove notes that an endpoint has no entry as of a version of the store.
+func (m *members[L]) Remove(endpoint string, version uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	held := m.entries[endpoint]
+	if held == nil || held.version >= version || !held.goneAt.IsZero() {
+		return
+	}
+	held.version = version
+	held.goneAt = clock.Now()
+	m.logLocked("endpoint_entry_gone", held.entry, version)
+}
+
+// Retain removes the endpoints that a whole list of the store lacks.
+func (m *members[L]) Retain(listed map[string]bool, version uint64) {
+	m.mu.Lock()
+	var gone []string
+	for name := range m.entries {
+		if !listed[name] {
+			gone = append(gone, name)
+		}
+	}
+	m.mu.Unlock()
+	sort.Strings(gone)
+	for _, name := range gone {
+		m.Remove(name, version)
+	}
+}
+
+func (m *members[L]) logLocked(what string, e Entry, version uint64) {
+	logLine(m.logger, "level", "info", "msg", what, "endpoint", e.Endpoint, "group", e.Group,
+		"address", e.Address, "data_centre", e.DataCentre, "leaving", e.Leaving, "version", version)
+}
+
+// dropGone gives up endpoints whose entry has been missing for long enough.
+func (m *members[L]) dropGone(now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for name, k := range m.entries {
+		if k.goneAt.IsZero() || now.Sub(k.goneAt) < goneGrace {
+			continue
+		}
+		delete(m.entries, name)
+		m.logLocked("endpoint_dropped", k.entry, k.version)
+		m.regroupLocked(k.entry.Group)
+	}
+}
+
+// regroupLocked brings a group in line with the entries.
+func (m *members[L]) regroupLocked(name string) {
+	var list []engine.Address
+	var names, leaving []string
+	for _, k := range m.entries {
+		if k.entry.Group != name {
+			continue
+		}
+		list = append(list, m.address(k.entry))
+		names = append(names, k.entry.Endpoint)
+		if k.entry.Leaving {
+			leaving = append(leaving, k.entry.Endpoint)
+		}
+	}
+	sort.Slice(list, func(a, b int) bool { return list[a].Endpoint < list[b].Endpoint })
+	sort.Strings(names)
+	sort.Strings(leaving)
+	w := m.groups[name]
+	if w == nil {
+		w = m.newWatched(name, list)
+		m.groups[name] = w
+		m.startLocked(w)
+	}
+	w.group.SetMembers(list)
+	w.monitor.SetMembers(names)
+	w.monitor.SetLeaving(leaving)
+	w.group.View(func(t *route.Tracker) {
+		for _, k := range m.entries {
+			if k.entry.Group == name {
+				t.SetLeaving(k.entry.Endpoint, k.entry.Leaving)
+			}
+		}
+	})
+}
+
+func (m *members[L]) address(e Entry) engine.Address {
+	return engine.Address{
+		Endpoint:    e.Endpoint,
+		Address:     e.Address,
+		Incarnation: e.Incarnation,
+		Near:        e.DataCentre == m.instance.cfg.DataCentre,
+		Slots:       e.Slots,
+	}
+}
+
+func (m *members[L]) newWatched(name string, list []engine.Address) *watched[L] {
+	i := m.instance
+	w := &watched[L]{}
+	w.orders = &orders[L]{instance: i, name: name, group: func() *engine.Group[L] { return w.group }}
+	w.monitor = engine.NewMonitor(engine.MonitorConfig[L]{
+		Failover:     failoverConfig(name, i.cfg.Name),
+		Fleet:        i,
+		Orders:       w.orders,
+		Tick:         monitorTick,
+		PublishPause: publishPause,
+	})
+	w.orders.observer = w.monitor
+	w.group = engine.NewGroup(engine.GroupConfig[L]{
+		Name:          name,
+		Members:       list,
+		ProbeInterval: probeInterval,
+		ProbeTimeout:  probeTimeout,
+		Lease:         lease,
+		Limit:         m.share(name),
+		Dial: func(ctx context.Context, a engine.Address, _ string) (L, error) {
+			return i.cfg.Adapter.Dial(ctx, name, a)
+		},
+		Observer: w.orders,
+	})
+	return w
+}
+
+// share returns how many connections to each member of a group this instance may hold.
+func (m *members[L]) share(name string) int {
+	terms, ok := m.instance.directory.Group(name)
+	if !ok {
+		return engine.MinLimit
+	}
+	_, others := m.instance.Place("share")
+	return max(engine.MinLimit, terms.Connections/(others+1+reservedInstances))
+}
+
+// cutShares brings the shares of connections in line with the fleet's size and the configuration.
+func (m *members[L]) cutShares() {
+	m.mu.Lock()
+	groups := make([]*watched[L], 0, len(m.groups))
+	for _, w := range m.groups {
+		groups = append(groups, w)
+	}
+	m.mu.Unlock()
+	for _, w := range groups {
+		w.group.SetLimit(m.share(w.group.Name()))
+	}
+}
+
+// find returns a watched group, or nil.
+func (m *members[L]) find(name string) *watched[L] {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.groups[name]
+}
+
+// group returns the group of that name, or nil.
+func (m *members[L]) group(name string) *engine.Group[L] {
+	w := m.find(name)
+	if w == nil {
+		return nil
+	}
+	return w.group
+}
--- /dev/null
+++ b/fleet/orders.go
@@ -0,0 +1,136 @@
+package fleet
+
+import (
+	"context"
+	"sync"
+
+	"github.com/monsoontiller/monsoontiller/engine"
+	"github.com/monsoontiller/monsoontiller/failover"
+	"github.com/monsoontiller/monsoontiller/fault"
+	"github.com/monsoontiller/monsoontiller/group"
+)
+
+func failoverConfig(name, instance string) failover.Config {
+	return failover.Config{
+		Group:         name,
+		Instance:      instance,
+		Lease:         lease,
+		SuspectAfter:  suspectAfter,
+		RefusedAfter:  refusedAfter,
+		Stagger:       stagger,
+		StepTimeout:   stepTimeout,
+		TakeOverAfter: takeOverAfter,
+		CatchUp:       catchUp,
+		ClaimRequired: true,
+	}
+}
+
+// orders sends the members of a group the orders of a promotion; it is safe for concurrent use.
+//
+// Members do not remember whose promise they hold. Only the holder of the duty
+// fences, so a promise to the term of this instance's own attempt is its own.
+type orders[L Link[L]] struct {
+	instance *Instance[L]
+	name     string
+	group    func() *engine.Group[L]
+	observer engine.Observer
+	mu       sync.Mutex
+	attempt  string
+	term     group.Term
+}
+
+func (o *orders[L]) note(term group.Term, attempt string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.term = term
+	o.attempt = attempt
+}
+
+// Fence asks a replica to hold, or the primary to step down, for term.
+func (o *orders[L]) Fence(endpoint string, term group.Term, attempt string) {
+	o.note(term, attempt)
+	if _, ok := o.instance.duty.Held(); !ok {
+		logLine(o.instance.cfg.Logger, "level", "warn", "msg", "fence_left_out", "group", o.name, "endpoint", endpoint,
+			"term", uint64(term), "reason", "the duty of promotions has lapsed")
+		return
+	}
+	leads := o.group().Primary() == endpoint
+	o.group().Send(endpoint, func(ctx context.Context, link L) (group.Status, error) {
+		s, err := o.fence(ctx, link, term, leads)
+		logLine(o.instance.cfg.Logger, "level", "info", "msg", "endpoint_fenced", "group", o.name, "endpoint", endpoint,
+			"term", uint64(term), "demoted", leads, "role", s.Role().String(), "point", s.Received().String(), "error", errorText(err))
+		return s, err
+	})
+}
+
+func (o *orders[L]) fence(ctx context.Context, link L, term group.Term, leads bool) (group.Status, error) {
+	if !leads {
+		return link.Hold(ctx, term)
+	}
+	s, err := link.Demote(ctx, term)
+	if err == nil && s.Role() == group.RoleReplica {
+		s = s.WithPromise(term)
+	}
+	return s, err
+}
+
+// Promote orders the promotion of a member while this instance holds the duty.
+func (o *orders[L]) Promote(endpoint string, term group.Term, attempt string) {
+	o.note(term, attempt)
+	o.group().Send(endpoint, func(ctx context.Context, link L) (group.Status, error) {
+		err := o.promote(ctx, endpoint)
+		logLine(o.instance.cfg.Logger, "level", "info", "msg", "promotion_ordered", "group", o.name, "endpoint", endpoint,
+			"term", uint64(term), "error", errorText(err))
+		if err != nil {
+			return group.Status{}, fault.New(fault.Config{
+				Kind:    fault.KindOverloaded,
+				Message: "the promotion was not ordered",
+				Remedy:  "nothing needs doing; it is ordered again",
+				Cause:   err,
+			})
+		}
+		return link.Status(ctx)
+	})
+}
+
+func (o *orders[L]) promote(ctx context.Context, endpoint string) error {
+	i := o.instance
+	if _, ok := i.duty.Held(); !ok {
+		if err := i.duty.Claim(ctx); err != nil {
+			return err
+		}
+	}
+	token, ok := i.duty.Held()
+	if !ok {
+		return fault.New(fault.Config{
+			Kind:    fault.KindConflict,
+			Message: "the duty of promotions has lapsed",
+			Remedy:  "nothing needs doing; it is claimed again",
+		})
+	}
+	return i.cfg.Adapter.Promote(ctx, Promotion{Group: o.name, Endpoint: endpoint, Holder: i.cfg.Name, Token: token})
+}
+
+// Probed hands a member's status on, marked with this instance's attempt where the promise is its own.
+func (o *orders[L]) Probed(s group.Status) {
+	o.mu.Lock()
+	own := o.attempt != "" && (s.Promised() == o.term || s.Point().Term() == o.term)
+	attempt := o.attempt
+	o.mu.Unlock()
+	if own {
+		s = s.WithAttempt(attempt)
+	}
+	o.observer.Probed(s)
+}
+
+// ProbeFailed hands a member's silence on.
+func (o *orders[L]) ProbeFailed(endpoint string, refused bool) {
+	o.observer.ProbeFailed(endpoint, refused)
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
--- /dev/null
+++ b/fleet/record.go
@@ -0,0 +1,74 @@
+package fleet
+
+import (
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/monsoontiller/monsoontiller/clock"
+	"github.com/monsoontiller/monsoontiller/engine"
+	"github.com/monsoontiller/monsoontiller/route"
+)
+
+// linesPerSecond bounds the log lines about requests; what is left out is counted.
+const linesPerSecond = 50
+
+// recorder logs refusals and counts outcomes; it is safe for concurrent use.
+type recorder struct {
+	logger  log.Logger
+	served  [3]tally.Counter
+	refused tally.Counter
+	latency tally.Histogram
+	mu      sync.Mutex
+	second  int64
+	lines   int
+	left    int
+}
+
+// latencyBuckets span 250 µs to 8 s.
+var latencyBuckets = tally.MustMakeExponentialDurationBuckets(250*time.Microsecond, 2, 16)
+
+func newRecorder(logger log.Logger, scope tally.Scope) *recorder {
+	r := &recorder{logger: logger, refused: scope.Counter("refused_total"), latency: scope.Histogram("request_seconds", latencyBuckets)}
+	for target, name := range map[route.Target]string{route.TargetNone: "none", route.TargetPrimary: "primary", route.TargetReplica: "replica"} {
+		r.served[target] = scope.Tagged(map[string]string{"target": name}).Counter("served_total")
+	}
+	return r
+}
+
+// Record counts the outcome of a statement and logs a refusal with what decided it.
+func (r *recorder) Record(rec engine.Record) {
+	r.latency.RecordDuration(rec.Took)
+	if rec.Refusal == nil {
+		r.served[rec.Target].Inc(1)
+		return
+	}
+	r.refused.Inc(1)
+	if left, ok := r.allow(); ok {
+		logLine(r.logger, "level", "info", "msg", "statement_refused", "id", rec.Request, "session", rec.Session,
+			"database", rec.Database, "op", rec.Op.String(), "endpoint", rec.Endpoint, "floor", rec.Floor.String(),
+			"retries", rec.Retries, "took_ms", rec.Took.Milliseconds(), "revision", rec.Revision,
+			"reason", rec.Refusal.Reason.String(), "text", rec.Refusal.Text, "lines_left_out", left)
+	}
+}
+
+// allow takes one line of this second's; left is the number of lines that were left out since the last.
+func (r *recorder) allow() (left int, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	second := clock.Now().Unix()
+	if second != r.second {
+		r.second = second
+		r.lines = 0
+	}
+	if r.lines >= linesPerSecond {
+		r.left++
+		return 0, false
+	}
+	r.lines++
+	left = r.left
+	r.left = 0
+	return left, true
+}
--- a/group/status.go
+++ b/group/status.go
@@ -37,9 +37,14 @@
 	Endpoint string
 	Role     Role
 	Point    Point
+	// Received is the end of the log that the member holds, applied or not; zero means Point.
+	Received Point
 	Promised Term
 	Attempt  string
 	History  History
+	// Busy is the number of requests that the member runs, and Connections that of its connections, where it tells.
+	Busy        int
+	Connections int
 }
 
 // Status is one member's report of itself.
@@ -56,18 +61,44 @@
 // Role returns the member's role in its term.
 func (s Status) Role() Role { return s.cfg.Role }
 
-// Point returns the end of the member's log.
+// Point returns the end of the log that reads of the member see.
 func (s Status) Point() Point { return s.cfg.Point }
 
+// Received returns the end of the log that the member holds and would lead with.
+func (s Status) Received() Point {
+	if s.cfg.Received.IsZero() {
+		return s.cfg.Point
+	}
+	return s.cfg.Received
+}
+
+// WithAttempt returns the status with the promotion attempt that holds the promise.
+func (s Status) WithAttempt(attempt string) Status {
+	s.cfg.Attempt = attempt
+	return s
+}
+
 // Promised returns the highest term for which the member was fenced.
 func (s Status) Promised() Term { return s.cfg.Promised }
 
 // Attempt returns the promotion attempt that holds the promise.
 func (s Status) Attempt() string { return s.cfg.Attempt }
 
+// WithPromise returns the status with a promise to term.
+func (s Status) WithPromise(term Term) Status {
+	s.cfg.Promised = max(s.cfg.Promised, term)
+	return s
+}
+
 // History returns where each term began, as the member knows it.
 func (s Status) History() History { return s.cfg.History }
 
+// Busy returns the number of requests that the member was running, or 0 where it does not tell.
+func (s Status) Busy() int { return s.cfg.Busy }
+
+// Connections returns the number of the member's connections, or 0 where it does not tell.
+func (s Status) Connections() int { return s.cfg.Connections }
+
 // Confirms reports whether the member still takes part in term t: it is in t and has not been fenced off it.
 func (s Status) Confirms(t Term) bool {
 	return s.cfg.Point.Term() == t && s.cfg.Promised <= t
--- a/instance/config.go
+++ b/instance/config.go
@@ -9,6 +9,7 @@
 	"github.com/go-kit/log"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/monsoontiller/monsoontiller/peer"
 	"github.com/monsoontiller/monsoontiller/route"
 	"github.com/monsoontiller/monsoontiller/session"
 	"github.com/monsoontiller/monsoontiller/table"
@@ -58,7 +59,6 @@
 	acceptTimeout        = 4 * time.Second
 	repayAfter           = 5 * time.Second
 	borrowStep           = 1
-	peerIdleTimeout      = 30 * time.Second
 )
 
 func (c *Config) setDefaults() {
@@ -84,32 +84,6 @@
 		c.Scope = tally.NoopScope
 	}
 	if c.PeerClient == nil {
-		c.PeerClient = NewPeerClient(nil)
+		c.PeerClient = peer.NewClient(nil)
 	}
 }
-
-// NewPeerClient returns an HTTP client for peers: over TLS with cfg, or over cleartext HTTP/2 without.
-func NewPeerClient(cfg *tls.Config) *http.Client {
-	var protocols http.Protocols
-	if cfg == nil {
-		protocols.SetUnencryptedHTTP2(true)
-	} else {
-		protocols.SetHTTP2(true)
-	}
-	return &http.Client{Transport: &http.Transport{
-		Protocols:       &protocols,
-		TLSClientConfig: cfg,
-		IdleConnTimeout: peerIdleTimeout,
-	}}
-}
-
-// newServer returns an HTTP server for peers or operators.
-func newServer(cfg *tls.Config) *http.Server {
-	var protocols http.Protocols
-	protocols.SetHTTP1(true)
-	protocols.SetHTTP2(true)
-	if cfg == nil {
-		protocols.SetUnencryptedHTTP2(true)
-	}
-	return &http.Server{Protocols: &protocols, TLSConfig: cfg, ReadHeaderTimeout: dialTimeout}
-}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -97,7 +97,7 @@
 		}),
 		Listener:   i.cfg.PeerListener,
 		Client:     i.cfg.PeerClient,
-		Server:     newServer(i.cfg.PeerServerTLS),
+		Server:     peer.NewServer(i.cfg.PeerServerTLS),
 		Scheme:     scheme(i.cfg.PeerServerTLS != nil),
 		FreshBound: i.cfg.FreshBound,
 		Seeds:      i.cfg.Seeds,
@@ -143,7 +143,7 @@
 	defer cancel()
 	k := kernel.New()
 	services := []kernel.Service{
-		&operatorService{instance: i, server: newServer(i.cfg.OperatorTLS)},
+		&operatorService{instance: i, server: peer.NewServer(i.cfg.OperatorTLS)},
 		i.node,
 		&watchService{instance: i},
 		&reaper{instance: i, deadFrom: map[string]time.Time{}},
--- a/membership/items.go
+++ b/membership/items.go
@@ -72,6 +72,14 @@
 	return true
 }
 
+// Hold takes an item as Apply does, but does not pass it on: peers that lack it find it by its digest.
+func (s *Items[V]) Hold(item Item[V]) bool {
+	pending := s.pending
+	applied := s.Apply(item)
+	s.pending = pending
+	return applied
+}
+
 // toggle adds an item to the digests, or takes it out.
 func (s *Items[V]) toggle(item Item[V]) {
 	h := hashOf(item.key, item.revision)
--- a/peer/node.go
+++ b/peer/node.go
@@ -239,6 +239,13 @@
 	}
 }
 
+// Hold keeps an item that others have from the same source, for those that lack it; the backend is not told.
+func (n *Node) Hold(item ConfigItem) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.items.Hold(item)
+}
+
 // Item returns the configuration item of key.
 func (n *Node) Item(key string) (item ConfigItem, ok bool) {
 	n.mu.Lock()
--- a/retry/judge.go
+++ b/retry/judge.go
@@ -23,6 +23,8 @@
 	FailureNoLease
 	// FailureLeaseLapsed means that the answer came but may not be acknowledged.
 	FailureLeaseLapsed
+	// FailureBusy means that the endpoint had no capacity for the request and did not run it.
+	FailureBusy
 )
 
 // Request is what a verdict depends on besides the failure.
@@ -78,7 +80,7 @@
 // mayHaveRun reports whether the attempt can have had an effect.
 func mayHaveRun(a Attempt) bool {
 	switch a.Failure {
-	case FailureConnect, FailureNoLease, FailureReadOnly, FailureBehind:
+	case FailureConnect, FailureNoLease, FailureReadOnly, FailureBehind, FailureBusy:
 		return false
 	}
 	return a.SentBytes
@@ -106,6 +108,8 @@
 		return fault.KindNoPrimary
 	case FailureBehind:
 		return fault.KindNoReplica
+	case FailureBusy:
+		return fault.KindOverloaded
 	}
 	return fault.KindUnavailable
 }
@@ -119,6 +123,7 @@
 		"the replica is too far behind",
 		"no primary is confirmed",
 		"the primary's lease lapsed",
+		"the endpoint is busy",
 	}
 	return names[f]
 }
--- a/settings/tls_test.go
+++ b/settings/tls_test.go
@@ -17,7 +17,7 @@
 	"testing"
 	"time"
 
-	"github.com/monsoontiller/monsoontiller/instance"
+	"github.com/monsoontiller/monsoontiller/peer"
 	"github.com/monsoontiller/monsoontiller/settings"
 )
 
@@ -74,12 +74,12 @@
 		<-ended
 	}()
 	url := "https://" + l.Addr().String()
-	if _, err := instance.NewPeerClient(client).Get(url); err != nil {
+	if _, err := peer.NewClient(client).Get(url); err != nil {
 		t.Errorf("a peer of the fleet: %v", err)
 	}
 	nobody := client.Clone()
 	nobody.GetClientCertificate = nil
-	if _, err := instance.NewPeerClient(nobody).Get(url); err == nil {
+	if _, err := peer.NewClient(nobody).Get(url); err == nil {
 		t.Error("a peer without a certificate was answered")
 	}
 	_, stranger, err := writeIdentity(t).PeerTLS()
@@ -88,7 +88,7 @@
 	}
 	stranger.RootCAs = nil
 	stranger.InsecureSkipVerify = true
-	if _, err := instance.NewPeerClient(stranger).Get(url); err == nil {
+	if _, err := peer.NewClient(stranger).Get(url); err == nil {
 		t.Error("a peer of another fleet was answered")
 	}
 }
--- /dev/null
+++ b/transport/doc.go
@@ -0,0 +1,2 @@
+// Package transport opens TCP connections on which a peer that vanished is noticed.
+package transport
