Probe for the fleet from one instance and relay the evidence

Now one instance asks a primary and a replica per group as the evidence of their lease ages; the others get it with its age, counted from before they asked, and probe themselves only when it grows old. Accepted writes confirm a primary too. Also: SIGHUP reads the settings again instead of ending the process (exit 129); seeds that are not known to live are greeted again, since all instances start at once; an abandoned promotion waits a step before the next.

--- a/cmd/monsoontiller/node.go
+++ b/cmd/monsoontiller/node.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"net"
+	"os"
 	"os/signal"
 	"runtime/debug"
 	"syscall"
 
+	"github.com/go-kit/log"
+
 	"github.com/monsoontiller/monsoontiller/engine"
 	"github.com/monsoontiller/monsoontiller/fleet"
 	"github.com/monsoontiller/monsoontiller/platform"
@@ -61,7 +64,43 @@
 	if err != nil {
 		return err
 	}
-	return i.Run(ctx, ready, callers)
+	reload := &reloader{logger: logger}
+	return i.Run(ctx, reload, ready, callers)
+}
+
+// reloader reads the settings again on SIGHUP.
+//
+// What an instance listens on and whom it calls is fixed for the life of its
+// process: the platform starts it again with new settings where those change.
+type reloader struct {
+	logger log.Logger
+}
+
+// Name returns the service's name.
+func (r *reloader) Name() string { return "reload" }
+
+// Run waits for SIGHUP until ctx ends.
+func (r *reloader) Run(ctx context.Context) error {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	for {
+		select {
+		case <-hangups:
+			r.reload()
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func (r *reloader) reload() {
+	n, err := platform.LoadNode()
+	if err != nil {
+		_ = r.logger.Log("level", "error", "msg", "settings_kept", "error", err.Error())
+		return
+	}
+	_ = r.logger.Log("level", "info", "msg", "settings_read", "store", n.StoreAddress, "seeds", len(n.Seeds))
 }
 
 // adapter gives the instance what knows the platform's formats.
--- a/engine/group.go
+++ b/engine/group.go
@@ -32,6 +32,10 @@
 	Limit         int
 	Dial          func(ctx context.Context, m Address, key string) (L, error)
 	Clock         func() time.Time
+	// Probing decides which probes are due; nil probes every member at every interval.
+	Probing *route.Probing
+	// Standby reports whether another instance probes and passes on what it hears, if set.
+	Standby func() bool
 	// Observer is told of every probe's result, if set.
 	Observer Observer
 }
@@ -233,6 +237,52 @@
 	}
 }
 
+// Heard takes a status that another instance asked for at sentAt.
+func (g *Group[L]) Heard(sentAt time.Time, s group.Status) {
+	g.mu.Lock()
+	m := g.members[s.Endpoint()]
+	newer := m != nil && sentAt.After(m.heard.sentAt)
+	g.mu.Unlock()
+	if newer {
+		g.Observe(sentAt, s)
+		g.tell(s)
+	}
+}
+
+// Evidence is a member's newest status and when it was asked for.
+type Evidence struct {
+	Status group.Status
+	SentAt time.Time
+}
+
+// Evidence returns what is known of each member that was heard of.
+func (g *Group[L]) Evidence() []Evidence {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var out []Evidence
+	for _, name := range g.order {
+		if h := g.members[name].heard; !h.sentAt.IsZero() {
+			out = append(out, Evidence{Status: h.status, SentAt: h.sentAt})
+		}
+	}
+	return out
+}
+
+// Led notes that an endpoint took a request that only the primary takes, and where its log ended.
+func (g *Group[L]) Led(endpoint string, sentAt time.Time, point group.Point) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	before := g.tracker.ConfirmedAt()
+	g.tracker.Led(endpoint, sentAt, point.Term())
+	m := g.members[endpoint]
+	if m != nil && m.heard.status.Role() == group.RolePrimary && m.heard.status.Point().Term() == point.Term() {
+		g.noteLocked(sentAt, m.heard.status.WithPoint(point))
+	}
+	if g.tracker.ConfirmedAt().After(before) {
+		g.broadcastLocked()
+	}
+}
+
 // Reached takes a log point that a request sent at sentAt found at an endpoint.
 func (g *Group[L]) Reached(endpoint string, sentAt time.Time, point group.Point) {
 	g.mu.Lock()
--- a/engine/job.go
+++ b/engine/job.go
@@ -156,9 +156,23 @@
 	if !a.Point.IsZero() {
 		s.terms.Group.Reached(h.Endpoint, sentAt, a.Point)
 	}
+	if a.Refusal == nil && !h.OnReplica && onlyPrimary(c.Statement, needs) {
+		s.terms.Group.Led(h.Endpoint, sentAt, a.Point)
+	}
 	return a, true, true
 }
 
+// onlyPrimary reports whether only a primary takes the statement.
+func onlyPrimary(st Statement, needs *prepared) bool {
+	switch st.Op {
+	case OpWrite, OpBegin:
+		return true
+	case OpExecute:
+		return needs != nil && needs.writes
+	}
+	return false
+}
+
 // stillLeads reports whether an answer of the primary may be given to its caller.
 //
 // A lease that ran out meanwhile may be confirmed again within a moment; if the
--- a/engine/probe.go
+++ b/engine/probe.go
@@ -88,9 +88,15 @@
 				g.tell(s)
 				order = nil
 			}
+			if !g.due(m, false) {
+				order = nil
+			}
 		case order = <-m.orders:
 		case <-m.kick:
 			g.pace(ctx, conn)
+			if !g.due(m, true) {
+				order = nil
+			}
 		case <-ctx.Done():
 			if conn != none {
 				conn.Goodbye(goodbyeTimeout)
@@ -101,6 +107,26 @@
 	}
 }
 
+// due reports whether to probe a member now; without a rule, every tick and every kick probes.
+func (g *Group[L]) due(m *member[L], kicked bool) bool {
+	if g.cfg.Probing == nil {
+		return true
+	}
+	factor := 1.0
+	if g.cfg.Standby != nil && g.cfg.Standby() {
+		factor = standbyFactor
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.cfg.Probing.Due(g.cfg.Clock(), g.tracker, m.address.Endpoint, factor, kicked)
+}
+
+// standbyFactor stretches the ages of evidence on an instance that usually gets it from another one.
+//
+// It leaves the other time for one renewal and its relay, and this instance time
+// for a probe of its own before the lease ends.
+const standbyFactor = 2.4
+
 func statusOrder[L Link[L]](ctx context.Context, c L) (group.Status, error) { return c.Status(ctx) }
 
 // pace keeps kicks from redialing an unreachable member without pause.
--- a/failover/attempt.go
+++ b/failover/attempt.go
@@ -85,6 +85,7 @@
 }
 
 func (m *Machine) abandon(now time.Time, why string) []Action {
+	m.notBefore = now.Add(m.cfg.StepTimeout)
 	m.enter(now, phaseWatching)
 	return []Action{Explain{Decision: DecisionAbandon, Evidence: why}}
 }
--- a/failover/machine.go
+++ b/failover/machine.go
@@ -56,6 +56,8 @@
 	highest   group.Term
 	suspended bool
 	startedAt time.Time
+	// notBefore is when a new attempt may start after one was abandoned.
+	notBefore time.Time
 }
 
 // New returns a machine that watches.
--- a/failover/suspect.go
+++ b/failover/suspect.go
@@ -46,7 +46,7 @@
 	if !m.rivalSeen.IsZero() && !m.rivalExpired(now) {
 		return nil
 	}
-	if now.Sub(m.lostSince) < time.Duration(m.rank)*m.cfg.Stagger {
+	if now.Before(m.notBefore) || now.Sub(m.lostSince) < time.Duration(m.rank)*m.cfg.Stagger {
 		return nil
 	}
 	m.views = map[string]bool{}
--- a/fleet/backend.go
+++ b/fleet/backend.go
@@ -24,6 +24,17 @@
 // ItemApplied takes what a peer has from the store.
 func (b *backend[L]) ItemApplied(item peer.ConfigItem) { b.instance.itemApplied(item) }
 
+// Evidence returns what this instance has heard of the endpoints.
+func (b *backend[L]) Evidence() []peer.Evidence {
+	var out []peer.Evidence
+	for _, g := range b.instance.members.all() {
+		for _, e := range g.Evidence() {
+			out = append(out, peer.Evidence{Group: g.Name(), Status: e.Status, SentAt: e.SentAt})
+		}
+	}
+	return out
+}
+
 // PeerChanged brings the shares of connections in line with the fleet's size.
 func (b *backend[L]) PeerChanged() { b.instance.members.cutShares() }
 
--- a/fleet/config.go
+++ b/fleet/config.go
@@ -7,6 +7,7 @@
 	"github.com/go-kit/log"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/monsoontiller/monsoontiller/route"
 	"github.com/monsoontiller/monsoontiller/store"
 )
 
@@ -26,9 +27,19 @@
 const (
 	// lease is how long the primary may be used after it was confirmed: it bounds the wait of a promotion,
 	// and must outlast a few probes that wait behind a full queue at the endpoint.
-	lease = 900 * time.Millisecond
-	// probeInterval allows four probes a lease.
-	probeInterval = 200 * time.Millisecond
+	lease = 1200 * time.Millisecond
+	// probeInterval is how often a member is looked at for a probe that is due.
+	probeInterval = 100 * time.Millisecond
+	// renewEvery is the age at which the evidence of a lease is renewed: a few times a lease.
+	renewEvery = 250 * time.Millisecond
+	// idleEvery is the age at which a member is asked that no lease needs.
+	idleEvery = time.Second
+	// kickedAge is the least age of evidence that a waiting request has renewed.
+	kickedAge = 100 * time.Millisecond
+	// relayEvery is how often an instance gets the evidence of the one that probes.
+	relayEvery = 200 * time.Millisecond
+	// relayFanout is the number of instances that get their evidence from the same one.
+	relayFanout = 10
 	// probeTimeout is longer than a full queue takes at an endpoint and shorter than the lease.
 	probeTimeout = 700 * time.Millisecond
 	// suspectAfter is how long a primary must be silent: longer than any probe may take.
@@ -49,6 +60,9 @@
 	publishPause = time.Second
 )
 
+// probing keeps the evidence of leases young on the instance that probes for the others.
+var probing = route.Probing{Every: renewEvery, Idle: idleEvery, Kicked: kickedAge}
+
 // Timing of the store.
 const (
 	// retryPause is the wait before the store is asked again after a failure.
--- a/fleet/instance.go
+++ b/fleet/instance.go
@@ -36,6 +36,8 @@
 	// places caches this instance's place for each duty among the presences with the digest placesOf.
 	places   map[string]int
 	placesOf membership.Digest
+	// lostSource is the instance that last failed to give evidence, or "".
+	lostSource string
 }
 
 // New returns an instance that knows nothing until Run.
@@ -84,6 +86,7 @@
 	services := []kernel.Service{
 		i.node,
 		i.members,
+		&relay[L]{instance: i},
 		&follower{
 			store: i.cfg.Store, table: i.cfg.Adapter.ConfigurationTable, logger: i.cfg.Logger,
 			whole: i.takeConfiguration, changed: i.takeConfiguration,
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -220,6 +220,8 @@
 		ProbeTimeout:  probeTimeout,
 		Lease:         lease,
 		Limit:         m.share(name),
+		Probing:       &probing,
+		Standby:       i.standby,
 		Dial: func(ctx context.Context, a engine.Address, _ string) (L, error) {
 			return i.cfg.Adapter.Dial(ctx, name, a)
 		},
@@ -240,15 +242,20 @@
 
 // cutShares brings the shares of connections in line with the fleet's size and the configuration.
 func (m *members[L]) cutShares() {
+	for _, g := range m.all() {
+		g.SetLimit(m.share(g.Name()))
+	}
+}
+
+// all returns the watched groups.
+func (m *members[L]) all() []*engine.Group[L] {
 	m.mu.Lock()
-	groups := make([]*watched[L], 0, len(m.groups))
+	defer m.mu.Unlock()
+	out := make([]*engine.Group[L], 0, len(m.groups))
 	for _, w := range m.groups {
-		groups = append(groups, w)
-	}
-	m.mu.Unlock()
-	for _, w := range groups {
-		w.group.SetLimit(m.share(w.group.Name()))
+		out = append(out, w.group)
 	}
+	return out
 }
 
 // find returns a watched group, or nil.
--- a/group/status.go
+++ b/group/status.go
@@ -84,6 +84,13 @@
 // Attempt returns the promotion attempt that holds the promise.
 func (s Status) Attempt() string { return s.cfg.Attempt }
 
+// WithPoint returns the status of a member whose log has grown to p.
+func (s Status) WithPoint(p Point) Status {
+	s.cfg.Point = p
+	s.cfg.Received = p
+	return s
+}
+
 // WithPromise returns the status with a promise to term.
 func (s Status) WithPromise(term Term) Status {
 	s.cfg.Promised = max(s.cfg.Promised, term)
--- a/instance/balancer.go
+++ b/instance/balancer.go
@@ -8,6 +8,7 @@
 	"github.com/monsoontiller/monsoontiller/engine"
 	"github.com/monsoontiller/monsoontiller/event"
 	"github.com/monsoontiller/monsoontiller/membership"
+	"github.com/monsoontiller/monsoontiller/peer"
 	"github.com/monsoontiller/monsoontiller/pool"
 )
 
@@ -167,6 +168,9 @@
 	return b.instance.groups[groupName]
 }
 
+// Evidence returns nothing: each instance probes its endpoints itself.
+func (b *backend) Evidence() []peer.Evidence { return nil }
+
 // Cancel cancels the statement of a caller's session here.
 func (b *backend) Cancel(ctx context.Context, pid uint32, secret []byte) bool {
 	return b.instance.server.Cancel(ctx, pid, secret)
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -42,21 +42,43 @@
 func (n *Node) round(ctx context.Context) {
 	now := clock.Now()
 	n.mu.Lock()
-	targets := n.roster.Targets(now)
+	var addresses []string
+	for _, t := range n.roster.Targets(now) {
+		addresses = append(addresses, t.PeerAddress())
+	}
 	n.mu.Unlock()
-	ends := make(chan struct{}, len(targets))
-	for _, t := range targets {
+	if seed, ok := n.strangeSeed(); ok {
+		addresses = append(addresses, seed)
+	}
+	ends := make(chan struct{}, len(addresses))
+	for _, address := range addresses {
 		go func() {
-			n.exchange(ctx, t.PeerAddress())
+			n.exchange(ctx, address)
 			ends <- struct{}{}
 		}()
 	}
-	for range targets {
+	for range addresses {
 		<-ends
 	}
 	n.expire()
 }
 
+// strangeSeed returns a seed that is not known to live, a different one at each call; through it a fleet that was split finds together.
+func (n *Node) strangeSeed() (address string, ok bool) {
+	known := map[string]bool{n.cfg.Self.PeerAddress(): true}
+	for _, one := range n.Others() {
+		known[one.PeerAddress()] = true
+	}
+	for range n.cfg.Seeds {
+		n.seedTurn++
+		seed := n.cfg.Seeds[n.seedTurn%len(n.cfg.Seeds)]
+		if !known[seed] {
+			return seed, true
+		}
+	}
+	return "", false
+}
+
 // expire declares dead the watched peers that have been silent for too long.
 func (n *Node) expire() {
 	n.mu.Lock()
--- a/peer/node.go
+++ b/peer/node.go
@@ -40,6 +40,8 @@
 	Loans(peer string) []Loan
 	// ItemApplied is told of each configuration item that came into force.
 	ItemApplied(item ConfigItem)
+	// Evidence returns what this instance has heard of the members of its groups.
+	Evidence() []Evidence
 	// PeerChanged is told that the set of live instances may have changed.
 	PeerChanged()
 }
@@ -82,6 +84,8 @@
 	freshness *membership.Freshness
 	seats     map[uint32]Seat
 	clients   map[string]peerv1connect.PeerServiceClient
+	// seedTurn counts the seeds that were tried; only the exchange loop uses it.
+	seedTurn int
 }
 
 // NewNode returns a node that knows only itself until Run.
--- a/peer/peerv1/peerv1connect/peer.connect.go
+++ b/peer/peerv1/peerv1connect/peer.connect.go
@@ -45,6 +45,8 @@
 	PeerServiceBorrowProcedure = "/monsoontiller.peer.v1.PeerService/Borrow"
 	// PeerServiceExplainProcedure is the fully-qualified name of the PeerService's Explain RPC.
 	PeerServiceExplainProcedure = "/monsoontiller.peer.v1.PeerService/Explain"
+	// PeerServiceEvidenceProcedure is the fully-qualified name of the PeerService's Evidence RPC.
+	PeerServiceEvidenceProcedure = "/monsoontiller.peer.v1.PeerService/Evidence"
 )
 
 // PeerServiceClient is a client for the monsoontiller.peer.v1.PeerService service.
@@ -61,6 +63,8 @@
 	Borrow(context.Context, *connect.Request[peerv1.BorrowRequest]) (*connect.Response[peerv1.BorrowResponse], error)
 	// Explain returns the instance's recent decisions.
 	Explain(context.Context, *connect.Request[peerv1.ExplainRequest]) (*connect.Response[peerv1.ExplainResponse], error)
+	// Evidence returns what the instance has heard of the members of its groups.
+	Evidence(context.Context, *connect.Request[peerv1.EvidenceRequest]) (*connect.Response[peerv1.EvidenceResponse], error)
 }
 
 // NewPeerServiceClient constructs a client for the monsoontiller.peer.v1.PeerService service. By
@@ -110,6 +114,12 @@
 			connect.WithSchema(peerServiceMethods.ByName("Explain")),
 			connect.WithClientOptions(opts...),
 		),
+		evidence: connect.NewClient[peerv1.EvidenceRequest, peerv1.EvidenceResponse](
+			httpClient,
+			baseURL+PeerServiceEvidenceProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("Evidence")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -121,6 +131,7 @@
 	cancel   *connect.Client[peerv1.CancelRequest, peerv1.CancelResponse]
 	borrow   *connect.Client[peerv1.BorrowRequest, peerv1.BorrowResponse]
 	explain  *connect.Client[peerv1.ExplainRequest, peerv1.ExplainResponse]
+	evidence *connect.Client[peerv1.EvidenceRequest, peerv1.EvidenceResponse]
 }
 
 // Exchange calls monsoontiller.peer.v1.PeerService.Exchange.
@@ -153,6 +164,11 @@
 	return c.explain.CallUnary(ctx, req)
 }
 
+// Evidence calls monsoontiller.peer.v1.PeerService.Evidence.
+func (c *peerServiceClient) Evidence(ctx context.Context, req *connect.Request[peerv1.EvidenceRequest]) (*connect.Response[peerv1.EvidenceResponse], error) {
+	return c.evidence.CallUnary(ctx, req)
+}
+
 // PeerServiceHandler is an implementation of the monsoontiller.peer.v1.PeerService service.
 type PeerServiceHandler interface {
 	// Exchange is a heartbeat that carries changes and a digest both ways.
@@ -167,6 +183,8 @@
 	Borrow(context.Context, *connect.Request[peerv1.BorrowRequest]) (*connect.Response[peerv1.BorrowResponse], error)
 	// Explain returns the instance's recent decisions.
 	Explain(context.Context, *connect.Request[peerv1.ExplainRequest]) (*connect.Response[peerv1.ExplainResponse], error)
+	// Evidence returns what the instance has heard of the members of its groups.
+	Evidence(context.Context, *connect.Request[peerv1.EvidenceRequest]) (*connect.Response[peerv1.EvidenceResponse], error)
 }
 
 // NewPeerServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -212,6 +230,12 @@
 		connect.WithSchema(peerServiceMethods.ByName("Explain")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceEvidenceHandler := connect.NewUnaryHandler(
+		PeerServiceEvidenceProcedure,
+		svc.Evidence,
+		connect.WithSchema(peerServiceMethods.ByName("Evidence")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/monsoontiller.peer.v1.PeerService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerServiceExchangeProcedure:
@@ -226,6 +250,8 @@
 			peerServiceBorrowHandler.ServeHTTP(w, r)
 		case PeerServiceExplainProcedure:
 			peerServiceExplainHandler.ServeHTTP(w, r)
+		case PeerServiceEvidenceProcedure:
+			peerServiceEvidenceHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -258,3 +284,7 @@
 func (UnimplementedPeerServiceHandler) Explain(context.Context, *connect.Request[peerv1.ExplainRequest]) (*connect.Response[peerv1.ExplainResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("monsoontiller.peer.v1.PeerService.Explain is not implemented"))
 }
+
+func (UnimplementedPeerServiceHandler) Evidence(context.Context, *connect.Request[peerv1.EvidenceRequest]) (*connect.Response[peerv1.EvidenceResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("monsoontiller.peer.v1.PeerService.Evidence is not implemented"))
+}
--- a/route/tracker.go
+++ b/route/tracker.go
@@ -44,14 +44,16 @@
 type member struct {
 	point     group.Point
 	sampledAt time.Time
-	lag       time.Duration
-	down      bool
-	leaving   bool
-	load      int
-	ejection  ejection
-	near      bool
-	slots     int
-	service   time.Duration
+	// statusAt is when the newest status was asked for.
+	statusAt time.Time
+	lag      time.Duration
+	down     bool
+	leaving  bool
+	load     int
+	ejection ejection
+	near     bool
+	slots    int
+	service  time.Duration
 }
 
 // NewTracker returns a tracker that knows no positions yet.
@@ -151,6 +153,9 @@
 	}
 	changed := t.adopt(s)
 	m.down = false
+	if sentAt.After(m.statusAt) {
+		m.statusAt = sentAt
+	}
 	if m.sampledAt.After(sentAt) {
 		return changed
 	}
@@ -214,6 +219,13 @@
 	t.estimateLag(m, now)
 }
 
+// Led notes that an endpoint took a request sent at sentAt that only the primary of term takes.
+func (t *Tracker) Led(endpoint string, sentAt time.Time, term group.Term) {
+	if endpoint == t.primary && term == t.Term() && sentAt.After(t.primaryConfirmedAt) {
+		t.primaryConfirmedAt = sentAt
+	}
+}
+
 // FloorSince returns the lowest known position of the primary that holds every commit acknowledged by since.
 //
 // Such a position was asked for at or after since, while no other primary can
