Never let a cut-off instance replace a primary, nor promote the demoted one again

Instances that died in the last 30 s now count among those that must agree, the demoted member is not chosen, each attempt goes for the next term only, and the claim may take as long as a slow store.

--- a/engine/flow.go
+++ b/engine/flow.go
@@ -143,6 +143,8 @@
 		case o.Answered:
 			t.Answered(h.Endpoint)
 			t.Took(h.Endpoint, now.Sub(started))
+		case o.Attempt.Failure == retry.FailureBehind:
+			t.Behind(h.Endpoint, now)
 		case o.Attempt.Failure == retry.FailureLost && o.Err == nil:
 			t.Failed(h.Endpoint, now)
 		}
--- a/failover/attempt.go
+++ b/failover/attempt.go
@@ -23,15 +23,18 @@
 
 // startAttempt claims a term above every one that the table or a member has shown.
 func (m *Machine) startAttempt(now time.Time, planned bool) []Action {
+	term := m.nextTerm()
 	m.attempt = attemptState{
-		id:      fmt.Sprintf("%s/%s/%d/%d", m.cfg.Group, m.cfg.Instance, m.highest+1, now.UnixNano()),
-		term:    m.highest + 1,
+		id:      fmt.Sprintf("%s/%s/%d/%d", m.cfg.Group, m.cfg.Instance, term, now.UnixNano()),
+		term:    term,
 		fenced:  map[string]group.Status{},
 		planned: planned,
 		oldTerm: m.term,
 		old:     m.primary,
 	}
-	m.highest = m.attempt.term
+	if !m.cfg.Successor {
+		m.highest = m.attempt.term
+	}
 	m.enter(now, phaseClaiming)
 	lost := make([]string, 0, len(m.views))
 	for name, l := range m.views {
@@ -48,6 +51,14 @@
 	return append(actions, m.afterClaim(now)...)
 }
 
+// nextTerm returns the term that a new attempt goes for.
+func (m *Machine) nextTerm() group.Term {
+	if m.cfg.Successor {
+		return m.term + 1
+	}
+	return m.highest + 1
+}
+
 // claimed takes the table's answer; an attempt that already holds a majority goes on whatever it says.
 func (m *Machine) claimed(now time.Time, r ClaimResult) []Action {
 	if r.Attempt != m.attempt.id || (m.phase != phaseClaiming && m.phase != phaseFencing) {
@@ -70,7 +81,7 @@
 
 // awaitClaim gives up on a table that does not answer.
 func (m *Machine) awaitClaim(now time.Time) []Action {
-	if now.Sub(m.since) < m.cfg.StepTimeout {
+	if now.Sub(m.since) < max(m.cfg.ClaimTimeout, m.cfg.StepTimeout) {
 		return nil
 	}
 	return m.abandon(now, "the table did not answer in time")
--- a/failover/event.go
+++ b/failover/event.go
@@ -150,6 +150,13 @@
 	TakeOverAfter time.Duration
 	// CatchUp is how long a switchover waits for a replica.
 	CatchUp time.Duration
+	// ClaimTimeout bounds the wait for the table; 0 means StepTimeout.
+	ClaimTimeout time.Duration
+	// Successor makes every attempt go for the term after the present one, as where the platform numbers the
+	// terms; otherwise each attempt goes for a term of its own.
+	Successor bool
+	// KeepDemoted leaves the old primary out of the choice: the platform promotes only another member.
+	KeepDemoted bool
 	// ClaimRequired makes the machine wait for the table before it fences; otherwise both go on at once.
 	ClaimRequired bool
 }
--- a/failover/promote.go
+++ b/failover/promote.go
@@ -112,7 +112,7 @@
 	best := ""
 	for _, name := range m.cfg.Members {
 		s, ok := m.attempt.fenced[name]
-		if !ok {
+		if !ok || m.cfg.KeepDemoted && name == m.attempt.old {
 			continue
 		}
 		if best == "" || m.better(name, s, best) {
@@ -132,6 +132,9 @@
 
 func (m *Machine) promote(now time.Time) []Action {
 	m.attempt.chosen = m.choose()
+	if m.attempt.chosen == "" {
+		return m.abandon(now, "no fenced member can lead")
+	}
 	m.enter(now, phasePromoting)
 	chosen := m.attempt.fenced[m.attempt.chosen]
 	evidence := fmt.Sprintf("%s at %v has the longest log of %d fenced members", m.attempt.chosen, chosen.Received(), len(m.attempt.fenced))
--- a/fleet/config.go
+++ b/fleet/config.go
@@ -50,6 +50,8 @@
 	stagger = 300 * time.Millisecond
 	// stepTimeout bounds each step of a promotion.
 	stepTimeout = 300 * time.Millisecond
+	// claimTimeout bounds the claim of the duty: a read and a write of a store that may be a hundred times slower than usual.
+	claimTimeout = 2 * time.Second
 	// takeOverAfter is how long another promotion may go without a primary; one takes lease and the platform's time.
 	takeOverAfter = lease + 2*time.Second
 	// catchUp is how long a switchover waits for a replica.
@@ -80,5 +82,9 @@
 	claimTries = 3
 )
 
+// missedAfter is how long an instance that does not answer still counts among those that must agree: longer
+// than a restart or a partition usually lasts, so that no part of a split fleet takes itself for the whole.
+const missedAfter = 30 * time.Second
+
 // reservedInstances is the number of instances that may join before shares of connections are cut again.
 const reservedInstances = 2
--- a/fleet/instance.go
+++ b/fleet/instance.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/monsoontiller/monsoontiller/clock"
 	"github.com/monsoontiller/monsoontiller/engine"
 	"github.com/monsoontiller/monsoontiller/event"
 	"github.com/monsoontiller/monsoontiller/failover"
@@ -36,13 +37,15 @@
 	// places caches this instance's place for each duty among the presences with the digest placesOf.
 	places   map[string]int
 	placesOf membership.Digest
+	// missing is since when instances have been dead, as this one knows it.
+	missing map[string]time.Time
 	// lostSource is the instance that last failed to give evidence, or "".
 	lostSource string
 }
 
 // New returns an instance that knows nothing until Run.
 func New[L Link[L]](cfg Config[L]) *Instance[L] {
-	i := &Instance[L]{cfg: cfg, places: map[string]int{}}
+	i := &Instance[L]{cfg: cfg, places: map[string]int{}, missing: map[string]time.Time{}}
 	i.events = event.NewLog(event.LogConfig{Instance: cfg.Name, OnAdd: i.logEvent})
 	i.duty = newDuty(dutyConfig{Store: cfg.Store, Name: cfg.Name})
 	i.recorder = newRecorder(cfg.Logger, cfg.Scope)
@@ -202,7 +205,7 @@
 	}
 }
 
-// Place returns this instance's place for a duty among the live ones, 0 first, and how many others there are.
+// Place returns this instance's place for a duty among the live ones, 0 first, and how many others there are, lately dead ones included.
 func (i *Instance[L]) Place(duty string) (place, others int) {
 	alive, digest := i.node.View()
 	i.mu.Lock()
@@ -210,13 +213,37 @@
 	if i.placesOf != digest {
 		i.places = map[string]int{}
 		i.placesOf = digest
+		i.noteMissingLocked()
 	}
 	place, ok := i.places[duty]
 	if !ok {
 		place = membership.Place(duty, alive, i.cfg.Name)
 		i.places[duty] = place
 	}
-	return place, len(alive) - 1
+	others = len(alive) - 1
+	now := clock.Now()
+	for _, since := range i.missing {
+		if now.Sub(since) < missedAfter {
+			others++
+		}
+	}
+	return place, others
+}
+
+// noteMissingLocked remembers since when instances are dead.
+func (i *Instance[L]) noteMissingLocked() {
+	missing := map[string]time.Time{}
+	for _, p := range i.node.Presences() {
+		if p.State() != membership.StateDead {
+			continue
+		}
+		name := p.Identity().Name()
+		missing[name] = i.missing[name]
+		if missing[name].IsZero() {
+			missing[name] = clock.Now()
+		}
+	}
+	i.missing = missing
 }
 
 // Views asks the others whether they have lost the primary of a group's term.
@@ -226,6 +253,8 @@
 
 // Claim takes the duty of promotions for an attempt.
 func (i *Instance[L]) Claim(ctx context.Context, name string, term group.Term, attempt string) (failover.ClaimOutcome, group.Term) {
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
 	err := i.duty.Claim(ctx)
 	token, _ := i.duty.Held()
 	logLine(i.cfg.Logger, "level", "info", "msg", "duty_claimed", "group", name, "term", uint64(term), "attempt", attempt,
--- a/fleet/orders.go
+++ b/fleet/orders.go
@@ -21,6 +21,9 @@
 		StepTimeout:   stepTimeout,
 		TakeOverAfter: takeOverAfter,
 		CatchUp:       catchUp,
+		ClaimTimeout:  claimTimeout,
+		Successor:     true,
+		KeepDemoted:   true,
 		ClaimRequired: true,
 	}
 }
@@ -37,6 +40,15 @@
 	mu       sync.Mutex
 	attempt  string
 	term     group.Term
+	// told is what each member last said of its part, for the log.
+	told map[string]part
+}
+
+// part is the part that a member says it plays.
+type part struct {
+	role     group.Role
+	term     group.Term
+	promised group.Term
 }
 
 func (o *orders[L]) note(term group.Term, attempt string) {
@@ -116,7 +128,17 @@
 	o.mu.Lock()
 	own := o.attempt != "" && (s.Promised() == o.term || s.Point().Term() == o.term)
 	attempt := o.attempt
+	now := part{role: s.Role(), term: s.Point().Term(), promised: s.Promised()}
+	changed := o.told[s.Endpoint()] != now
+	if o.told == nil {
+		o.told = map[string]part{}
+	}
+	o.told[s.Endpoint()] = now
 	o.mu.Unlock()
+	if changed {
+		logLine(o.instance.cfg.Logger, "level", "info", "msg", "endpoint_part", "group", o.name, "endpoint", s.Endpoint(),
+			"role", now.role.String(), "term", uint64(now.term), "promised", uint64(now.promised), "point", s.Received().String())
+	}
 	if own {
 		s = s.WithAttempt(attempt)
 	}
--- a/route/expected.go
+++ b/route/expected.go
@@ -47,7 +47,7 @@
 		leased := now.Sub(t.ConfirmedAt()) < t.lease
 		return Decision{target: TargetPrimary, endpoint: name}, cost + primaryPenalty, leased && !m.leaving
 	}
-	if !t.usable(m) || m.ejection.active(now) {
+	if !t.usable(m) || m.ejection.active(now) || now.Before(m.behindUntil) {
 		return d, 0, false
 	}
 	wait, reaches := t.readyIn(now, m, r)
--- a/route/tracker.go
+++ b/route/tracker.go
@@ -46,14 +46,16 @@
 	sampledAt time.Time
 	// statusAt is when the newest status was asked for.
 	statusAt time.Time
-	lag      time.Duration
-	down     bool
-	leaving  bool
-	load     int
-	ejection ejection
-	near     bool
-	slots    int
-	service  time.Duration
+	// behindUntil is how long a replica that lacked a floor is not asked again.
+	behindUntil time.Time
+	lag         time.Duration
+	down        bool
+	leaving     bool
+	load        int
+	ejection    ejection
+	near        bool
+	slots       int
+	service     time.Duration
 }
 
 // NewTracker returns a tracker that knows no positions yet.
@@ -219,6 +221,19 @@
 	t.estimateLag(m, now)
 }
 
+// Bounds on how long a replica that lacked a floor is left out: about its lag, but long enough that it is worth asking again.
+const (
+	minBehind = 20 * time.Millisecond
+	maxBehind = 500 * time.Millisecond
+)
+
+// Behind notes that a replica refused a read because its log lacked the floor.
+func (t *Tracker) Behind(endpoint string, now time.Time) {
+	if m := t.members[endpoint]; m != nil {
+		m.behindUntil = now.Add(min(max(m.lag, minBehind), maxBehind))
+	}
+}
+
 // Led notes that an endpoint took a request sent at sentAt that only the primary of term takes.
 func (t *Tracker) Led(endpoint string, sentAt time.Time, term group.Term) {
 	if endpoint == t.primary && term == t.Term() && sentAt.After(t.primaryConfirmedAt) {
