Reach endpoints through a peer where a partition cuts the direct way

A dial is bounded, so that one without an answer keeps no place in the pool; after a silent dial a peer is asked to carry the connection.

--- a/cmd/monsoontiller/node.go
+++ b/cmd/monsoontiller/node.go
@@ -38,16 +38,22 @@
 	if err != nil {
 		return err
 	}
+	_, tunnelPort, err := net.SplitHostPort(n.TunnelAddress)
+	if err != nil {
+		return err
+	}
 	scope, metrics := newScope()
 	i := fleet.New(fleet.Config[*platform.Link]{
-		Name:         n.Instance,
-		DataCentre:   n.DataCentre,
-		PeerListener: peers,
-		Seeds:        n.Seeds,
-		Store:        platform.NewRows(platform.RowsConfig{Address: n.StoreAddress}),
-		Adapter:      adapter(n),
-		Logger:       logger,
-		Scope:        scope,
+		Name:          n.Instance,
+		DataCentre:    n.DataCentre,
+		PeerListener:  peers,
+		Seeds:         n.Seeds,
+		TunnelAddress: n.TunnelAddress,
+		TunnelPort:    tunnelPort,
+		Store:         platform.NewRows(platform.RowsConfig{Address: n.StoreAddress}),
+		Adapter:       adapter(n),
+		Logger:        logger,
+		Scope:         scope,
 	})
 	callers, err := platform.NewServer(platform.ServerConfig{
 		Address:  n.CallerAddress,
@@ -112,9 +118,10 @@
 		EndpointTable:      platform.TableEndpoints,
 		ParseDocument:      platform.ParseDocument,
 		ParseEntry:         platform.ParseEntry,
-		Dial: func(ctx context.Context, group string, m engine.Address) (*platform.Link, error) {
+		Dialer:             platform.DialEndpoint,
+		Dial: func(ctx context.Context, group string, m engine.Address, dial fleet.DialFunc) (*platform.Link, error) {
 			return platform.DialLink(ctx, platform.LinkConfig{
-				Address: m.Address, Service: group, Endpoint: m.Endpoint, Instance: n.Instance,
+				Address: m.Address, Service: group, Endpoint: m.Endpoint, Instance: n.Instance, Dial: dial,
 			})
 		},
 		Promote: promoter.Promote,
--- a/engine/connections.go
+++ b/engine/connections.go
@@ -17,6 +17,8 @@
 	Dial     func(ctx context.Context, key string) (L, error)
 	// Terminator ends connections that do not close by themselves, if set.
 	Terminator Terminator[L]
+	// Quarantine is how long a link that the endpoint does not close still counts.
+	Quarantine time.Duration
 }
 
 // Connections shares the connections of one endpoint between sessions; it is safe for concurrent use.
@@ -24,6 +26,7 @@
 	endpoint   string
 	dial       func(ctx context.Context, key string) (L, error)
 	terminator Terminator[L]
+	quarantine time.Duration
 	mu         sync.Mutex
 	pool       *pool.Pool[L, *waiter[L]]
 	generation uint64
@@ -46,6 +49,7 @@
 		dial:     cfg.Dial,
 
 		terminator: cfg.Terminator,
+		quarantine: cfg.Quarantine,
 		pool:       pool.New[L, *waiter[L]](pool.Config{Limit: cfg.Limit}),
 		inUse:      map[L]uint64{},
 	}
@@ -151,7 +155,7 @@
 	c.mu.Unlock()
 	conn := g.Conn
 	if g.Action == pool.ActionOpen {
-		opened, err := c.dial(ctx, key)
+		opened, err := c.open(ctx, key)
 		if err != nil {
 			c.discardCount()
 			return conn, err
@@ -165,6 +169,16 @@
 	return conn, nil
 }
 
+// open dials a link within a bounded time: a dial without an answer must not keep its place in the pool.
+func (c *Connections[L]) open(ctx context.Context, key string) (L, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	return c.dial(ctx, key)
+}
+
+// dialTimeout bounds the dial of a link, its handshake and the detour through another instance included.
+const dialTimeout = time.Second
+
 // usable checks a connection that has been idle for longer than r allows.
 func (c *Connections[L]) usable(ctx context.Context, conn L, r Request) bool {
 	if clock.Since(conn.AnsweredAt()) <= r.MaxIdle {
--- a/engine/group.go
+++ b/engine/group.go
@@ -32,6 +32,8 @@
 	Limit         int
 	Dial          func(ctx context.Context, m Address, key string) (L, error)
 	Clock         func() time.Time
+	// Quarantine is how long a link that its endpoint does not close still counts; 0 means DefaultQuarantine.
+	Quarantine time.Duration
 	// Probing decides which probes are due; nil probes every member at every interval.
 	Probing *route.Probing
 	// Standby reports whether another instance probes and passes on what it hears, if set.
@@ -88,6 +90,9 @@
 	if cfg.Clock == nil {
 		cfg.Clock = clock.Now
 	}
+	if cfg.Quarantine == 0 {
+		cfg.Quarantine = DefaultQuarantine
+	}
 	g := &Group[L]{
 		cfg:     cfg,
 		changed: make(chan struct{}),
@@ -153,6 +158,7 @@
 				return g.cfg.Dial(ctx, a, key)
 			},
 			Terminator: g,
+			Quarantine: g.cfg.Quarantine,
 		}),
 	}
 }
--- a/engine/link.go
+++ b/engine/link.go
@@ -33,8 +33,8 @@
 const (
 	// goodbyeTimeout bounds the wait for an endpoint to close an idle link.
 	goodbyeTimeout = 200 * time.Millisecond
-	// quarantine is how long a link that the endpoint does not close still counts.
-	quarantine = 2 * time.Second
+	// DefaultQuarantine is how long a link that the endpoint does not close still counts.
+	DefaultQuarantine = 2 * time.Second
 )
 
 // Terminator ends the endpoint's side of a link from another one.
@@ -57,5 +57,5 @@
 	if c.terminator != nil && c.terminator.Terminate(c.endpoint, link) {
 		return true
 	}
-	return link.Drained(quarantine)
+	return link.Drained(c.quarantine)
 }
--- a/engine/probe.go
+++ b/engine/probe.go
@@ -43,7 +43,7 @@
 	select {
 	case ended := <-result:
 		return ended
-	case <-time.After(quarantine):
+	case <-time.After(g.cfg.Quarantine):
 		return false
 	}
 }
--- a/fleet/adapter.go
+++ b/fleet/adapter.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 
 	"github.com/monsoontiller/monsoontiller/contract"
 	"github.com/monsoontiller/monsoontiller/engine"
@@ -55,6 +56,9 @@
 	Token uint64
 }
 
+// DialFunc opens a connection to an address.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
 // Adapter is everything that knows the platform's names and formats.
 type Adapter[L Link[L]] struct {
 	// ConfigurationTable and ConfigurationKey name the row of the configuration.
@@ -66,8 +70,10 @@
 	ParseDocument func(text []byte) (Document, error)
 	// ParseEntry decodes an endpoint's entry; an error means that it names no endpoint to use.
 	ParseEntry func(key string, value []byte) (Entry, error)
-	// Dial opens a link to a member of a group.
-	Dial func(ctx context.Context, group string, m engine.Address) (L, error)
+	// Dialer opens a connection on which a peer that vanished is noticed.
+	Dialer DialFunc
+	// Dial opens a link to a member of a group over a connection that dial opens.
+	Dial func(ctx context.Context, group string, m engine.Address, dial DialFunc) (L, error)
 	// Promote orders a promotion.
 	Promote func(ctx context.Context, p Promotion) error
 }
--- a/fleet/config.go
+++ b/fleet/config.go
@@ -17,10 +17,14 @@
 	DataCentre   string
 	PeerListener net.Listener
 	Seeds        []string
-	Store        store.Store
-	Adapter      Adapter[L]
-	Logger       log.Logger
-	Scope        tally.Scope
+	// TunnelAddress is where peers ask this instance to reach endpoints; all instances use its port.
+	TunnelAddress string
+	// TunnelPort is the port of TunnelAddress.
+	TunnelPort string
+	Store      store.Store
+	Adapter    Adapter[L]
+	Logger     log.Logger
+	Scope      tally.Scope
 }
 
 // Timing of the watch over endpoints.
@@ -56,6 +60,9 @@
 	takeOverAfter = lease + 2*time.Second
 	// catchUp is how long a switchover waits for a replica.
 	catchUp = time.Second
+	// quarantine is how long a link still counts that its endpoint does not close: the shares leave room for a
+	// few of these, while a place that is kept from requests during a partition costs them.
+	quarantine = 200 * time.Millisecond
 	// monitorTick is the interval at which a failover machine looks at the time.
 	monitorTick = 50 * time.Millisecond
 	// publishPause is the wait before a decision is written to the store again.
--- a/fleet/instance.go
+++ b/fleet/instance.go
@@ -19,6 +19,7 @@
 	"github.com/monsoontiller/monsoontiller/membership"
 	"github.com/monsoontiller/monsoontiller/peer"
 	"github.com/monsoontiller/monsoontiller/store"
+	"github.com/monsoontiller/monsoontiller/tunnel"
 )
 
 // Instance is one process of the fleet; it is safe for concurrent use.
@@ -28,6 +29,7 @@
 	events    *event.Log
 	directory *directory[L]
 	members   *members[L]
+	reach     *reach[L]
 	duty      *duty
 	recorder  *recorder
 	stopping  atomic.Bool
@@ -51,6 +53,7 @@
 	i.recorder = newRecorder(cfg.Logger, cfg.Scope)
 	i.directory = &directory[L]{group: func(name string) *engine.Group[L] { return i.members.group(name) }}
 	i.members = newMembers(i)
+	i.reach = &reach[L]{instance: i, paths: map[string]path{}}
 	i.node = peer.NewNode(peer.Config{
 		Self: membership.NewIdentity(membership.IdentityConfig{
 			Incarnation: uint64(time.Now().UnixNano()),
@@ -86,8 +89,15 @@
 // Run runs the instance and the services that face callers until ctx ends; those end first.
 func (i *Instance[L]) Run(ctx context.Context, facing ...kernel.Service) error {
 	k := kernel.New()
+	tunnels, err := tunnel.NewServer(tunnel.ServerConfig{
+		Address: i.cfg.TunnelAddress, Allow: i.members.lists, Dial: i.cfg.Adapter.Dialer,
+	})
+	if err != nil {
+		return err
+	}
 	services := []kernel.Service{
 		i.node,
+		tunnels,
 		i.members,
 		&relay[L]{instance: i},
 		&follower{
@@ -107,7 +117,7 @@
 	stop := context.AfterFunc(ctx, func() { i.stopping.Store(true) })
 	defer stop()
 	logLine(i.cfg.Logger, "level", "info", "msg", "started", "data_centre", i.cfg.DataCentre)
-	err := k.Run(ctx)
+	err = k.Run(ctx)
 	logLine(i.cfg.Logger, "level", "info", "msg", "stopped", "error", errorText(err))
 	return err
 }
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -220,10 +220,11 @@
 		ProbeTimeout:  probeTimeout,
 		Lease:         lease,
 		Limit:         m.share(name),
+		Quarantine:    quarantine,
 		Probing:       &probing,
 		Standby:       i.standby,
 		Dial: func(ctx context.Context, a engine.Address, _ string) (L, error) {
-			return i.cfg.Adapter.Dial(ctx, name, a)
+			return i.reach.dial(ctx, name, a)
 		},
 		Observer: w.orders,
 	})
@@ -258,6 +259,18 @@
 	return out
 }
 
+// lists reports whether an address is that of an endpoint.
+func (m *members[L]) lists(address string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, k := range m.entries {
+		if k.entry.Address == address {
+			return true
+		}
+	}
+	return false
+}
+
 // find returns a watched group, or nil.
 func (m *members[L]) find(name string) *watched[L] {
 	m.mu.Lock()
