Serve the urgent and timely first, and refuse at once what cannot be served in time

Waiters are now ordered by priority and target, and a request whose expected wait passes its target is refused on arrival with the time to come back; while a primary is lost the same holds until shortly before the usual outage ends.

Ruled out by a trial: ejected replicas (none was ejected; the bound of 30 s is cut to 3 s all the same, as an endpoint that heals must come back).

--- a/engine/connections.go
+++ b/engine/connections.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -17,6 +18,9 @@
 	Dial     func(ctx context.Context, key string) (L, error)
 	// Terminator ends connections that do not close by themselves, if set.
 	Terminator Terminator[L]
+	// Ordered serves waiters by priority and target, and refuses at once those that would wait for too long;
+	// otherwise customers are served in turn.
+	Ordered bool
 	// Quarantine is how long a link that the endpoint does not close still counts.
 	Quarantine time.Duration
 }
@@ -29,10 +33,22 @@
 	quarantine time.Duration
 	mu         sync.Mutex
 	pool       *pool.Pool[L, *waiter[L]]
+	ordered    bool
 	generation uint64
-	inUse      map[L]uint64
+	inUse      map[L]use
+	// hold is the usual time for which a request holds a link, or 0 before the first.
+	hold time.Duration
 }
 
+// use says since when, and since which generation of links, a link is in use.
+type use struct {
+	generation uint64
+	since      time.Time
+}
+
+// holdDecay is the weight of the past in the estimate of how long a request holds a link.
+const holdDecay = 0.9
+
 // waiter is one session that waits for a connection.
 type waiter[L Link[L]] struct {
 	key   string
@@ -44,14 +60,18 @@
 
 // NewConnections returns an empty set of connections.
 func NewConnections[L Link[L]](cfg ConnectionsConfig[L]) *Connections[L] {
+	line := pool.Config[*waiter[L]]{Limit: cfg.Limit}
+	if cfg.Ordered {
+		line.Line = pool.NewOrdered[*waiter[L]](pool.OrderedConfig{})
+	}
 	return &Connections[L]{
-		endpoint: cfg.Endpoint,
-		dial:     cfg.Dial,
-
+		endpoint:   cfg.Endpoint,
+		dial:       cfg.Dial,
 		terminator: cfg.Terminator,
 		quarantine: cfg.Quarantine,
-		pool:       pool.New[L, *waiter[L]](pool.Config{Limit: cfg.Limit}),
-		inUse:      map[L]uint64{},
+		ordered:    cfg.Ordered,
+		pool:       pool.New[L](line),
+		inUse:      map[L]use{},
 	}
 }
 
@@ -62,6 +82,10 @@
 	QueueLimit int
 	Deadline   time.Time
 	MaxIdle    time.Duration
+	// Priority is the customer's place where requests compete; 0 goes first.
+	Priority int
+	// Target is the time by which the request is to be answered for its full worth.
+	Target time.Time
 }
 
 // Acquire returns a connection for the request.
@@ -85,14 +109,22 @@
 
 func (c *Connections[L]) acquire(ctx context.Context, r Request) (link L, err error) {
 	w := &waiter[L]{key: r.Key, grant: make(chan pool.Grant[L], 1)}
+	now := clock.Now()
 	c.mu.Lock()
-	g := c.pool.Acquire(pool.Ask[*waiter[L]]{
+	ask := pool.Ask[*waiter[L]]{
 		Customer:   r.Customer,
 		Key:        r.Key,
 		Waiter:     w,
 		QueueLimit: r.QueueLimit,
 		Deadline:   r.Deadline,
-	})
+		Priority:   r.Priority,
+		Target:     r.Target.Add(-c.hold),
+	}
+	if wait := c.expectedWait(now, ask); c.ordered && now.Add(wait).After(r.Deadline) {
+		c.mu.Unlock()
+		return link, c.hopeless(wait)
+	}
+	g := c.pool.Acquire(ask)
 	c.mu.Unlock()
 	switch g.Action {
 	case pool.ActionRefuse:
@@ -103,6 +135,40 @@
 	return c.take(ctx, r.Key, g)
 }
 
+// expectedWait returns how long ask would wait for a link, as things stand.
+func (c *Connections[L]) expectedWait(now time.Time, ask pool.Ask[*waiter[L]]) time.Duration {
+	if c.pool.Waiting() == 0 && (c.pool.Idle() > 0 || c.pool.Open() < c.pool.Limit()) {
+		return 0
+	}
+	turns := time.Duration(c.pool.Ahead(now, ask) + 1)
+	return turns * c.hold / time.Duration(max(1, c.pool.Limit()))
+}
+
+// hopeless returns the error of a request that would have to wait for too long.
+func (c *Connections[L]) hopeless(wait time.Duration) error {
+	return fault.New(fault.Config{
+		Kind:    fault.KindOverloaded,
+		Message: fmt.Sprintf("%s has work for %v before this request, which did not run", c.endpoint, wait.Round(time.Millisecond)),
+		Remedy:  fmt.Sprintf("try again in %v", wait.Round(time.Millisecond)),
+	})
+}
+
+// notHeld ends the use of a link and counts how long it took.
+func (c *Connections[L]) notHeld(conn L) (was use) {
+	was = c.inUse[conn]
+	delete(c.inUse, conn)
+	if was.since.IsZero() {
+		return was
+	}
+	held := clock.Since(was.since)
+	if c.hold == 0 {
+		c.hold = held
+		return was
+	}
+	c.hold = time.Duration(holdDecay*float64(c.hold) + (1-holdDecay)*float64(held))
+	return was
+}
+
 func (c *Connections[L]) wait(ctx context.Context, r Request, w *waiter[L]) (link L, err error) {
 	timer := time.NewTimer(clock.Until(r.Deadline))
 	defer timer.Stop()
@@ -164,7 +230,7 @@
 		conn = opened
 	}
 	c.mu.Lock()
-	c.inUse[conn] = generation
+	c.inUse[conn] = use{generation: generation, since: clock.Now()}
 	c.mu.Unlock()
 	return conn, nil
 }
@@ -199,16 +265,13 @@
 // Release returns a connection that is in its initial state.
 func (c *Connections[L]) Release(conn L) {
 	c.mu.Lock()
-	generation := c.inUse[conn]
-	stale := generation != c.generation
+	was := c.notHeld(conn)
+	stale := was.generation != c.generation
 	c.mu.Unlock()
 	if stale || conn.Canceled() {
 		c.Discard(conn)
 		return
 	}
-	c.mu.Lock()
-	delete(c.inUse, conn)
-	c.mu.Unlock()
 	c.put(conn)
 }
 
@@ -223,7 +286,7 @@
 // Discard ends a connection whose state is not known; it counts until the endpoint has closed it.
 func (c *Connections[L]) Discard(conn L) {
 	c.mu.Lock()
-	delete(c.inUse, conn)
+	c.notHeld(conn)
 	c.mu.Unlock()
 	go func() {
 		c.retire(conn)
--- a/engine/flow.go
+++ b/engine/flow.go
@@ -51,8 +51,12 @@
 	Group  *Group[L]
 	Policy route.Policy
 	// Ask says how the request waits for a link.
-	Ask        Request
-	Deadline   time.Time
+	Ask      Request
+	Deadline time.Time
+	// LeaseBy is how long the request may wait for a primary; zero means as long as for a link.
+	LeaseBy time.Time
+	// Grace is the least time that a request gets for a link, after it waited for a primary.
+	Grace      time.Duration
 	Idempotent bool
 	Backoff    retry.Backoff
 	// AllowRetry takes one retry from the customer's budget and reports whether there was one.
@@ -67,7 +71,12 @@
 }
 
 // NewFlow returns the flow of one request.
-func NewFlow[L Link[L]](cfg FlowConfig[L]) *Flow[L] { return &Flow[L]{cfg: cfg} }
+func NewFlow[L Link[L]](cfg FlowConfig[L]) *Flow[L] {
+	if cfg.LeaseBy.IsZero() {
+		cfg.LeaseBy = cfg.Ask.Deadline
+	}
+	return &Flow[L]{cfg: cfg}
+}
 
 // Retries returns how many times the request was sent again.
 func (f *Flow[L]) Retries() int { return max(0, f.attempts-1) }
@@ -119,7 +128,7 @@
 	if h.Connections == nil {
 		return f.notConnected(h, nil)
 	}
-	h.Link, err = h.Connections.Acquire(ctx, f.cfg.Ask)
+	h.Link, err = f.acquire(ctx, h)
 	if err != nil {
 		return f.notConnected(h, err)
 	}
@@ -130,6 +139,18 @@
 	return h, f.exchange(w, h), nil
 }
 
+// acquire waits for a link; the wait counts as load, so that other requests go where less waits.
+func (f *Flow[L]) acquire(ctx context.Context, h Held[L]) (L, error) {
+	g := f.cfg.Group
+	ask := f.cfg.Ask
+	if least := g.cfg.Clock().Add(f.cfg.Grace); f.cfg.Grace > 0 && ask.Deadline.Before(least) {
+		ask.Deadline = least
+	}
+	g.View(func(t *route.Tracker) { t.AddLoad(h.Endpoint, 1) })
+	defer g.View(func(t *route.Tracker) { t.AddLoad(h.Endpoint, -1) })
+	return h.Connections.Acquire(ctx, ask)
+}
+
 // exchange runs the attempt and tells the tracker how it ended.
 func (f *Flow[L]) exchange(w Work[L], h Held[L]) Outcome {
 	g := f.cfg.Group
@@ -221,7 +242,10 @@
 			}
 			return d, r, nil
 		}
-		if err := g.AwaitLease(ctx, f.cfg.Ask.Deadline); err != nil {
+		if err := g.Outlook(f.cfg.LeaseBy); err != nil {
+			return d, r, err
+		}
+		if err := g.AwaitLease(ctx, f.cfg.LeaseBy); err != nil {
 			return d, r, err
 		}
 		if d.Target() == route.TargetPrimary && g.Primary() == d.Endpoint() {
@@ -230,7 +254,7 @@
 		if Sleep(ctx, undecidedPause) != nil {
 			return d, r, ErrDraining()
 		}
-		if !g.cfg.Clock().Before(f.cfg.Ask.Deadline) {
+		if !g.cfg.Clock().Before(f.cfg.LeaseBy) {
 			return d, r, retry.VerdictNotRun.Error(retry.Attempt{Failure: retry.FailureNoLease})
 		}
 	}
@@ -238,7 +262,7 @@
 
 // mayLearn reports whether err only says that the session has seen a newer term than this instance, and time is left to hear of it.
 func (f *Flow[L]) mayLearn(err error) bool {
-	return fault.KindOf(err) == fault.KindNoPrimary && f.cfg.Group.cfg.Clock().Before(f.cfg.Ask.Deadline)
+	return fault.KindOf(err) == fault.KindNoPrimary && f.cfg.Group.cfg.Clock().Before(f.cfg.LeaseBy)
 }
 
 func (f *Flow[L]) decideOnce(w Work[L]) (d route.Decision, r route.Request, err error) {
--- a/engine/group.go
+++ b/engine/group.go
@@ -32,6 +32,11 @@
 	Limit         int
 	Dial          func(ctx context.Context, m Address, key string) (L, error)
 	Clock         func() time.Time
+	// Outage is how long the loss of a primary usually lasts, from its last confirmation on; 0 lets requests
+	// wait for a primary as long as they may.
+	Outage time.Duration
+	// Ordered serves waiters by priority and target rather than customers in turn.
+	Ordered bool
 	// Quarantine is how long a link that its endpoint does not close still counts; 0 means DefaultQuarantine.
 	Quarantine time.Duration
 	// Probing decides which probes are due; nil probes every member at every interval.
@@ -159,6 +164,7 @@
 			},
 			Terminator: g,
 			Quarantine: g.cfg.Quarantine,
+			Ordered:    g.cfg.Ordered,
 		}),
 	}
 }
--- a/engine/lease.go
+++ b/engine/lease.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math"
 	"time"
 
@@ -27,6 +28,37 @@
 	return g.await(ctx, deadline, g.leaseLocked)
 }
 
+// Outlook returns an error at once where a primary is not expected to be confirmed by until.
+//
+// A lost primary is replaced after the usual outage; until shortly before its end,
+// waiting would only end in a refusal. A primary that was heard of lately lacks
+// nothing but a second member's confirmation, which may come at any moment.
+func (g *Group[L]) Outlook(until time.Time) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.cfg.Outage == 0 || g.leaseLocked() {
+		return nil
+	}
+	now := g.cfg.Clock()
+	heard := g.tracker.PrimaryHeardAt()
+	if now.Sub(heard) < g.cfg.Lease {
+		return nil
+	}
+	back := heard.Add(g.cfg.Outage)
+	if !back.After(now) {
+		// The outage lasts longer than usual: nobody knows how long.
+		back = now.Add(g.cfg.Lease)
+	}
+	if !back.After(until) {
+		return nil
+	}
+	return fault.New(fault.Config{
+		Kind:    fault.KindNoPrimary,
+		Message: fmt.Sprintf("group %s has no primary since %v; the request did not run", g.cfg.Name, now.Sub(heard).Round(time.Millisecond)),
+		Remedy:  fmt.Sprintf("try again in %v", back.Sub(now).Round(time.Millisecond)),
+	})
+}
+
 // AwaitFloor returns a position of the primary that was probed at or after since, under a valid lease.
 func (g *Group[L]) AwaitFloor(ctx context.Context, since, deadline time.Time) (group.Point, time.Time, error) {
 	var point group.Point
--- a/engine/session.go
+++ b/engine/session.go
@@ -181,16 +181,21 @@
 // serve carries a job through the engine.
 func (s *Session[L]) serve(ctx context.Context, j *job[L]) (Held[L], *Flow[L], error) {
 	c := s.terms.Contract
+	target := j.receivedAt.Add(c.Objectives().Latency())
 	f := NewFlow(FlowConfig[L]{
 		Group:  s.terms.Group,
 		Policy: s.cfg.Policy,
 		Ask: Request{
 			Customer:   c.Customer(),
 			QueueLimit: c.Limits().QueueLength(),
-			Deadline:   j.deadline,
+			Deadline:   target,
 			MaxIdle:    noIdleCheck,
+			Priority:   c.Limits().Priority(),
+			Target:     target,
 		},
 		Deadline:   j.deadline,
+		LeaseBy:    j.receivedAt.Add(time.Duration(leaseShare * float64(c.Limits().RequestTimeout()))),
+		Grace:      time.Duration(graceShare * float64(c.Objectives().Latency())),
 		Idempotent: !j.writes || s.tx != nil,
 		Backoff:    retry.NewBackoff(retry.BackoffConfig{First: c.Retries().First(), Max: c.Retries().Max()}),
 		AllowRetry: s.terms.Retries.Allow,
@@ -200,6 +205,14 @@
 	return h, f, err
 }
 
+const (
+	// leaseShare is the part of a request's time for which it waits for a primary: it leaves as much for the
+	// request itself, and a caller that is refused has time to try again.
+	leaseShare = 0.4
+	// graceShare is the part of the target that a request gets for a link after it waited for a primary.
+	graceShare = 0.3
+)
+
 // noIdleCheck leaves out the check of idle links: a lost one shows when it is used.
 const noIdleCheck = time.Hour
 
--- a/fleet/instance.go
+++ b/fleet/instance.go
@@ -100,6 +100,7 @@
 		tunnels,
 		i.members,
 		&relay[L]{instance: i},
+		&watchLog[L]{instance: i},
 		&follower{
 			store: i.cfg.Store, table: i.cfg.Adapter.ConfigurationTable, logger: i.cfg.Logger,
 			whole: i.takeConfiguration, changed: i.takeConfiguration,
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -221,6 +221,8 @@
 		Lease:         lease,
 		Limit:         m.share(name),
 		Quarantine:    quarantine,
+		Ordered:       true,
+		Outage:        usualOutage,
 		Probing:       &probing,
 		Standby:       i.standby,
 		Dial: func(ctx context.Context, a engine.Address, _ string) (L, error) {
--- /dev/null
+++ b/fleet/watchlog.go
@@ -0,0 +1,73 @@
+package fleet
+
+import (
+	"context"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/monsoontiller/monsoontiller/clock"
+	"github.com/monsoontiller/monsoontiller/engine"
+	"github.com/monsoontiller/monsoontiller/route"
+)
+
+// watchLogInterval is how often a group in difficulties is described in the log.
+const watchLogInterval = time.Second
+
+// watchLog describes the groups whose primary is not confirmed or for whose endpoints requests wait.
+type watchLog[L Link[L]] struct {
+	instance *Instance[L]
+}
+
+// Name returns the service's name.
+func (w *watchLog[L]) Name() string { return "watch_log" }
+
+// Run looks at the groups at every interval until ctx ends.
+func (w *watchLog[L]) Run(ctx context.Context) error {
+	ticker := time.NewTicker(watchLogInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			for _, g := range w.instance.members.all() {
+				w.look(g)
+			}
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func (w *watchLog[L]) look(g *engine.Group[L]) {
+	now := clock.Now()
+	waiting, usage := describeUsage(g)
+	var lines string
+	var confirmed time.Time
+	g.View(func(t *route.Tracker) {
+		confirmed = t.ConfirmedAt()
+		if waiting > 0 || now.Sub(confirmed) > lease {
+			lines = t.Describe(now)
+		}
+	})
+	if lines == "" {
+		return
+	}
+	logLine(w.instance.cfg.Logger, "level", "info", "msg", "group_in_difficulty", "group", g.Name(),
+		"confirmed_ms_ago", timeSince(now, confirmed), "members", lines, "connections", usage)
+}
+
+// describeUsage returns how many requests wait for links and how each member's links are used.
+func describeUsage[L Link[L]](g *engine.Group[L]) (waiting int, text string) {
+	var parts []string
+	for _, m := range g.Members() {
+		c := g.Connections(m.Endpoint)
+		if c == nil {
+			continue
+		}
+		u := c.Usage()
+		waiting += u.Waiting()
+		parts = append(parts, m.Endpoint+" open "+strconv.Itoa(u.Open())+" of "+strconv.Itoa(u.Limit())+
+			", idle "+strconv.Itoa(u.Idle())+", waiting "+strconv.Itoa(u.Waiting()))
+	}
+	return waiting, strings.Join(parts, "; ")
+}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -3,8 +3,10 @@
 import "time"
 
 // Config sets the first limit of a pool.
-type Config struct {
+type Config[W comparable] struct {
 	Limit int
+	// Line is the order of the waiters; nil serves customers in turn.
+	Line Line[W]
 }
 
 // Pool keeps connections of type C, within a limit, and waiters of type W; it is not safe for concurrent use.
@@ -12,7 +14,7 @@
 	limit int
 	open  int
 	idle  []idleConn[C]
-	queue *Queue[W]
+	queue Line[W]
 }
 
 // idleConn is a connection that nobody uses.
@@ -23,8 +25,11 @@
 }
 
 // New returns an empty pool.
-func New[C, W comparable](cfg Config) *Pool[C, W] {
-	return &Pool[C, W]{limit: cfg.Limit, queue: NewQueue[W]()}
+func New[C, W comparable](cfg Config[W]) *Pool[C, W] {
+	if cfg.Line == nil {
+		cfg.Line = NewQueue[W]()
+	}
+	return &Pool[C, W]{limit: cfg.Limit, queue: cfg.Line}
 }
 
 // Action says what an Acquire resulted in.
@@ -49,6 +54,10 @@
 	Waiter     W
 	QueueLimit int
 	Deadline   time.Time
+	// Priority is the customer's place where requests compete, and Target the last useful start for its full
+	// worth; only an ordered line asks for them.
+	Priority int
+	Target   time.Time
 }
 
 // Grant is the answer to an Ask; Close lists connections that the caller must close.
@@ -66,7 +75,7 @@
 			return g
 		}
 	}
-	if !p.queue.Push(ask.Customer, ask.QueueLimit, ask.Waiter, ask.Deadline) {
+	if !p.queue.Push(ask) {
 		return Grant[C]{Action: ActionRefuse}
 	}
 	return Grant[C]{Action: ActionWait}
@@ -174,6 +183,9 @@
 	return conns
 }
 
+// Ahead returns how many waiters would go before ask at now.
+func (p *Pool[C, W]) Ahead(now time.Time, ask Ask[W]) int { return p.queue.Ahead(now, ask) }
+
 // Open returns the number of connections that are open or being opened.
 func (p *Pool[C, W]) Open() int { return p.open }
 
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -16,9 +16,9 @@
 	q := pool.NewQueue[int]()
 	late := epoch.Add(time.Minute)
 	for i := range 3 {
-		q.Push("busy", 10, i, late)
+		q.Push(pool.Ask[int]{Customer: "busy", QueueLimit: 10, Waiter: i, Deadline: late})
 	}
-	q.Push("quiet", 10, 100, late)
+	q.Push(pool.Ask[int]{Customer: "quiet", QueueLimit: 10, Waiter: 100, Deadline: late})
 	var got []int
 	for {
 		v, ok := q.Pop(epoch)
@@ -34,9 +34,9 @@
 
 func TestQueueIsBoundedAndDropsTheLate(t *testing.T) {
 	q := pool.NewQueue[int]()
-	q.Push("c", 2, 1, epoch)
-	q.Push("c", 2, 2, epoch.Add(time.Minute))
-	if q.Push("c", 2, 3, epoch.Add(time.Minute)) {
+	q.Push(pool.Ask[int]{Customer: "c", QueueLimit: 2, Waiter: 1, Deadline: epoch})
+	q.Push(pool.Ask[int]{Customer: "c", QueueLimit: 2, Waiter: 2, Deadline: epoch.Add(time.Minute)})
+	if q.Push(pool.Ask[int]{Customer: "c", QueueLimit: 2, Waiter: 3, Deadline: epoch.Add(time.Minute)}) {
 		t.Error("a full queue took another request")
 	}
 	if v, ok := q.Pop(epoch); !ok || v != 2 {
@@ -48,7 +48,7 @@
 func TestPoolKeepsItsLimit(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		limit := rapid.IntRange(1, 4).Draw(t, "limit")
-		p := pool.New[int, int](pool.Config{Limit: limit})
+		p := pool.New[int](pool.Config[int]{Limit: limit})
 		inUse := map[int]bool{}
 		next := 0
 		take := func(g pool.Grant[int]) {
--- a/pool/queue.go
+++ b/pool/queue.go
@@ -29,8 +29,9 @@
 // Len returns the number of waiting requests, the late ones included.
 func (q *Queue[T]) Len() int { return q.length }
 
-// Push appends item to its customer's queue unless limit requests wait there, and reports whether it did.
-func (q *Queue[T]) Push(customer string, limit int, item T, deadline time.Time) bool {
+// Push appends the waiter to its customer's queue unless that is full, and reports whether it did.
+func (q *Queue[T]) Push(ask Ask[T]) bool {
+	customer, limit := ask.Customer, ask.QueueLimit
 	l := q.lanes[customer]
 	if l == nil {
 		l = &lane[T]{customer: customer}
@@ -42,7 +43,7 @@
 	if len(l.waiters) == 0 {
 		q.active = append(q.active, l)
 	}
-	l.waiters = append(l.waiters, waiter[T]{item: item, deadline: deadline})
+	l.waiters = append(l.waiters, waiter[T]{item: ask.Waiter, deadline: ask.Deadline})
 	q.length++
 	return true
 }
@@ -92,6 +93,9 @@
 	return false
 }
 
+// Ahead returns the number of waiters, since all customers are served in turn.
+func (q *Queue[T]) Ahead(time.Time, Ask[T]) int { return q.length }
+
 func (q *Queue[T]) forget(l *lane[T]) {
 	delete(q.lanes, l.customer)
 	for i, other := range q.active {
--- a/route/ejection.go
+++ b/route/ejection.go
@@ -6,7 +6,7 @@
 const (
 	ejectAfter   = 3
 	ejectFirst   = 500 * time.Millisecond
-	ejectLongest = 30 * time.Second
+	ejectLongest = 3 * time.Second
 )
 
 // ejection keeps a replica that answers probes but fails requests from attracting all reads.
@@ -44,10 +44,10 @@
 	}
 }
 
-// Failed notes that an endpoint lost a request, and reports whether that ejects it.
+// Failed notes that an endpoint lost a request, and reports whether that ejects it; one that answers no probe either is left out by that.
 func (t *Tracker) Failed(endpoint string, now time.Time) bool {
 	m := t.members[endpoint]
-	if m == nil {
+	if m == nil || m.down {
 		return false
 	}
 	m.ejection.failed(now)
--- a/route/expected.go
+++ b/route/expected.go
@@ -40,6 +40,9 @@
 	return best
 }
 
+// ejectedPenalty is added for a member that was ejected: it is used only where no other member can serve.
+const ejectedPenalty = 500 * time.Millisecond
+
 // offer returns the decision for one member and what it is expected to cost; ok is false when the member cannot serve r.
 func (t *Tracker) offer(now time.Time, name string, m *member, r Request) (d Decision, cost time.Duration, ok bool) {
 	cost = m.expected()
@@ -47,9 +50,12 @@
 		leased := now.Sub(t.ConfirmedAt()) < t.lease
 		return Decision{target: TargetPrimary, endpoint: name}, cost + primaryPenalty, leased && !m.leaving
 	}
-	if !t.usable(m) || m.ejection.active(now) || now.Before(m.behindUntil) {
+	if !t.usable(m) || now.Before(m.behindUntil) {
 		return d, 0, false
 	}
+	if m.ejection.active(now) {
+		cost += ejectedPenalty
+	}
 	wait, reaches := t.readyIn(now, m, r)
 	if !reaches || wait > r.WaitBudget {
 		return d, 0, false
