Let the store vouch for a primary whose replicas do not answer

A promotion is recorded in the store before its first fence and waits out the lease after it, so a read of that table proves a lease as a replica does; it is read only while no replica answers.

--- a/engine/group.go
+++ b/engine/group.go
@@ -280,6 +280,17 @@
 	return out
 }
 
+// StoreConfirmed notes that the store, asked at sentAt, told of no promotion past term.
+func (g *Group[L]) StoreConfirmed(sentAt time.Time, term group.Term) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	before := g.tracker.ConfirmedAt()
+	g.tracker.StoreConfirmed(sentAt, term)
+	if g.tracker.ConfirmedAt().After(before) {
+		g.broadcastLocked()
+	}
+}
+
 // Led notes that an endpoint took a request that only the primary takes, and where its log ended.
 func (g *Group[L]) Led(endpoint string, sentAt time.Time, point group.Point) {
 	g.mu.Lock()
--- a/fleet/backend.go
+++ b/fleet/backend.go
@@ -6,6 +6,7 @@
 	"github.com/monsoontiller/monsoontiller/group"
 	"github.com/monsoontiller/monsoontiller/peer"
 	"github.com/monsoontiller/monsoontiller/pool"
+	"github.com/monsoontiller/monsoontiller/route"
 )
 
 // backend answers peers for an instance.
@@ -24,13 +25,18 @@
 // ItemApplied takes what a peer has from the store.
 func (b *backend[L]) ItemApplied(item peer.ConfigItem) { b.instance.itemApplied(item) }
 
-// Evidence returns what this instance has heard of the endpoints.
-func (b *backend[L]) Evidence() []peer.Evidence {
-	var out []peer.Evidence
+// Evidence returns what this instance knows of the leases of its groups.
+func (b *backend[L]) Evidence() peer.AllEvidence {
+	var out peer.AllEvidence
 	for _, g := range b.instance.members.all() {
 		for _, e := range g.Evidence() {
-			out = append(out, peer.Evidence{Group: g.Name(), Status: e.Status, SentAt: e.SentAt})
+			out.Members = append(out.Members, peer.Evidence{Group: g.Name(), Status: e.Status, SentAt: e.SentAt})
 		}
+		g.View(func(t *route.Tracker) {
+			if at := t.StoreConfirmedAt(); !at.IsZero() {
+				out.Stores = append(out.Stores, peer.StoreEvidence{Group: g.Name(), Term: t.Term(), SentAt: at})
+			}
+		})
 	}
 	return out
 }
--- a/fleet/duty.go
+++ b/fleet/duty.go
@@ -8,6 +8,7 @@
 
 	"github.com/monsoontiller/monsoontiller/clock"
 	"github.com/monsoontiller/monsoontiller/fault"
+	"github.com/monsoontiller/monsoontiller/group"
 	"github.com/monsoontiller/monsoontiller/store"
 )
 
@@ -15,8 +16,34 @@
 const (
 	dutyTable = "monsoontiller"
 	dutyKey   = "duty/promotion"
+	// intentKey starts the keys of the promotions under way, one a group.
+	intentKey = "intent/"
 )
 
+// intentRow records that a promotion of a group to a term may be under way.
+type intentRow struct {
+	Term uint64 `json:"term"`
+	// UntilMs is when its order can no longer be given, on the store's clock.
+	UntilMs int64 `json:"until_ms"`
+}
+
+// intentSlack is how long after the end of an intent its order may still take effect.
+const intentSlack = 1500 * time.Millisecond
+
+// promoting reports whether a promotion of a group past term may be under way, as of a snapshot of the duty's table.
+func promoting(s store.Snapshot, name string, term group.Term) bool {
+	row, ok := s.Row(intentKey + name)
+	if !ok {
+		return false
+	}
+	var intent intentRow
+	if err := json.Unmarshal(row.Value, &intent); err != nil {
+		// An intent that cannot be read may be one that is under way.
+		return true
+	}
+	return group.Term(intent.Term) > term && s.Now < time.Duration(intent.UntilMs)*time.Millisecond+intentSlack
+}
+
 // dutyRow records who holds the duty.
 type dutyRow struct {
 	Holder string `json:"holder"`
@@ -60,16 +87,16 @@
 	return d.token, d.cfg.Clock().Before(d.until)
 }
 
-// Claim takes or renews the duty.
+// Claim takes or renews the duty for a promotion of a group to a term, which it records.
 //
 // It fails with KindConflict while another instance holds it, and with
 // KindUnavailable when the store does not say who does.
-func (d *duty) Claim(ctx context.Context) error {
+func (d *duty) Claim(ctx context.Context, name string, term group.Term) error {
 	d.claiming.Lock()
 	defer d.claiming.Unlock()
 	var err error
 	for range claimTries {
-		err = d.claim(ctx)
+		err = d.claim(ctx, name, term)
 		if fault.KindOf(err) != fault.KindOutcomeUnknown && !isRace(err) {
 			return err
 		}
@@ -86,7 +113,7 @@
 }
 
 // claim reads the row and writes it if it is free or this instance's own.
-func (d *duty) claim(ctx context.Context) error {
+func (d *duty) claim(ctx context.Context, name string, term group.Term) error {
 	sentAt := d.cfg.Clock()
 	s, err := d.cfg.Store.All(ctx, dutyTable)
 	if err != nil {
@@ -116,17 +143,21 @@
 	default:
 		next.Token++
 	}
-	return d.write(ctx, sentAt, row, next)
+	intent := intentRow{Term: uint64(term), UntilMs: next.UntilMs}
+	return d.write(ctx, sentAt, row, next, store.Row{Table: dutyTable, Key: intentKey + name}, intent)
 }
 
-func (d *duty) write(ctx context.Context, sentAt time.Time, row store.Row, next dutyRow) error {
+func (d *duty) write(ctx context.Context, sentAt time.Time, row store.Row, next dutyRow, intentRow store.Row, intent intentRow) error {
 	value, err := json.Marshal(next)
 	if err != nil {
 		return err
 	}
+	if intentRow.Value, err = json.Marshal(intent); err != nil {
+		return err
+	}
 	_, err = d.cfg.Store.Commit(ctx, store.Tx{
 		Expect:  []store.Row{{Table: dutyTable, Key: dutyKey, Version: row.Version}},
-		Upserts: []store.Row{{Table: dutyTable, Key: dutyKey, Value: value}},
+		Upserts: []store.Row{{Table: dutyTable, Key: dutyKey, Value: value}, intentRow},
 	})
 	if fault.KindOf(err) == fault.KindConflict {
 		return errRace{err}
--- a/fleet/instance.go
+++ b/fleet/instance.go
@@ -101,6 +101,7 @@
 		i.members,
 		&relay[L]{instance: i},
 		&watchLog[L]{instance: i},
+		&witness[L]{instance: i},
 		&follower{
 			store: i.cfg.Store, table: i.cfg.Adapter.ConfigurationTable, logger: i.cfg.Logger,
 			whole: i.takeConfiguration, changed: i.takeConfiguration,
@@ -266,7 +267,7 @@
 func (i *Instance[L]) Claim(ctx context.Context, name string, term group.Term, attempt string) (failover.ClaimOutcome, group.Term) {
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
-	err := i.duty.Claim(ctx)
+	err := i.duty.Claim(ctx, name, term)
 	token, _ := i.duty.Held()
 	logLine(i.cfg.Logger, "level", "info", "msg", "duty_claimed", "group", name, "term", uint64(term), "attempt", attempt,
 		"token", token, "error", errorText(err))
--- a/fleet/orders.go
+++ b/fleet/orders.go
@@ -90,7 +90,7 @@
 func (o *orders[L]) Promote(endpoint string, term group.Term, attempt string) {
 	o.note(term, attempt)
 	o.group().Send(endpoint, func(ctx context.Context, link L) (group.Status, error) {
-		err := o.promote(ctx, endpoint)
+		err := o.promote(ctx, endpoint, term)
 		logLine(o.instance.cfg.Logger, "level", "info", "msg", "promotion_ordered", "group", o.name, "endpoint", endpoint,
 			"term", uint64(term), "error", errorText(err))
 		if err != nil {
@@ -105,10 +105,10 @@
 	})
 }
 
-func (o *orders[L]) promote(ctx context.Context, endpoint string) error {
+func (o *orders[L]) promote(ctx context.Context, endpoint string, term group.Term) error {
 	i := o.instance
 	if _, ok := i.duty.Held(); !ok {
-		if err := i.duty.Claim(ctx); err != nil {
+		if err := i.duty.Claim(ctx, o.name, term); err != nil {
 			return err
 		}
 	}
--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -46,17 +46,22 @@
 	if !ok {
 		return
 	}
-	list, err := r.instance.node.Evidence(ctx, source)
+	all, err := r.instance.node.Evidence(ctx, source)
 	if err != nil {
 		r.instance.relayLost(source.Name(), err)
 		return
 	}
 	r.instance.relayLost("", nil)
-	for _, e := range list {
+	for _, e := range all.Members {
 		if g := r.instance.members.group(e.Group); g != nil {
 			g.Heard(e.SentAt, e.Status)
 		}
 	}
+	for _, e := range all.Stores {
+		if g := r.instance.members.group(e.Group); g != nil {
+			g.StoreConfirmed(e.SentAt, e.Term)
+		}
+	}
 }
 
 // evidenceSource returns the instance to get evidence from; ok is false on the one that probes.
--- a/instance/balancer.go
+++ b/instance/balancer.go
@@ -169,7 +169,7 @@
 }
 
 // Evidence returns nothing: each instance probes its endpoints itself.
-func (b *backend) Evidence() []peer.Evidence { return nil }
+func (b *backend) Evidence() peer.AllEvidence { return peer.AllEvidence{} }
 
 // Cancel cancels the statement of a caller's session here.
 func (b *backend) Cancel(ctx context.Context, pid uint32, secret []byte) bool {
--- a/peer/evidence.go
+++ b/peer/evidence.go
@@ -19,6 +19,19 @@
 	SentAt time.Time
 }
 
+// StoreEvidence says when the store was asked and told of no promotion of a group past a term.
+type StoreEvidence struct {
+	Group  string
+	Term   group.Term
+	SentAt time.Time
+}
+
+// AllEvidence is what an instance knows of leases.
+type AllEvidence struct {
+	Members []Evidence
+	Stores  []StoreEvidence
+}
+
 // evidenceTimeout bounds the call for evidence, which is worthless once it is as old as a lease.
 const evidenceTimeout = 400 * time.Millisecond
 
@@ -26,17 +39,22 @@
 //
 // The times are on this instance's clock: the age that the peer tells counts from
 // before the question was sent, so that no evidence looks younger than it is.
-func (n *Node) Evidence(ctx context.Context, from membership.Identity) ([]Evidence, error) {
+func (n *Node) Evidence(ctx context.Context, from membership.Identity) (AllEvidence, error) {
 	ctx, cancel := context.WithTimeout(ctx, evidenceTimeout)
 	defer cancel()
 	askedAt := clock.Now()
 	a, err := n.client(from.PeerAddress()).Evidence(ctx, connect.NewRequest(&peerv1.EvidenceRequest{}))
 	if err != nil {
-		return nil, err
+		return AllEvidence{}, err
 	}
-	out := make([]Evidence, 0, len(a.Msg.GetMembers()))
+	var out AllEvidence
 	for _, m := range a.Msg.GetMembers() {
-		out = append(out, evidenceOf(m, askedAt))
+		out.Members = append(out.Members, evidenceOf(m, askedAt))
+	}
+	for _, s := range a.Msg.GetStores() {
+		out.Stores = append(out.Stores, StoreEvidence{
+			Group: s.GetGroup(), Term: group.Term(s.GetTerm()), SentAt: since(askedAt, s.GetAgeUs()),
+		})
 	}
 	return out, nil
 }
@@ -54,16 +72,25 @@
 			Busy:        int(m.GetBusy()),
 			Connections: int(m.GetConnections()),
 		}),
-		SentAt: askedAt.Add(-time.Duration(m.GetAgeUs()) * time.Microsecond),
+		SentAt: since(askedAt, m.GetAgeUs()),
 	}
 }
 
+func since(askedAt time.Time, ageMicros uint64) time.Time {
+	return askedAt.Add(-time.Duration(ageMicros) * time.Microsecond)
+}
+
+func ageMicros(now, at time.Time) uint64 { return uint64(max(0, now.Sub(at).Microseconds())) + 1 }
+
 // Evidence returns what this instance has heard of the members; ages are rounded up.
 func (h *handler) Evidence(context.Context, *connect.Request[peerv1.EvidenceRequest]) (*connect.Response[peerv1.EvidenceResponse], error) {
 	a := &peerv1.EvidenceResponse{}
-	list := h.node.cfg.Backend.Evidence()
+	all := h.node.cfg.Backend.Evidence()
 	now := clock.Now()
-	for _, e := range list {
+	for _, s := range all.Stores {
+		a.Stores = append(a.Stores, &peerv1.StoreEvidence{Group: s.Group, Term: uint64(s.Term), AgeUs: ageMicros(now, s.SentAt)})
+	}
+	for _, e := range all.Members {
 		s := e.Status
 		a.Members = append(a.Members, &peerv1.MemberEvidence{
 			Group:            e.Group,
@@ -77,7 +104,7 @@
 			Attempt:          s.Attempt(),
 			Busy:             uint32(s.Busy()),
 			Connections:      uint32(s.Connections()),
-			AgeUs:            uint64(max(0, now.Sub(e.SentAt).Microseconds())) + 1,
+			AgeUs:            ageMicros(now, e.SentAt),
 		})
 	}
 	return connect.NewResponse(a), nil
--- a/peer/node.go
+++ b/peer/node.go
@@ -40,8 +40,8 @@
 	Loans(peer string) []Loan
 	// ItemApplied is told of each configuration item that came into force.
 	ItemApplied(item ConfigItem)
-	// Evidence returns what this instance has heard of the members of its groups.
-	Evidence() []Evidence
+	// Evidence returns what this instance knows of the leases of its groups.
+	Evidence() AllEvidence
 	// PeerChanged is told that the set of live instances may have changed.
 	PeerChanged()
 }
--- a/route/tracker.go
+++ b/route/tracker.go
@@ -40,6 +40,8 @@
 
 	primaryConfirmedAt time.Time
 	replicaConfirmedAt time.Time
+	// storeConfirmedAt is when the store, asked then, told of no promotion past the newest term.
+	storeConfirmedAt time.Time
 }
 
 // member is what is known of one endpoint.
@@ -191,6 +193,7 @@
 	t.track.reset()
 	t.primaryConfirmedAt = time.Time{}
 	t.replicaConfirmedAt = time.Time{}
+	t.storeConfirmedAt = time.Time{}
 	return true
 }
 
@@ -261,14 +264,33 @@
 // PrimaryHeardAt returns when the primary of the newest term last proved that it leads, or the zero time.
 func (t *Tracker) PrimaryHeardAt() time.Time { return t.primaryConfirmedAt }
 
-// ConfirmedAt returns the newest time at which no majority of members had left the newest term.
+// StoreConfirmed notes that the store, asked at sentAt, told of no promotion past term.
+func (t *Tracker) StoreConfirmed(sentAt time.Time, term group.Term) {
+	if term == t.Term() && sentAt.After(t.storeConfirmedAt) {
+		t.storeConfirmedAt = sentAt
+	}
+}
+
+// StoreConfirmedAt returns when the store was last asked and told of no promotion, or the zero time.
+func (t *Tracker) StoreConfirmedAt() time.Time { return t.storeConfirmedAt }
+
+// WitnessedAt returns the newest time at which a replica or the store vouched that no other primary was being made.
+func (t *Tracker) WitnessedAt() time.Time {
+	if t.storeConfirmedAt.After(t.replicaConfirmedAt) {
+		return t.storeConfirmedAt
+	}
+	return t.replicaConfirmedAt
+}
+
+// ConfirmedAt returns the newest time at which no promotion past the newest term can have been under way.
 //
-// The primary and one replica confirmed the term to requests sent at or after
-// that time; any majority of the group shares a member with that pair. It is the
-// zero time while either is missing.
+// The primary, and one replica or the store, confirmed the term to requests sent at
+// or after that time. Any majority of the group shares a member with the primary
+// and a replica; and a promotion is recorded in the store before its first fence,
+// after which it waits out the lease. It is the zero time while either is missing.
 func (t *Tracker) ConfirmedAt() time.Time {
-	if t.replicaConfirmedAt.Before(t.primaryConfirmedAt) {
-		return t.replicaConfirmedAt
+	if witnessed := t.WitnessedAt(); witnessed.Before(t.primaryConfirmedAt) {
+		return witnessed
 	}
 	return t.primaryConfirmedAt
 }
