--- /dev/null
+++ b/engine/failure_test.go
@@ -0,0 +1,145 @@
+package engine_test
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/monsoontiller/monsoontiller/contract"
+	"github.com/monsoontiller/monsoontiller/engine"
+	"github.com/monsoontiller/monsoontiller/group"
+)
+
+func TestALostReadRunsElsewhere(t *testing.T) {
+	s := newStand(t, contract.ConsistencySession)
+	s.cluster.with("b", func(n *node) { n.lose[engine.OpRead] = 1 })
+	mustServe(t, s.session(t).do(engine.OpRead, "i1"))
+}
+
+func TestALostWriteIsInDoubtAndNotRepeated(t *testing.T) {
+	s := newStand(t, contract.ConsistencySession)
+	s.cluster.with("a", func(n *node) { n.lose[engine.OpWrite] = 1 })
+	mustRefuse(t, s.session(t).do(engine.OpWrite, "i1", "x"), engine.ReasonInDoubt)
+	if diff := cmp.Diff([]string{"q1 write"}, s.cluster.ran("a")); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestAWriteThatDidNotRunIsRepeated(t *testing.T) {
+	for _, reason := range []engine.Reason{engine.ReasonOverloaded, engine.ReasonReadOnly, engine.ReasonTooManyLinks} {
+		t.Run(reason.String(), func(t *testing.T) {
+			s := newStand(t, contract.ConsistencySession)
+			s.cluster.with("a", func(n *node) { n.refuse[engine.OpWrite] = []engine.Reason{reason} })
+			mustServe(t, s.session(t).do(engine.OpWrite, "i1", "x"))
+		})
+	}
+}
+
+func TestAWriteThatFailedIsPassedOn(t *testing.T) {
+	s := newStand(t, contract.ConsistencySession)
+	s.cluster.with("a", func(n *node) { n.refuse[engine.OpWrite] = []engine.Reason{engine.ReasonFailed} })
+	mustRefuse(t, s.session(t).do(engine.OpWrite, "i1", "x"), engine.ReasonFailed)
+}
+
+func TestALostCommitIsInDoubt(t *testing.T) {
+	s := newStand(t, contract.ConsistencySession)
+	one := s.session(t)
+	one.do(engine.OpBegin)
+	mustServe(t, one.do(engine.OpWrite, "i1", "x"))
+	s.cluster.with("a", func(n *node) { n.lose[engine.OpCommit] = 1 })
+	mustRefuse(t, one.do(engine.OpCommit), engine.ReasonInDoubt)
+	if one.State() != engine.TxNone {
+		t.Errorf("the session is in state %v after the end of its transaction", one.State())
+	}
+}
+
+// A COMMIT that committed nothing may be repeated by the caller, whatever became of it.
+func TestALostCommitOfAReadTransactionIsAborted(t *testing.T) {
+	s := newStand(t, contract.ConsistencyPrimary)
+	one := s.session(t)
+	one.do(engine.OpBegin)
+	mustServe(t, one.do(engine.OpRead, "i1"))
+	s.cluster.with("a", func(n *node) { n.lose[engine.OpCommit] = 1 })
+	mustRefuse(t, one.do(engine.OpCommit), engine.ReasonAborted)
+}
+
+func TestALostStatementAbortsItsTransaction(t *testing.T) {
+	s := newStand(t, contract.ConsistencySession)
+	one := s.session(t)
+	one.do(engine.OpBegin)
+	mustServe(t, one.do(engine.OpWrite, "i1", "x"))
+	s.cluster.with("a", func(n *node) { n.lose[engine.OpRead] = 1 })
+	a := one.do(engine.OpRead, "i1")
+	mustRefuse(t, a, engine.ReasonAborted)
+	if a.State != engine.TxFailed {
+		t.Errorf("state %v after the failure, want failed", a.State)
+	}
+	mustRefuse(t, one.do(engine.OpRead, "i1"), engine.ReasonMalformed)
+	mustRefuse(t, one.do(engine.OpCommit), engine.ReasonAborted)
+	mustServe(t, one.do(engine.OpWrite, "i1", "y"))
+}
+
+func TestTheFirstStatementOfATransactionIsRepeatedElsewhere(t *testing.T) {
+	s := newStand(t, contract.ConsistencyBounded)
+	s.cluster.with("b", func(n *node) { n.lose[engine.OpRead] = 1 })
+	one := s.session(t)
+	one.do(engine.OpBeginRead)
+	mustServe(t, one.do(engine.OpRead, "i1"))
+	mustServe(t, one.do(engine.OpCommit))
+}
+
+// The old primary still takes statements, as one does that is cut off from the others.
+func TestNothingIsCommittedAtAReplacedPrimary(t *testing.T) {
+	s := newStand(t, contract.ConsistencySession)
+	one := s.session(t)
+	one.do(engine.OpBegin)
+	mustServe(t, one.do(engine.OpWrite, "i1", "x"))
+	for _, name := range []string{"b", "c"} {
+		s.cluster.with(name, func(n *node) { n.promised = 2 })
+	}
+	waitUntil(t, func() bool { return !s.group.LeaseValid() })
+	s.cluster.with("b", func(n *node) { n.role, n.term = group.RolePrimary, 2 })
+	s.cluster.with("c", func(n *node) { n.term = 2 })
+	mustRefuse(t, one.do(engine.OpCommit), engine.ReasonAborted)
+	if diff := cmp.Diff([]string{"q2 write"}, s.cluster.ran("a")); diff != "" {
+		t.Error(diff)
+	}
+	if a := mustServe(t, one.do(engine.OpWrite, "i1", "y")); a.Receipt != "by b" {
+		t.Errorf("the next write was served %s, want the new primary", a.Receipt)
+	}
+}
+
+func TestAReplicaThatLagsIsPassedOver(t *testing.T) {
+	s := newStand(t, contract.ConsistencyBounded)
+	for _, name := range []string{"b", "c"} {
+		s.cluster.with(name, func(n *node) { n.refuse[engine.OpRead] = []engine.Reason{engine.ReasonBehind, engine.ReasonBehind} })
+	}
+	if a := mustServe(t, s.session(t).do(engine.OpRead, "i1")); a.Receipt != "by a" {
+		t.Errorf("served %s, want the primary", a.Receipt)
+	}
+}
+
+func TestAnExpiredTransactionTellsItsCaller(t *testing.T) {
+	s := newStand(t, contract.ConsistencySession)
+	one := s.session(t)
+	one.do(engine.OpBegin)
+	mustServe(t, one.do(engine.OpWrite, "i1", "x"))
+	one.Expire()
+	if one.Holding() {
+		t.Error("an expired transaction holds its link")
+	}
+	mustRefuse(t, one.do(engine.OpRead, "i1"), engine.ReasonMalformed)
+	mustRefuse(t, one.do(engine.OpCommit), engine.ReasonAborted)
+	s.cluster.with("a", func(n *node) {
+		if n.position != 10 {
+			t.Errorf("the primary stands at %d, though nothing was committed", n.position)
+		}
+	})
+}
+
+func TestAWriteInAReadTransactionIsRefused(t *testing.T) {
+	s := newStand(t, contract.ConsistencySession)
+	one := s.session(t)
+	one.do(engine.OpBeginRead)
+	mustRefuse(t, one.do(engine.OpWrite, "i1", "x"), engine.ReasonReadOnly)
+}
