--- /dev/null
+++ b/failover/successor_test.go
@@ -0,0 +1,120 @@
+package failover_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/monsoontiller/monsoontiller/failover"
+	"github.com/monsoontiller/monsoontiller/group"
+)
+
+const (
+	successorLease = time.Second
+	successorStep  = 100 * time.Millisecond
+)
+
+// successor is a machine on a platform that numbers the terms and never promotes the primary that was demoted.
+type successor struct {
+	machine *failover.Machine
+	now     time.Time
+}
+
+func newSuccessor() *successor {
+	return &successor{now: time.Unix(1000, 0), machine: failover.New(failover.Config{
+		Group: "orders", Instance: "i", Members: []string{"a", "b", "c"}, Lease: successorLease,
+		SuspectAfter: time.Second, RefusedAfter: 200 * time.Millisecond, Stagger: time.Second, StepTimeout: successorStep,
+		TakeOverAfter: 3 * time.Second, CatchUp: time.Second, ClaimTimeout: 2 * time.Second,
+		ClaimRequired: true, Successor: true, KeepDemoted: true,
+	})}
+}
+
+func (s *successor) step(e failover.Event) []failover.Action { return s.machine.Step(s.now, e) }
+
+func (s *successor) pass(d time.Duration) []failover.Action {
+	s.now = s.now.Add(d)
+	return s.step(failover.Tick{})
+}
+
+// probed tells a status; promised is the term that the member is held for.
+func (s *successor) probed(name string, role group.Role, position group.Position, promised group.Term, attempt string) []failover.Action {
+	return s.step(failover.Probed{Status: group.NewStatus(group.StatusConfig{
+		Endpoint: name, Role: role, Point: group.NewPoint(1, position), Promised: promised, Attempt: attempt,
+	})})
+}
+
+func find[A failover.Action](actions []failover.Action) (found A, ok bool) {
+	for _, a := range actions {
+		if found, ok = a.(A); ok {
+			return found, true
+		}
+	}
+	return found, false
+}
+
+// suspect makes the machine lose its primary and claim.
+func (s *successor) suspect(t *testing.T) failover.Claim {
+	t.Helper()
+	s.probed("a", group.RolePrimary, 20, 1, "")
+	s.now = s.now.Add(900 * time.Millisecond)
+	s.probed("b", group.RoleReplica, 10, 1, "")
+	s.probed("c", group.RoleReplica, 12, 1, "")
+	claim, ok := find[failover.Claim](s.pass(200 * time.Millisecond))
+	if !ok {
+		t.Fatal("the machine did not claim")
+	}
+	return claim
+}
+
+func TestTheDemotedPrimaryIsNotPromotedAgain(t *testing.T) {
+	s := newSuccessor()
+	claim := s.suspect(t)
+	if claim.Term != 2 {
+		t.Errorf("went for term %d, want the next", claim.Term)
+	}
+	s.step(failover.ClaimResult{Attempt: claim.Attempt, Outcome: failover.ClaimWon, Term: 2})
+	s.probed("a", group.RoleReplica, 20, 2, claim.Attempt)
+	s.probed("b", group.RoleReplica, 10, 2, claim.Attempt)
+	s.probed("c", group.RoleReplica, 12, 2, claim.Attempt)
+	promote, ok := find[failover.Promote](s.pass(successorLease + 20*time.Millisecond))
+	if !ok || promote.Endpoint != "c" {
+		t.Errorf("promoted %+v, want c, the longest log besides the demoted primary's", promote)
+	}
+}
+
+func TestAnAbandonedAttemptGoesForTheSameTermAgain(t *testing.T) {
+	s := newSuccessor()
+	first := s.suspect(t)
+	s.step(failover.ClaimResult{Attempt: first.Attempt, Outcome: failover.ClaimUnavailable})
+	if _, again := find[failover.Claim](s.pass(successorStep / 2)); again {
+		t.Error("claimed again without a pause")
+	}
+	second, ok := find[failover.Claim](s.pass(successorStep))
+	if !ok || second.Term != first.Term {
+		t.Errorf("claimed %+v after %+v, want the same term", second, first)
+	}
+}
+
+func TestASlowStoreIsWaitedFor(t *testing.T) {
+	s := newSuccessor()
+	claim := s.suspect(t)
+	s.pass(time.Second)
+	actions := s.step(failover.ClaimResult{Attempt: claim.Attempt, Outcome: failover.ClaimWon, Term: 2})
+	if _, ok := find[failover.Fence](actions); !ok {
+		t.Error("a claim that took a second was given up")
+	}
+}
+
+// An instance that is cut off from the others does not decide alone.
+func TestInstancesThatDoNotAnswerCount(t *testing.T) {
+	s := newSuccessor()
+	s.step(failover.Fleet{Others: 6})
+	s.probed("a", group.RolePrimary, 20, 1, "")
+	s.now = s.now.Add(900 * time.Millisecond)
+	s.probed("b", group.RoleReplica, 10, 1, "")
+	s.probed("c", group.RoleReplica, 12, 1, "")
+	for range 20 {
+		if claim, ok := find[failover.Claim](s.pass(50 * time.Millisecond)); ok {
+			t.Fatalf("claimed %+v without a view of the others", claim)
+		}
+	}
+}
--- /dev/null
+++ b/fleet/export_test.go
@@ -0,0 +1,38 @@
+package fleet
+
+import (
+	"context"
+	"time"
+
+	"github.com/monsoontiller/monsoontiller/group"
+	"github.com/monsoontiller/monsoontiller/store"
+)
+
+// Duty gives tests the duty of promotions, which has no exported form.
+type Duty struct{ duty *duty }
+
+// NewDuty returns one instance's side of the duty.
+func NewDuty(s store.Store, name string, now func() time.Time) *Duty {
+	return &Duty{duty: newDuty(dutyConfig{Store: s, Name: name, Clock: now})}
+}
+
+// Claim takes or renews the duty.
+func (d *Duty) Claim(ctx context.Context, name string, term group.Term) error {
+	return d.duty.Claim(ctx, name, term)
+}
+
+// Held returns the token while the duty is held.
+func (d *Duty) Held() (uint64, bool) { return d.duty.Held() }
+
+// Promoting reports whether a promotion past term may be under way.
+func Promoting(s store.Snapshot, name string, term group.Term) bool { return promoting(s, name, term) }
+
+// DutyTable is the table of the duty's rows.
+const DutyTable = dutyTable
+
+// DutyLease is how long a duty lasts for others, and IntentSlack how long its order may still take effect after that.
+const (
+	DutyLease   = dutyLease
+	IntentSlack = intentSlack
+	DutyMargin  = dutyMargin
+)
--- /dev/null
+++ b/store/storetest/store.go
@@ -0,0 +1,182 @@
+package storetest
+
+import (
+	"context"
+	"errors"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/monsoontiller/monsoontiller/fault"
+	"github.com/monsoontiller/monsoontiller/store"
+)
+
+// Store keeps rows in memory; it is safe for concurrent use.
+type Store struct {
+	mu      sync.Mutex
+	rows    map[string]map[string]store.Row
+	changes []store.Row
+	version uint64
+	floor   uint64
+	now     time.Duration
+	changed chan struct{}
+	down    bool
+	lose    int
+	before  func()
+	calls   int
+}
+
+// New returns an empty store.
+func New() *Store {
+	return &Store{rows: map[string]map[string]store.Row{}, changed: make(chan struct{})}
+}
+
+// Advance lets time pass on the store's clock.
+func (s *Store) Advance(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.now += d
+}
+
+// SetDown makes every call fail, or work again.
+func (s *Store) SetDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+// LoseAnswers makes the next n commits be done without an answer.
+func (s *Store) LoseAnswers(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lose = n
+}
+
+// Compact drops the history of changes.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.changes = nil
+	s.floor = s.version
+}
+
+// BeforeNextCommit calls f once, right before the next commit is weighed.
+func (s *Store) BeforeNextCommit(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.before = f
+}
+
+// Calls returns the number of calls so far.
+func (s *Store) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// Put writes a row as another writer does.
+func (s *Store) Put(table, key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.apply(store.Tx{Upserts: []store.Row{{Table: table, Key: key, Value: value}}})
+}
+
+// Remove removes a row as another writer does.
+func (s *Store) Remove(table, key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.apply(store.Tx{Remove: []store.Row{{Table: table, Key: key}}})
+}
+
+var errDown = fault.New(fault.Config{Kind: fault.KindUnavailable, Message: "the store is down", Remedy: "try again"})
+
+// All returns every row of a table.
+func (s *Store) All(_ context.Context, table string) (store.Snapshot, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	if s.down {
+		return store.Snapshot{}, errDown
+	}
+	out := store.Snapshot{Version: s.version, Now: s.now}
+	for _, r := range s.rows[table] {
+		out.Rows = append(out.Rows, r)
+	}
+	sort.Slice(out.Rows, func(a, b int) bool { return out.Rows[a].Key < out.Rows[b].Key })
+	return out, nil
+}
+
+// Changes waits for a change of a table after version, or until ctx ends.
+func (s *Store) Changes(ctx context.Context, table string, version uint64) (store.Snapshot, error) {
+	for {
+		s.mu.Lock()
+		s.calls++
+		out := store.Snapshot{Version: s.version, Now: s.now}
+		down, stale, changed := s.down, version < s.floor, s.changed
+		for _, r := range s.changes {
+			if r.Table == table && r.Version > version {
+				out.Rows = append(out.Rows, r)
+			}
+		}
+		s.mu.Unlock()
+		switch {
+		case down:
+			return store.Snapshot{}, errDown
+		case stale:
+			return store.Snapshot{}, fault.New(fault.Config{Kind: fault.KindStale, Message: "the history is gone", Remedy: "read anew"})
+		case len(out.Rows) > 0:
+			return out, nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return store.Snapshot{}, errors.Join(errDown, ctx.Err())
+		}
+	}
+}
+
+// Commit runs a transaction.
+func (s *Store) Commit(_ context.Context, tx store.Tx) (store.Snapshot, error) {
+	s.mu.Lock()
+	first := s.before
+	s.before = nil
+	s.mu.Unlock()
+	if first != nil {
+		first()
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	if s.down {
+		return store.Snapshot{}, errDown
+	}
+	for _, want := range tx.Expect {
+		if s.rows[want.Table][want.Key].Version != want.Version {
+			return store.Snapshot{}, fault.New(fault.Config{Kind: fault.KindConflict, Message: "the row was changed", Remedy: "read it again"})
+		}
+	}
+	s.apply(tx)
+	if s.lose > 0 {
+		s.lose--
+		return store.Snapshot{}, fault.New(fault.Config{Kind: fault.KindOutcomeUnknown, Message: "the answer is lost", Remedy: "read again"})
+	}
+	return store.Snapshot{Version: s.version, Now: s.now}, nil
+}
+
+func (s *Store) apply(tx store.Tx) {
+	s.version++
+	for _, r := range tx.Upserts {
+		r.Version = s.version
+		if s.rows[r.Table] == nil {
+			s.rows[r.Table] = map[string]store.Row{}
+		}
+		s.rows[r.Table][r.Key] = r
+		s.changes = append(s.changes, r)
+	}
+	for _, r := range tx.Remove {
+		delete(s.rows[r.Table], r.Key)
+		s.changes = append(s.changes, store.Row{Table: r.Table, Key: r.Key, Version: s.version, Deleted: true})
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
