--- a/fleet/members.go
+++ b/fleet/members.go
@@ -156,6 +156,22 @@
 	}
 }
 
+// Configured watches the groups that a new configuration names; entries of others name no endpoint to use.
+func (m *members[L]) Configured() {
+	m.mu.Lock()
+	names := map[string]bool{}
+	for _, k := range m.entries {
+		names[k.entry.Group] = true
+	}
+	for name := range names {
+		if m.groups[name] == nil {
+			m.regroupLocked(name)
+		}
+	}
+	m.mu.Unlock()
+	m.cutShares()
+}
+
 // regroupLocked brings a group in line with the entries.
 func (m *members[L]) regroupLocked(name string) {
 	var list []engine.Address
@@ -174,6 +190,9 @@
 	sort.Strings(names)
 	sort.Strings(leaving)
 	w := m.groups[name]
+	if _, configured := m.instance.directory.Group(name); w == nil && !configured {
+		return
+	}
 	if w == nil {
 		w = m.newWatched(name, list)
 		m.groups[name] = w
