Hold each group's connections on a few home instances, and pass sessions on to them

Cause: on the grown deployments 78 instances stand before members with 53 connections, so that not every instance can hold one to every member. Where the share of an instance would fall below three, a group has as many homes as its connections allow with four each, chosen by rendezvous in proportion to their capacity; the other instances pass a session's messages on, and hand its floor, values and prepared statements to the next home when one is lost. Only homes probe a group, vote on its primary and share the evidence of its leases. Small fleets are homes of everything, as before.

Weighed: one nearby replica per instance with homes for the primary only (a session needs both, so most would still be passed on); shares lent on demand (a loan takes a round trip while a request waits).

--- a/cmd/monsoontiller/node.go
+++ b/cmd/monsoontiller/node.go
@@ -42,6 +42,10 @@
 	if err != nil {
 		return err
 	}
+	_, forwardPort, err := net.SplitHostPort(n.ForwardAddress)
+	if err != nil {
+		return err
+	}
 	scope, metrics := newScope()
 	i := fleet.New(fleet.Config[*platform.Link]{
 		Name:          n.Instance,
@@ -50,18 +54,22 @@
 		Seeds:         n.Seeds,
 		TunnelAddress: n.TunnelAddress,
 		TunnelPort:    tunnelPort,
+		ForwardPort:   forwardPort,
+		Capacity:      n.Capacity,
 		Store:         platform.NewRows(platform.RowsConfig{Address: n.StoreAddress}),
 		Adapter:       adapter(n),
 		Logger:        logger,
 		Scope:         scope,
 	})
 	callers, err := platform.NewServer(platform.ServerConfig{
-		Address:  n.CallerAddress,
-		Source:   i,
-		Policy:   route.Expected{},
-		Recorder: i,
-		Logger:   logger,
-		Grace:    n.Grace,
+		Address:        n.CallerAddress,
+		ForwardAddress: n.ForwardAddress,
+		Homes:          i.Homes,
+		Source:         i,
+		Policy:         route.Expected{},
+		Recorder:       i,
+		Logger:         logger,
+		Grace:          n.Grace,
 	})
 	if err != nil {
 		return err
--- a/engine/session.go
+++ b/engine/session.go
@@ -30,6 +30,8 @@
 type SessionConfig[L StatementLink[L]] struct {
 	ID       string
 	Database string
+	// Floor is the log point that an earlier part of the session has reached elsewhere, or zero.
+	Floor    group.Point
 	Source   TermsSource[L]
 	Policy   route.Policy
 	Recorder SessionRecorder
@@ -74,7 +76,7 @@
 
 // NewSession returns a session without values or transaction.
 func NewSession[L StatementLink[L]](cfg SessionConfig[L]) *Session[L] {
-	return &Session[L]{cfg: cfg, values: map[string]string{}, prepared: map[string]*prepared{}}
+	return &Session[L]{cfg: cfg, floor: cfg.Floor, values: map[string]string{}, prepared: map[string]*prepared{}}
 }
 
 // State returns the state between two statements.
--- a/fleet/backend.go
+++ b/fleet/backend.go
@@ -41,8 +41,8 @@
 	return out
 }
 
-// PeerChanged brings the shares of connections in line with the fleet's size.
-func (b *backend[L]) PeerChanged() { b.instance.members.cutShares() }
+// PeerChanged brings the homes and the shares of connections in line with the fleet.
+func (b *backend[L]) PeerChanged() { b.instance.members.Configured() }
 
 // Cancel reports false: the protocol of the callers has no cancel requests.
 func (b *backend[L]) Cancel(context.Context, uint32, []byte) bool { return false }
--- a/fleet/config.go
+++ b/fleet/config.go
@@ -19,6 +19,10 @@
 	Seeds        []string
 	// TunnelAddress is where peers ask this instance to reach endpoints; all instances use its port.
 	TunnelAddress string
+	// ForwardPort is where homes take the callers that others pass on; it is the same on all instances.
+	ForwardPort string
+	// Capacity is this instance's share of the work, in thousandths of a core.
+	Capacity uint32
 	// TunnelPort is the port of TunnelAddress.
 	TunnelPort string
 	Store      store.Store
--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -60,6 +60,14 @@
 	return g, ok
 }
 
+// Contract returns the contract of a database.
+func (d *directory[L]) Contract(database string) (*contract.Contract, bool) {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	c, ok := d.document.Contracts[database]
+	return c, ok
+}
+
 // Terms returns what the contract in force grants on a database.
 func (d *directory[L]) Terms(database string) (engine.Terms[L], error) {
 	d.mu.RLock()
--- a/fleet/instance.go
+++ b/fleet/instance.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/monsoontiller/monsoontiller/clock"
+	"github.com/monsoontiller/monsoontiller/contract"
 	"github.com/monsoontiller/monsoontiller/engine"
 	"github.com/monsoontiller/monsoontiller/event"
 	"github.com/monsoontiller/monsoontiller/failover"
@@ -33,21 +34,22 @@
 	duty      *duty
 	recorder  *recorder
 	stopping  atomic.Bool
+	startedAt time.Time
 	// listed says that the endpoints of the store are known.
 	listed atomic.Bool
 	mu     sync.Mutex
-	// places caches this instance's place for each duty among the presences with the digest placesOf.
-	places   map[string]int
+	// homesOf caches the homes of each group among the presences with the digest placesOf.
+	homesOf  map[string]homeSet
 	placesOf membership.Digest
 	// missing is since when instances have been dead, as this one knows it.
 	missing map[string]time.Time
-	// lostSource is the instance that last failed to give evidence, or "".
-	lostSource string
+	// lostSources are the instances that last failed to give evidence.
+	lostSources map[string]bool
 }
 
 // New returns an instance that knows nothing until Run.
 func New[L Link[L]](cfg Config[L]) *Instance[L] {
-	i := &Instance[L]{cfg: cfg, places: map[string]int{}, missing: map[string]time.Time{}}
+	i := &Instance[L]{cfg: cfg, startedAt: clock.Now(), homesOf: map[string]homeSet{}, missing: map[string]time.Time{}, lostSources: map[string]bool{}}
 	i.events = event.NewLog(event.LogConfig{Instance: cfg.Name, OnAdd: i.logEvent})
 	i.duty = newDuty(dutyConfig{Store: cfg.Store, Name: cfg.Name})
 	i.recorder = newRecorder(cfg.Logger, cfg.Scope)
@@ -60,6 +62,7 @@
 			Name:        cfg.Name,
 			PeerAddress: cfg.PeerListener.Addr().String(),
 			DataCentre:  cfg.DataCentre,
+			Capacity:    cfg.Capacity,
 		}),
 		Listener: cfg.PeerListener,
 		Client:   peer.NewClient(nil),
@@ -77,13 +80,18 @@
 	return i.directory.Terms(database)
 }
 
+// Contract returns the contract of a database, also where other instances are its homes.
+func (i *Instance[L]) Contract(database string) (*contract.Contract, bool) {
+	return i.directory.Contract(database)
+}
+
 // Record counts and logs how a statement ended.
 func (i *Instance[L]) Record(r engine.Record) { i.recorder.Record(r) }
 
 // Ready reports whether this instance takes callers.
 func (i *Instance[L]) Ready() bool {
 	_, known := i.directory.Version()
-	return known && i.listed.Load() && !i.stopping.Load()
+	return known && i.listed.Load() && i.settled() && !i.stopping.Load()
 }
 
 // Run runs the instance and the services that face callers until ctx ends; those end first.
@@ -217,29 +225,9 @@
 	}
 }
 
-// Place returns this instance's place for a duty among the live ones, 0 first, and how many others there are, lately dead ones included.
+// Place returns this instance's place for a duty of a group among its homes, 0 first, and how many others there are, lately dead ones included.
 func (i *Instance[L]) Place(duty string) (place, others int) {
-	alive, digest := i.node.View()
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	if i.placesOf != digest {
-		i.places = map[string]int{}
-		i.placesOf = digest
-		i.noteMissingLocked()
-	}
-	place, ok := i.places[duty]
-	if !ok {
-		place = membership.Place(duty, alive, i.cfg.Name)
-		i.places[duty] = place
-	}
-	others = len(alive) - 1
-	now := clock.Now()
-	for _, since := range i.missing {
-		if now.Sub(since) < missedAfter {
-			others++
-		}
-	}
-	return place, others
+	return i.GroupPlace(strings.TrimPrefix(duty, "group/"))
 }
 
 // noteMissingLocked remembers since when instances are dead.
@@ -258,9 +246,15 @@
 	i.missing = missing
 }
 
-// Views asks the others whether they have lost the primary of a group's term.
+// Views asks the other homes of a group whether they have lost the primary of a group's term.
 func (i *Instance[L]) Views(ctx context.Context, name string, term group.Term, take func(failover.View)) {
-	i.node.Views(ctx, name, term, take)
+	var others []membership.Identity
+	for _, one := range i.homes(name) {
+		if one.Name() != i.cfg.Name {
+			others = append(others, one)
+		}
+	}
+	i.node.Views(ctx, others, name, term, take)
 }
 
 // Claim takes the duty of promotions for an attempt.
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -13,8 +13,14 @@
 	"github.com/monsoontiller/monsoontiller/route"
 )
 
+// homeGrace is how long a group is watched on after this instance has ceased to be a home, so that its callers can finish.
+const homeGrace = 5 * time.Second
+
 // watched is one database group as this instance watches it.
 type watched[L Link[L]] struct {
+	// stop ends the watch, and leftAt is since when this instance is no home of the group.
+	stop    context.CancelFunc
+	leftAt  time.Time
 	group   *engine.Group[L]
 	monitor *engine.Monitor[L]
 	orders  *orders[L]
@@ -63,7 +69,8 @@
 		select {
 		case <-ticker.C:
 			m.dropGone(clock.Now())
-			m.cutShares()
+			m.Configured()
+			m.leaveHomes(clock.Now())
 		case <-ctx.Done():
 			m.loops.Wait()
 			return nil
@@ -71,12 +78,31 @@
 	}
 }
 
+// leaveHomes stops the watch of groups that this instance has not been a home of for long enough.
+func (m *members[L]) leaveHomes(now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for name, w := range m.groups {
+		switch {
+		case m.instance.atHome(name):
+			w.leftAt = time.Time{}
+		case w.leftAt.IsZero():
+			w.leftAt = now
+		case now.Sub(w.leftAt) >= homeGrace:
+			delete(m.groups, name)
+			w.stop()
+			logLine(m.logger, "level", "info", "msg", "home_left", "group", name)
+		}
+	}
+}
+
 // startLocked runs the watch and the monitor of a group.
 func (m *members[L]) startLocked(w *watched[L]) {
 	if m.ctx == nil {
 		return
 	}
-	ctx := m.ctx
+	ctx, cancel := context.WithCancel(m.ctx)
+	w.stop = cancel
 	m.loops.Add(2)
 	go func() {
 		defer m.loops.Done()
@@ -156,7 +182,7 @@
 	}
 }
 
-// Configured watches the groups that a new configuration names; entries of others name no endpoint to use.
+// Configured watches the groups that the configuration names and this instance is a home of; entries of others name no endpoint to use.
 func (m *members[L]) Configured() {
 	m.mu.Lock()
 	names := map[string]bool{}
@@ -190,13 +216,14 @@
 	sort.Strings(names)
 	sort.Strings(leaving)
 	w := m.groups[name]
-	if _, configured := m.instance.directory.Group(name); w == nil && !configured {
+	if _, configured := m.instance.directory.Group(name); w == nil && !(configured && m.instance.atHome(name)) {
 		return
 	}
 	if w == nil {
 		w = m.newWatched(name, list)
 		m.groups[name] = w
 		m.startLocked(w)
+		logLine(m.logger, "level", "info", "msg", "home_taken", "group", name, "members", len(list))
 	}
 	w.group.SetMembers(list)
 	w.monitor.SetMembers(names)
@@ -243,7 +270,7 @@
 		Ordered:       true,
 		Outage:        usualOutage,
 		Probing:       &probing,
-		Standby:       i.standby,
+		Standby:       func() bool { return i.standby(name) },
 		Dial: func(ctx context.Context, a engine.Address, _ string) (L, error) {
 			return i.reach.dial(ctx, name, a)
 		},
@@ -258,8 +285,9 @@
 	if !ok {
 		return engine.MinLimit
 	}
-	_, others := m.instance.Place("share")
-	return max(engine.MinLimit, terms.Connections/(others+1+reservedInstances))
+	alive, missing := m.instance.counts()
+	_, share := homeCount(terms.Connections, alive+missing)
+	return max(engine.MinLimit, share)
 }
 
 // cutShares brings the shares of connections in line with the fleet's size and the configuration.
--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -7,12 +7,9 @@
 	"github.com/monsoontiller/monsoontiller/membership"
 )
 
-// probeDuty ranks the instances for probing: the first probes, the others get their evidence from those before them.
-const probeDuty = "probe"
-
-// standby reports whether this instance gets its evidence from another one.
-func (i *Instance[L]) standby() bool {
-	place, _ := i.Place(probeDuty)
+// standby reports whether this instance gets the evidence of a group from another home.
+func (i *Instance[L]) standby(group string) bool {
+	place, _ := i.GroupPlace(group)
 	return place > 0
 }
 
@@ -41,17 +38,27 @@
 	}
 }
 
+// pull asks each source of evidence once, all at the same time.
 func (r *relay[L]) pull(ctx context.Context) {
-	source, ok := r.instance.evidenceSource()
-	if !ok {
-		return
+	sources := r.instance.evidenceSources()
+	ends := make(chan struct{}, len(sources))
+	for _, source := range sources {
+		go func() {
+			r.ask(ctx, source)
+			ends <- struct{}{}
+		}()
+	}
+	for range sources {
+		<-ends
 	}
+}
+
+func (r *relay[L]) ask(ctx context.Context, source membership.Identity) {
 	all, err := r.instance.node.Evidence(ctx, source)
+	r.instance.relayLost(source.Name(), err)
 	if err != nil {
-		r.instance.relayLost(source.Name(), err)
 		return
 	}
-	r.instance.relayLost("", nil)
 	for _, e := range all.Members {
 		if g := r.instance.members.group(e.Group); g != nil {
 			g.Heard(e.SentAt, e.Status)
@@ -64,36 +71,37 @@
 	}
 }
 
-// evidenceSource returns the instance to get evidence from; ok is false on the one that probes.
-func (i *Instance[L]) evidenceSource() (source membership.Identity, ok bool) {
-	place, _ := i.Place(probeDuty)
-	if place == 0 {
-		return source, false
-	}
-	alive, _ := i.node.View()
-	names := make([]string, 0, len(alive))
-	for _, one := range alive {
-		names = append(names, one.Name())
-	}
-	parent := membership.Rank(probeDuty, names)[(place-1)/relayFanout]
-	for _, one := range alive {
-		if one.Name() == parent {
-			return one, true
+// evidenceSources returns the instances to get evidence from: for each group the home before this one in a tree.
+//
+// Where all instances are homes of all groups, their order is that of the first group.
+func (i *Instance[L]) evidenceSources() map[string]membership.Identity {
+	out := map[string]membership.Identity{}
+	for _, g := range i.members.all() {
+		place, _ := i.GroupPlace(g.Name())
+		homes := i.homes(g.Name())
+		if place == 0 || place >= len(homes) {
+			continue
 		}
+		source := homes[(place-1)/relayFanout]
+		out[source.Name()] = source
 	}
-	return source, false
+	return out
 }
 
-// relayLost logs when the source of evidence is lost, and when there is one again.
+// relayLost logs when a source of evidence is lost, and when it is back.
 func (i *Instance[L]) relayLost(source string, err error) {
 	i.mu.Lock()
-	before := i.lostSource
-	i.lostSource = source
+	before := i.lostSources[source]
+	if err == nil {
+		delete(i.lostSources, source)
+	} else {
+		i.lostSources[source] = true
+	}
 	i.mu.Unlock()
 	switch {
-	case source != "" && before == "":
+	case err != nil && !before:
 		logLine(i.cfg.Logger, "level", "warn", "msg", "evidence_lost", "source", source, "error", errorText(err))
-	case source == "" && before != "":
-		logLine(i.cfg.Logger, "level", "info", "msg", "evidence_regained", "source", before)
+	case err == nil && before:
+		logLine(i.cfg.Logger, "level", "info", "msg", "evidence_regained", "source", source)
 	}
 }
--- a/fleet/witness.go
+++ b/fleet/witness.go
@@ -64,13 +64,13 @@
 
 // lacking returns the terms of the groups whose primary answers and lacks a witness.
 func (w *witness[L]) lacking(now time.Time) map[string]group.Term {
-	age := witnessAge
-	if w.instance.standby() {
-		// The instance that probes asks first, and passes on what it hears.
-		age += relayEvery
-	}
 	out := map[string]group.Term{}
 	for _, g := range w.instance.members.all() {
+		age := witnessAge
+		if w.instance.standby(g.Name()) {
+			// The instance that probes asks first, and passes on what it hears.
+			age += relayEvery
+		}
 		g.View(func(t *route.Tracker) {
 			if now.Sub(t.PrimaryHeardAt()) < lease && now.Sub(t.WitnessedAt()) >= age {
 				out[g.Name()] = t.Term()
--- a/instance/monitor.go
+++ b/instance/monitor.go
@@ -59,7 +59,7 @@
 
 // Views asks the others whether they have lost a primary.
 func (f *fleet) Views(ctx context.Context, name string, term group.Term, take func(failover.View)) {
-	f.instance.node.Views(ctx, name, term, take)
+	f.instance.node.Views(ctx, f.instance.node.Others(), name, term, take)
 }
 
 // Claim records an attempt in the table.
--- a/membership/roster.go
+++ b/membership/roster.go
@@ -14,6 +14,8 @@
 	Name        string
 	PeerAddress string
 	DataCentre  string
+	// Capacity is the instance's share of the work, in thousandths of a core; 0 means unknown.
+	Capacity uint32
 }
 
 // Identity names one run of an instance.
@@ -230,6 +232,9 @@
 	return dead
 }
 
+// Capacity returns the instance's share of the work, in thousandths of a core.
+func (i Identity) Capacity() uint32 { return i.cfg.Capacity }
+
 // weight is the rendezvous weight of a name for a key.
 func weight(key, name string) uint64 {
 	var d xxhash.Digest
--- a/peer/calls.go
+++ b/peer/calls.go
@@ -52,10 +52,10 @@
 	return out
 }
 
-// Views asks the others whether they have lost the primary of a group's term; it calls back with each answer as it comes.
-func (n *Node) Views(ctx context.Context, groupName string, term group.Term, back func(failover.View)) {
+// Views asks peers whether they have lost the primary of a group's term; it calls back with each answer as it comes.
+func (n *Node) Views(ctx context.Context, peers []membership.Identity, groupName string, term group.Term, back func(failover.View)) {
 	q := &peerv1.ViewRequest{Group: groupName, Term: uint64(term)}
-	askAll(ctx, n, n.Others(), func(ctx context.Context, c peerv1connect.PeerServiceClient) (struct{}, error) {
+	askAll(ctx, n, peers, func(ctx context.Context, c peerv1connect.PeerServiceClient) (struct{}, error) {
 		a, err := c.View(ctx, connect.NewRequest(q))
 		if err == nil {
 			back(failover.View{Instance: a.Msg.GetInstance(), Term: term, Lost: a.Msg.GetLost()})
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -255,6 +255,7 @@
 		Name:        i.Name(),
 		PeerAddress: i.PeerAddress(),
 		DataCentre:  i.DataCentre(),
+		Capacity:    i.Capacity(),
 	}
 }
 
@@ -265,6 +266,7 @@
 		Name:        m.GetName(),
 		PeerAddress: m.GetPeerAddress(),
 		DataCentre:  m.GetDataCentre(),
+		Capacity:    m.GetCapacity(),
 	})
 }
 
