Need every replica's word, or the store's, for a lease

A demoted primary also still counted as confirmed, since its role was not looked at.

Also: a large fleet's store is followed by the first home of each group only, and the others learn of newer versions with the evidence; an instance is ready once its groups are watched.

--- a/engine/group.go
+++ b/engine/group.go
@@ -39,6 +39,8 @@
 	Ordered bool
 	// Quarantine is how long a link that its endpoint does not close still counts; 0 means DefaultQuarantine.
 	Quarantine time.Duration
+	// AllReplicas makes a lease need the word of every replica, or of the store.
+	AllReplicas bool
 	// Probing decides which probes are due; nil probes every member at every interval.
 	Probing *route.Probing
 	// Standby reports whether another instance probes and passes on what it hears, if set.
@@ -103,7 +105,7 @@
 		changed: make(chan struct{}),
 		members: map[string]*member[L]{},
 		limit:   cfg.Limit,
-		tracker: route.NewTracker(route.TrackerConfig{Group: cfg.Name, Lease: cfg.Lease}),
+		tracker: route.NewTracker(route.TrackerConfig{Group: cfg.Name, Lease: cfg.Lease, AllReplicas: cfg.AllReplicas}),
 	}
 	g.SetMembers(cfg.Members)
 	return g
--- a/fleet/backend.go
+++ b/fleet/backend.go
@@ -27,7 +27,8 @@
 
 // Evidence returns what this instance knows of the leases of its groups.
 func (b *backend[L]) Evidence() peer.AllEvidence {
-	var out peer.AllEvidence
+	version, _ := b.instance.directory.Version()
+	out := peer.AllEvidence{Configuration: version, Endpoints: b.instance.members.Version()}
 	for _, g := range b.instance.members.all() {
 		for _, e := range g.Evidence() {
 			out.Members = append(out.Members, peer.Evidence{Group: g.Name(), Status: e.Status, SentAt: e.SentAt})
--- a/fleet/config.go
+++ b/fleet/config.go
@@ -44,6 +44,8 @@
 	idleEvery = time.Second
 	// kickedAge is the least age of evidence that a waiting request has renewed.
 	kickedAge = 100 * time.Millisecond
+	// witnessEvery is how often the store is asked as a witness: a few times a lease.
+	witnessEvery = 300 * time.Millisecond
 	// relayEvery is how often an instance gets the evidence of the one that probes.
 	relayEvery = 200 * time.Millisecond
 	// relayFanout is the number of instances that get their evidence from the same one.
@@ -84,6 +86,10 @@
 	retryPause = 250 * time.Millisecond
 	// maxRetryPause is the longest such wait: outages last for seconds, and each call has its price.
 	maxRetryPause = time.Second
+	// allReadStore is the largest fleet in which every instance follows the store.
+	allReadStore = 16
+	// idlePause is how often an instance looks whether it is to follow the store.
+	idlePause = 200 * time.Millisecond
 	// goneGrace is how long an endpoint that answers is kept without its entry: entries that lapse in an
 	// outage of the store are back within two seconds of its end.
 	goneGrace = 2500 * time.Millisecond
--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"maps"
+	"slices"
 	"sync"
 
 	"github.com/monsoontiller/monsoontiller/contract"
@@ -17,8 +19,10 @@
 	mu       sync.RWMutex
 	document Document
 	known    bool
-	budgets  map[string]*retry.SharedBudget
-	group    func(name string) *engine.Group[L]
+	// groupNames are the names of the document's groups, sorted.
+	groupNames []string
+	budgets    map[string]*retry.SharedBudget
+	group      func(name string) *engine.Group[L]
 }
 
 // Apply brings a version into force unless a newer one is, and reports whether it did.
@@ -37,6 +41,7 @@
 	}
 	d.budgets = budgets
 	d.document = doc
+	d.groupNames = slices.Sorted(maps.Keys(doc.Groups))
 	d.known = true
 	return true
 }
@@ -60,6 +65,13 @@
 	return g, ok
 }
 
+// GroupNames returns the names of the database groups, sorted.
+func (d *directory[L]) GroupNames() []string {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.groupNames
+}
+
 // Contract returns the contract of a database.
 func (d *directory[L]) Contract(database string) (*contract.Contract, bool) {
 	d.mu.RLock()
--- a/fleet/follow.go
+++ b/fleet/follow.go
@@ -17,6 +17,8 @@
 	store  store.Store
 	table  string
 	logger log.Logger
+	// active reports whether to follow the table at all.
+	active func() bool
 	// whole takes all rows of the table, and changed those that changed since.
 	whole   func(s store.Snapshot)
 	changed func(s store.Snapshot)
@@ -32,6 +34,12 @@
 func (f *follower) Run(ctx context.Context) error {
 	pause := retryPause
 	for ctx.Err() == nil {
+		if !f.active() {
+			if engine.Sleep(ctx, idlePause) != nil {
+				return nil
+			}
+			continue
+		}
 		err := f.step(ctx)
 		if ctx.Err() != nil {
 			return nil
--- a/fleet/instance.go
+++ b/fleet/instance.go
@@ -91,7 +91,17 @@
 // Ready reports whether this instance takes callers.
 func (i *Instance[L]) Ready() bool {
 	_, known := i.directory.Version()
-	return known && i.listed.Load() && i.settled() && !i.stopping.Load()
+	return known && i.listed.Load() && i.settled() && !i.stopping.Load() && i.atWork()
+}
+
+// atWork reports whether every group that this instance is a home of is watched.
+func (i *Instance[L]) atWork() bool {
+	for _, name := range i.directory.GroupNames() {
+		if i.atHome(name) && i.members.group(name) == nil && i.members.has(name) {
+			return false
+		}
+	}
+	return true
 }
 
 // Run runs the instance and the services that face callers until ctx ends; those end first.
@@ -111,11 +121,11 @@
 		&watchLog[L]{instance: i},
 		&witness[L]{instance: i},
 		&follower{
-			store: i.cfg.Store, table: i.cfg.Adapter.ConfigurationTable, logger: i.cfg.Logger,
+			store: i.cfg.Store, table: i.cfg.Adapter.ConfigurationTable, logger: i.cfg.Logger, active: i.readsStore,
 			whole: i.takeConfiguration, changed: i.takeConfiguration,
 		},
 		&follower{
-			store: i.cfg.Store, table: i.cfg.Adapter.EndpointTable, logger: i.cfg.Logger,
+			store: i.cfg.Store, table: i.cfg.Adapter.EndpointTable, logger: i.cfg.Logger, active: i.readsStore,
 			whole: i.takeEndpoints, changed: i.takeEndpointChanges,
 		},
 	}
@@ -169,8 +179,11 @@
 			listed[row.Key] = true
 		}
 	}
-	i.members.Retain(listed, s.Version)
+	for _, gone := range i.members.Retain(listed, s.Version) {
+		i.node.Hold(newItem(endpointItem+gone, s.Version, ""))
+	}
 	i.listed.Store(true)
+	i.node.Hold(newItem(listedItem, 1, ""))
 }
 
 func (i *Instance[L]) takeEndpointChanges(s store.Snapshot) {
@@ -205,6 +218,8 @@
 const (
 	configurationItem = "configuration"
 	endpointItem      = "endpoint/"
+	// listedItem says that the teller has a whole list of the endpoints.
+	listedItem = "listed"
 )
 
 func newItem(key string, version uint64, text string) peer.ConfigItem {
@@ -218,10 +233,12 @@
 	switch {
 	case item.Key() == configurationItem:
 		i.applyDocument([]byte(text), "peer")
+	case item.Key() == listedItem:
+		i.listed.Store(true)
 	case isEndpoint && text == "":
 		i.members.Remove(name, uint64(item.Revision()))
-	case isEndpoint:
-		i.putEntry(name, []byte(text), uint64(item.Revision()))
+	case isEndpoint && !i.putEntry(name, []byte(text), uint64(item.Revision())):
+		i.members.Remove(name, uint64(item.Revision()))
 	}
 }
 
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -41,8 +41,10 @@
 	mu       sync.Mutex
 	entries  map[string]*known
 	groups   map[string]*watched[L]
-	ctx      context.Context
-	loops    sync.WaitGroup
+	// version is the newest version of any entry, removals included.
+	version uint64
+	ctx     context.Context
+	loops   sync.WaitGroup
 }
 
 func newMembers[L Link[L]](i *Instance[L]) *members[L] {
@@ -53,7 +55,7 @@
 func (m *members[L]) Name() string { return "endpoints" }
 
 // goneInterval is how often endpoints without an entry are looked at.
-const goneInterval = 500 * time.Millisecond
+const goneInterval = 200 * time.Millisecond
 
 // Run watches the groups until ctx ends.
 func (m *members[L]) Run(ctx context.Context) error {
@@ -120,6 +122,7 @@
 func (m *members[L]) Put(e Entry, version uint64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.version = max(m.version, version)
 	held := m.entries[e.Endpoint]
 	if held != nil && held.version >= version {
 		return
@@ -134,10 +137,18 @@
 	}
 }
 
+// Version returns the newest version of any entry.
+func (m *members[L]) Version() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.version
+}
+
 // Remove notes that an endpoint has no entry as of a version of the store.
 func (m *members[L]) Remove(endpoint string, version uint64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.version = max(m.version, version)
 	held := m.entries[endpoint]
 	if held == nil || held.version >= version || !held.goneAt.IsZero() {
 		return
@@ -147,10 +158,9 @@
 	m.logLocked("endpoint_entry_gone", held.entry, version)
 }
 
-// Retain removes the endpoints that a whole list of the store lacks.
-func (m *members[L]) Retain(listed map[string]bool, version uint64) {
+// Retain removes the endpoints that a whole list of the store lacks, and returns their names.
+func (m *members[L]) Retain(listed map[string]bool, version uint64) (gone []string) {
 	m.mu.Lock()
-	var gone []string
 	for name := range m.entries {
 		if !listed[name] {
 			gone = append(gone, name)
@@ -161,6 +171,7 @@
 	for _, name := range gone {
 		m.Remove(name, version)
 	}
+	return gone
 }
 
 func (m *members[L]) logLocked(what string, e Entry, version uint64) {
@@ -270,6 +281,7 @@
 		Ordered:       true,
 		Outage:        usualOutage,
 		Probing:       &probing,
+		AllReplicas:   true,
 		Standby:       func() bool { return i.standby(name) },
 		Dial: func(ctx context.Context, a engine.Address, _ string) (L, error) {
 			return i.reach.dial(ctx, name, a)
@@ -327,6 +339,18 @@
 	return m.groups[name]
 }
 
+// has reports whether any endpoint of a group is listed.
+func (m *members[L]) has(name string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, k := range m.entries {
+		if k.entry.Group == name {
+			return true
+		}
+	}
+	return false
+}
+
 // group returns the group of that name, or nil.
 func (m *members[L]) group(name string) *engine.Group[L] {
 	w := m.find(name)
--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/monsoontiller/monsoontiller/membership"
 )
 
@@ -59,6 +61,10 @@
 	if err != nil {
 		return
 	}
+	version, _ := r.instance.directory.Version()
+	if all.Configuration > version || all.Endpoints > r.instance.members.Version() {
+		r.instance.node.Exchange(ctx, source)
+	}
 	for _, e := range all.Members {
 		if g := r.instance.members.group(e.Group); g != nil {
 			g.Heard(e.SentAt, e.Status)
@@ -85,9 +91,46 @@
 		source := homes[(place-1)/relayFanout]
 		out[source.Name()] = source
 	}
+	if source, ok := i.reader(); ok && len(out) == 0 {
+		out[source.Name()] = source
+	}
 	return out
 }
 
+// reader returns an instance that reads the store, for one that does not and is no home either.
+func (i *Instance[L]) reader() (source membership.Identity, ok bool) {
+	if i.readsStore() {
+		return source, false
+	}
+	groups := i.directory.GroupNames()
+	if len(groups) == 0 {
+		return source, false
+	}
+	homes := i.homes(groups[int(xxhash.Sum64String(i.cfg.Name)%uint64(len(groups)))])
+	if len(homes) == 0 {
+		return source, false
+	}
+	return homes[0], true
+}
+
+// readsStore reports whether this instance follows the store itself.
+//
+// In a small fleet all do; in a larger one the first home of each group does, and
+// the others learn of a newer version with the evidence that they ask for.
+func (i *Instance[L]) readsStore() bool {
+	alive, _ := i.counts()
+	groups := i.directory.GroupNames()
+	if alive <= allReadStore || len(groups) == 0 {
+		return true
+	}
+	for _, name := range groups {
+		if homes := i.homes(name); len(homes) == 0 || homes[0].Name() == i.cfg.Name {
+			return true
+		}
+	}
+	return false
+}
+
 // relayLost logs when a source of evidence is lost, and when it is back.
 func (i *Instance[L]) relayLost(source string, err error) {
 	i.mu.Lock()
--- a/fleet/witness.go
+++ b/fleet/witness.go
@@ -9,16 +9,12 @@
 	"github.com/monsoontiller/monsoontiller/route"
 )
 
-const (
-	// witnessInterval is how often it is looked whether a lease lacks a witness.
-	witnessInterval = 200 * time.Millisecond
-	// witnessAge is the age of a replica's confirmation at which the store is asked instead: two renewals were missed.
-	witnessAge = 2*renewEvery + 100*time.Millisecond
-)
+// witnessAge is the age of the replicas' confirmation at which the store is asked instead: the turn of one was missed.
+const witnessAge = 3*renewEvery - 50*time.Millisecond
 
-// witness asks the store whether a promotion is under way where a primary answers and no replica does.
+// witness asks the store whether a promotion is under way where a primary answers and a replica does not.
 //
-// A promotion is recorded in the store before its first fence. While replicas
+// A promotion is recorded in the store before its first fence. While all replicas
 // answer, the store is not asked.
 type witness[L Link[L]] struct {
 	instance *Instance[L]
@@ -30,7 +26,7 @@
 
 // Run looks at the leases at every interval until ctx ends.
 func (w *witness[L]) Run(ctx context.Context) error {
-	ticker := time.NewTicker(witnessInterval)
+	ticker := time.NewTicker(witnessEvery)
 	defer ticker.Stop()
 	for {
 		select {
--- a/peer/evidence.go
+++ b/peer/evidence.go
@@ -30,6 +30,9 @@
 type AllEvidence struct {
 	Members []Evidence
 	Stores  []StoreEvidence
+	// Configuration and Endpoints are the newest versions that the instance has of them.
+	Configuration uint64
+	Endpoints     uint64
 }
 
 // evidenceTimeout bounds the call for evidence, which is worthless once it is as old as a lease.
@@ -47,7 +50,7 @@
 	if err != nil {
 		return AllEvidence{}, err
 	}
-	var out AllEvidence
+	out := AllEvidence{Configuration: a.Msg.GetConfiguration(), Endpoints: a.Msg.GetEndpoints()}
 	for _, m := range a.Msg.GetMembers() {
 		out.Members = append(out.Members, evidenceOf(m, askedAt))
 	}
@@ -86,6 +89,7 @@
 func (h *handler) Evidence(context.Context, *connect.Request[peerv1.EvidenceRequest]) (*connect.Response[peerv1.EvidenceResponse], error) {
 	a := &peerv1.EvidenceResponse{}
 	all := h.node.cfg.Backend.Evidence()
+	a.Configuration, a.Endpoints = all.Configuration, all.Endpoints
 	now := clock.Now()
 	for _, s := range all.Stores {
 		a.Stores = append(a.Stores, &peerv1.StoreEvidence{Group: s.Group, Term: uint64(s.Term), AgeUs: ageMicros(now, s.SentAt)})
--- a/route/expected_test.go
+++ b/route/expected_test.go
@@ -126,6 +126,36 @@
 	}
 }
 
+// A replica that is cut off from a new primary forgets its promise as the promotion takes effect, and confirms
+// the old term again; the new primary itself does not answer here.
+func TestOneReplicaIsNoWitnessWherePromisesAreForgotten(t *testing.T) {
+	tr := route.NewTracker(route.TrackerConfig{Group: "orders", Lease: lease, AllReplicas: true})
+	tr.SetEndpoints([]route.Endpoint{{Name: "a"}, {Name: "b"}, {Name: "c"}})
+	for _, name := range []string{"a", "b", "c"} {
+		observe(tr, name, start, 10)
+	}
+	late := after(2 * lease)
+	observe(tr, "a", late, 11)
+	observe(tr, "c", late, 10)
+	if got := tr.ConfirmedAt(); !got.Equal(start) {
+		t.Errorf("confirmed at %v without the word of b", got)
+	}
+	tr.StoreConfirmed(late, 1)
+	if got := tr.ConfirmedAt(); !got.Equal(late) {
+		t.Errorf("confirmed at %v, though the store vouched at %v", got, late)
+	}
+}
+
+func TestADemotedPrimaryConfirmsNothing(t *testing.T) {
+	tr := newTracker()
+	tr.Observe(after(time.Millisecond), after(time.Millisecond), group.NewStatus(group.StatusConfig{
+		Endpoint: "a", Role: group.RoleReplica, Point: group.NewPoint(1, 10), Promised: 1,
+	}))
+	if got := tr.ConfirmedAt(); !got.IsZero() {
+		t.Errorf("a demoted primary is confirmed at %v", got)
+	}
+}
+
 func TestTheStoreVouchesOnlyForItsTerm(t *testing.T) {
 	tr := newTracker()
 	tr.StoreConfirmed(after(time.Minute), 2)
--- a/route/tracker.go
+++ b/route/tracker.go
@@ -17,6 +17,10 @@
 	Endpoints []string
 	// Lease is how long a confirmed primary may be used; it bounds which samples count for reads of a stated age.
 	Lease time.Duration
+	// AllReplicas makes a lease need the word of every replica, or of the store. It is for members that forget
+	// the promise to a promotion as soon as it has taken effect, before they know the new term: a replica that is
+	// cut off from the new primary then confirms the old one again.
+	AllReplicas bool
 }
 
 // Endpoint describes a member of a group.
@@ -32,6 +36,7 @@
 type Tracker struct {
 	name    string
 	lease   time.Duration
+	all     bool
 	history group.History
 	primary string
 	members map[string]*member
@@ -39,7 +44,6 @@
 	track   *track
 
 	primaryConfirmedAt time.Time
-	replicaConfirmedAt time.Time
 	// storeConfirmedAt is when the store, asked then, told of no promotion past the newest term.
 	storeConfirmedAt time.Time
 }
@@ -48,6 +52,8 @@
 type member struct {
 	point     group.Point
 	sampledAt time.Time
+	// confirmedAt is when the member was last asked and confirmed the newest term.
+	confirmedAt time.Time
 	// statusAt is when the newest status was asked for.
 	statusAt time.Time
 	// behindUntil is how long a replica that lacked a floor is not asked again.
@@ -64,7 +70,7 @@
 
 // NewTracker returns a tracker that knows no positions yet.
 func NewTracker(cfg TrackerConfig) *Tracker {
-	t := &Tracker{name: cfg.Group, lease: cfg.Lease, members: map[string]*member{}, track: newTrack()}
+	t := &Tracker{name: cfg.Group, lease: cfg.Lease, all: cfg.AllReplicas, members: map[string]*member{}, track: newTrack()}
 	var endpoints []Endpoint
 	for _, name := range cfg.Endpoints {
 		endpoints = append(endpoints, Endpoint{Name: name})
@@ -192,23 +198,54 @@
 	t.primary = s.Endpoint()
 	t.track.reset()
 	t.primaryConfirmedAt = time.Time{}
-	t.replicaConfirmedAt = time.Time{}
 	t.storeConfirmedAt = time.Time{}
+	for _, m := range t.members {
+		m.confirmedAt = time.Time{}
+	}
 	return true
 }
 
-// confirm notes that a member still takes part in the newest term.
+// confirm notes that a member still takes part in the newest term, or that the primary has been demoted.
 func (t *Tracker) confirm(sentAt time.Time, s group.Status) {
+	if s.Endpoint() == t.primary && s.Role() != group.RolePrimary {
+		t.primaryConfirmedAt = time.Time{}
+		return
+	}
 	if !s.Confirms(t.Term()) {
 		return
 	}
-	at := &t.replicaConfirmedAt
 	if s.Endpoint() == t.primary {
-		at = &t.primaryConfirmedAt
+		if sentAt.After(t.primaryConfirmedAt) {
+			t.primaryConfirmedAt = sentAt
+		}
+		return
+	}
+	if m := t.members[s.Endpoint()]; sentAt.After(m.confirmedAt) {
+		m.confirmedAt = sentAt
+	}
+}
+
+// replicaConfirmedAt returns the newest time at which the replicas that a lease needs confirmed the term.
+func (t *Tracker) replicaConfirmedAt() time.Time {
+	var oldest, newest time.Time
+	first := true
+	for _, name := range t.order {
+		m := t.members[name]
+		if name == t.primary {
+			continue
+		}
+		if first || m.confirmedAt.Before(oldest) {
+			oldest = m.confirmedAt
+		}
+		first = false
+		if m.confirmedAt.After(newest) {
+			newest = m.confirmedAt
+		}
 	}
-	if sentAt.After(*at) {
-		*at = sentAt
+	if t.all {
+		return oldest
 	}
+	return newest
 }
 
 // Reached takes a log point that a request sent at sentAt found at an endpoint; it confirms no lease.
@@ -276,18 +313,19 @@
 
 // WitnessedAt returns the newest time at which a replica or the store vouched that no other primary was being made.
 func (t *Tracker) WitnessedAt() time.Time {
-	if t.storeConfirmedAt.After(t.replicaConfirmedAt) {
-		return t.storeConfirmedAt
+	if replica := t.replicaConfirmedAt(); replica.After(t.storeConfirmedAt) {
+		return replica
 	}
-	return t.replicaConfirmedAt
+	return t.storeConfirmedAt
 }
 
 // ConfirmedAt returns the newest time at which no promotion past the newest term can have been under way.
 //
-// The primary, and one replica or the store, confirmed the term to requests sent at
-// or after that time. Any majority of the group shares a member with the primary
-// and a replica; and a promotion is recorded in the store before its first fence,
-// after which it waits out the lease. It is the zero time while either is missing.
+// The primary, and the replicas that a lease needs or the store, confirmed the term
+// to requests sent at or after that time. Any majority of the group shares a member
+// with the primary and a replica; and a promotion is recorded in the store before
+// its first fence, after which it waits out the lease. It is the zero time while
+// either is missing.
 func (t *Tracker) ConfirmedAt() time.Time {
 	if witnessed := t.WitnessedAt(); witnessed.Before(t.primaryConfirmedAt) {
 		return witnessed
