Revoke leases for a promotion instead of waiting them out, where every instance agrees

Instances register in the store; a promoter that hears from every registered or known one that its lease is given up promotes at once, and waits the lease out otherwise.

--- a/engine/lease.go
+++ b/engine/lease.go
@@ -19,8 +19,14 @@
 }
 
 func (g *Group[L]) leaseLocked() bool {
-	confirmed := g.tracker.ConfirmedAt()
-	return !confirmed.IsZero() && g.cfg.Clock().Sub(confirmed) < g.cfg.Lease
+	return g.cfg.Clock().Before(g.tracker.LeaseUntil())
+}
+
+// RevokeLease ends the leases of terms up to term, and of what is asked for before until.
+func (g *Group[L]) RevokeLease(term group.Term, until time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.tracker.RevokeLease(term, g.cfg.Clock(), until)
 }
 
 // AwaitLease waits until the primary may be used; it fails with KindNoPrimary at the deadline.
--- a/engine/monitor.go
+++ b/engine/monitor.go
@@ -18,6 +18,8 @@
 	Views(ctx context.Context, group string, term group.Term, take func(failover.View))
 	// Claim records in the store that attempt goes for term.
 	Claim(ctx context.Context, group string, term group.Term, attempt string) (failover.ClaimOutcome, group.Term)
+	// Revoke ends the leases of a group's terms up to term on all instances and reports whether every one of them did.
+	Revoke(ctx context.Context, group string, term group.Term) bool
 	// Publish records the primary of a term in the store; it fails while the store does not answer.
 	Publish(ctx context.Context, group string, term group.Term, endpoint string) error
 	// Explain reports a decision with its evidence.
@@ -125,6 +127,8 @@
 		m.cfg.Orders.Fence(a.Endpoint, a.Term, a.Attempt)
 	case failover.Promote:
 		m.cfg.Orders.Promote(a.Endpoint, a.Term, a.Attempt)
+	case failover.Revoke:
+		go m.revoke(ctx, a)
 	case failover.Publish:
 		go m.publish(ctx, a)
 	case failover.Explain:
@@ -137,6 +141,12 @@
 	m.Step(failover.ClaimResult{Attempt: a.Attempt, Outcome: outcome, Term: term})
 }
 
+func (m *Monitor[L]) revoke(ctx context.Context, a failover.Revoke) {
+	if m.cfg.Fleet.Revoke(ctx, m.cfg.Failover.Group, a.Term) {
+		m.Step(failover.Revoked{Attempt: a.Attempt})
+	}
+}
+
 // publish records the new primary in the store once that answers.
 func (m *Monitor[L]) publish(ctx context.Context, a failover.Publish) {
 	for ctx.Err() == nil {
--- a/failover/attempt.go
+++ b/failover/attempt.go
@@ -17,8 +17,10 @@
 	oldFencedAt time.Time
 	chosen      string
 	planned     bool
-	oldTerm     group.Term
-	old         string
+	// revoked says that no instance holds a lease of the old term any more.
+	revoked bool
+	oldTerm group.Term
+	old     string
 }
 
 // startAttempt claims a term above every one that the table or a member has shown.
--- a/failover/event.go
+++ b/failover/event.go
@@ -43,6 +43,11 @@
 	Term    group.Term
 }
 
+// Revoked says that every instance has ended its lease of the old term for this attempt.
+type Revoked struct {
+	Attempt string
+}
+
 // Leaving tells which members are to get no new work.
 type Leaving struct {
 	Endpoints []string
@@ -55,6 +60,7 @@
 func (Fleet) isEvent()       {}
 func (ClaimResult) isEvent() {}
 func (Leaving) isEvent()     {}
+func (Revoked) isEvent()     {}
 
 // ClaimOutcome says how a claim ended.
 type ClaimOutcome uint8
@@ -90,6 +96,12 @@
 	Attempt  string
 }
 
+// Revoke asks all instances to end their leases of terms up to Term; Revoked follows if all did.
+type Revoke struct {
+	Term    group.Term
+	Attempt string
+}
+
 // Promote asks a member to lead Term for Attempt; the answer comes back as Probed.
 type Promote struct {
 	Endpoint string
@@ -113,6 +125,7 @@
 func (Claim) isAction()    {}
 func (Fence) isAction()    {}
 func (Promote) isAction()  {}
+func (Revoke) isAction()   {}
 func (Publish) isAction()  {}
 func (Explain) isAction()  {}
 
--- a/failover/machine.go
+++ b/failover/machine.go
@@ -96,6 +96,9 @@
 		return nil
 	case ClaimResult:
 		return m.claimed(now, e)
+	case Revoked:
+		m.attempt.revoked = m.attempt.revoked || e.Attempt == m.attempt.id
+		return m.advance(now)
 	case Leaving:
 		m.SetLeaving(e.Endpoints)
 		return nil
--- a/failover/promote.go
+++ b/failover/promote.go
@@ -66,7 +66,8 @@
 	}
 	if len(m.attempt.fenced) >= m.majority() {
 		m.enter(now, phaseWaiting)
-		return m.waitOut(now)
+		revoke := Revoke{Term: m.attempt.oldTerm, Attempt: m.attempt.id}
+		return append([]Action{revoke}, m.waitOut(now)...)
 	}
 	if now.Sub(m.stepAt) < m.cfg.StepTimeout {
 		return nil
@@ -90,7 +91,7 @@
 		return m.abandon(now, "a member has promised a higher term")
 	}
 	wait := m.cfg.Lease + time.Duration(clockDrift*float64(m.cfg.Lease))
-	if now.Sub(m.attempt.noLeaseSince()) >= wait {
+	if m.attempt.revoked || now.Sub(m.attempt.noLeaseSince()) >= wait {
 		return m.promote(now)
 	}
 	if now.Sub(m.stepAt) >= m.cfg.StepTimeout {
--- a/failover/successor_test.go
+++ b/failover/successor_test.go
@@ -118,3 +118,24 @@
 		}
 	}
 }
+
+// Where every instance gives its lease up, the promotion need not wait it out.
+func TestRevokedLeasesAreNotWaitedOut(t *testing.T) {
+	s := newSuccessor()
+	claim := s.suspect(t)
+	s.step(failover.ClaimResult{Attempt: claim.Attempt, Outcome: failover.ClaimWon, Term: 2})
+	s.probed("b", group.RoleReplica, 10, 2, claim.Attempt)
+	revoke, ok := find[failover.Revoke](s.probed("c", group.RoleReplica, 12, 2, claim.Attempt))
+	if !ok || revoke.Term != 1 {
+		t.Fatalf("asked for %+v, want the leases of term 1", revoke)
+	}
+	if _, early := find[failover.Promote](s.pass(successorStep)); early {
+		t.Fatal("promoted before the leases ended")
+	}
+	if _, wrong := find[failover.Promote](s.step(failover.Revoked{Attempt: "another"})); wrong {
+		t.Fatal("promoted on the word about another attempt")
+	}
+	if promote, ok := find[failover.Promote](s.step(failover.Revoked{Attempt: revoke.Attempt})); !ok || promote.Endpoint != "c" {
+		t.Errorf("promoted %+v, want c at once", promote)
+	}
+}
--- a/fleet/backend.go
+++ b/fleet/backend.go
@@ -30,6 +30,11 @@
 	version, _ := b.instance.directory.Version()
 	out := peer.AllEvidence{Configuration: version, Endpoints: b.instance.members.Version()}
 	for _, g := range b.instance.members.all() {
+		revoked := false
+		g.View(func(t *route.Tracker) { revoked = t.LeaseRevoked() })
+		if revoked {
+			continue
+		}
 		for _, e := range g.Evidence() {
 			out.Members = append(out.Members, peer.Evidence{Group: g.Name(), Status: e.Status, SentAt: e.SentAt})
 		}
@@ -42,6 +47,9 @@
 	return out
 }
 
+// Revoke ends the lease of a group's primary here.
+func (b *backend[L]) Revoke(name string, term uint64) { b.instance.revoke(name, group.Term(term)) }
+
 // PeerChanged brings the homes and the shares of connections in line with the fleet.
 func (b *backend[L]) PeerChanged() { b.instance.members.Configured() }
 
--- a/fleet/instance.go
+++ b/fleet/instance.go
@@ -120,6 +120,7 @@
 		&relay[L]{instance: i},
 		&watchLog[L]{instance: i},
 		&witness[L]{instance: i},
+		&registration[L]{instance: i},
 		&follower{
 			store: i.cfg.Store, table: i.cfg.Adapter.ConfigurationTable, logger: i.cfg.Logger, active: i.readsStore,
 			whole: i.takeConfiguration, changed: i.takeConfiguration,
--- a/instance/balancer.go
+++ b/instance/balancer.go
@@ -171,6 +171,9 @@
 // Evidence returns nothing: each instance probes its endpoints itself.
 func (b *backend) Evidence() peer.AllEvidence { return peer.AllEvidence{} }
 
+// Revoke does nothing: promoters wait leases out here.
+func (b *backend) Revoke(string, uint64) {}
+
 // Cancel cancels the statement of a caller's session here.
 func (b *backend) Cancel(ctx context.Context, pid uint32, secret []byte) bool {
 	return b.instance.server.Cancel(ctx, pid, secret)
--- a/instance/monitor.go
+++ b/instance/monitor.go
@@ -67,6 +67,9 @@
 	return f.instance.cfg.Platform.ClaimTerm(ctx, name, term, attempt)
 }
 
+// Revoke reports false: a lease is waited out.
+func (f *fleet) Revoke(context.Context, string, group.Term) bool { return false }
+
 // Publish records the new primary in the table.
 func (f *fleet) Publish(ctx context.Context, name string, term group.Term, endpoint string) error {
 	return f.instance.cfg.Platform.PublishTerm(ctx, name, term, endpoint)
--- a/peer/calls.go
+++ b/peer/calls.go
@@ -64,6 +64,27 @@
 	})
 }
 
+// revokeTimeout bounds the revocation of leases; whoever takes longer has its lease waited out.
+const revokeTimeout = 300 * time.Millisecond
+
+// Revoke asks all other live instances to end the lease of a group's primary, up to a term, and returns the names of those that did.
+func (n *Node) Revoke(ctx context.Context, groupName string, term group.Term) []string {
+	ctx, cancel := context.WithTimeout(ctx, revokeTimeout)
+	defer cancel()
+	q := &peerv1.RevokeRequest{Group: groupName, Term: uint64(term)}
+	results := askAll(ctx, n, n.Others(), func(ctx context.Context, c peerv1connect.PeerServiceClient) (struct{}, error) {
+		_, err := c.Revoke(ctx, connect.NewRequest(q))
+		return struct{}{}, err
+	})
+	var done []string
+	for _, r := range results {
+		if r.err == nil {
+			done = append(done, r.peer.Name())
+		}
+	}
+	return done
+}
+
 // Cancel passes a cancel request on to the instance with the given number.
 func (n *Node) Cancel(ctx context.Context, number uint32, pid uint32, secret []byte) {
 	for _, one := range n.Others() {
--- a/peer/handler.go
+++ b/peer/handler.go
@@ -47,6 +47,12 @@
 	}), nil
 }
 
+// Revoke ends the lease of a group's primary here.
+func (h *handler) Revoke(_ context.Context, q *connect.Request[peerv1.RevokeRequest]) (*connect.Response[peerv1.RevokeResponse], error) {
+	h.node.cfg.Backend.Revoke(q.Msg.GetGroup(), q.Msg.GetTerm())
+	return connect.NewResponse(&peerv1.RevokeResponse{}), nil
+}
+
 // Cancel cancels a statement of a session here.
 func (h *handler) Cancel(ctx context.Context, q *connect.Request[peerv1.CancelRequest]) (*connect.Response[peerv1.CancelResponse], error) {
 	found := h.node.cfg.Backend.Cancel(ctx, q.Msg.GetPid(), q.Msg.GetSecret())
--- a/peer/node.go
+++ b/peer/node.go
@@ -42,6 +42,8 @@
 	ItemApplied(item ConfigItem)
 	// Evidence returns what this instance knows of the leases of its groups.
 	Evidence() AllEvidence
+	// Revoke ends the lease of a group's primary here, up to a term.
+	Revoke(groupName string, term uint64)
 	// PeerChanged is told that the set of live instances may have changed.
 	PeerChanged()
 }
--- a/peer/peerv1/peerv1connect/peer.connect.go
+++ b/peer/peerv1/peerv1connect/peer.connect.go
@@ -47,6 +47,8 @@
 	PeerServiceExplainProcedure = "/monsoontiller.peer.v1.PeerService/Explain"
 	// PeerServiceEvidenceProcedure is the fully-qualified name of the PeerService's Evidence RPC.
 	PeerServiceEvidenceProcedure = "/monsoontiller.peer.v1.PeerService/Evidence"
+	// PeerServiceRevokeProcedure is the fully-qualified name of the PeerService's Revoke RPC.
+	PeerServiceRevokeProcedure = "/monsoontiller.peer.v1.PeerService/Revoke"
 )
 
 // PeerServiceClient is a client for the monsoontiller.peer.v1.PeerService service.
@@ -65,6 +67,8 @@
 	Explain(context.Context, *connect.Request[peerv1.ExplainRequest]) (*connect.Response[peerv1.ExplainResponse], error)
 	// Evidence returns what the instance has heard of the members of its groups.
 	Evidence(context.Context, *connect.Request[peerv1.EvidenceRequest]) (*connect.Response[peerv1.EvidenceResponse], error)
+	// Revoke ends the lease of a group's primary on the instance, up to a term.
+	Revoke(context.Context, *connect.Request[peerv1.RevokeRequest]) (*connect.Response[peerv1.RevokeResponse], error)
 }
 
 // NewPeerServiceClient constructs a client for the monsoontiller.peer.v1.PeerService service. By
@@ -120,6 +124,12 @@
 			connect.WithSchema(peerServiceMethods.ByName("Evidence")),
 			connect.WithClientOptions(opts...),
 		),
+		revoke: connect.NewClient[peerv1.RevokeRequest, peerv1.RevokeResponse](
+			httpClient,
+			baseURL+PeerServiceRevokeProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("Revoke")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -132,6 +142,7 @@
 	borrow   *connect.Client[peerv1.BorrowRequest, peerv1.BorrowResponse]
 	explain  *connect.Client[peerv1.ExplainRequest, peerv1.ExplainResponse]
 	evidence *connect.Client[peerv1.EvidenceRequest, peerv1.EvidenceResponse]
+	revoke   *connect.Client[peerv1.RevokeRequest, peerv1.RevokeResponse]
 }
 
 // Exchange calls monsoontiller.peer.v1.PeerService.Exchange.
@@ -169,6 +180,11 @@
 	return c.evidence.CallUnary(ctx, req)
 }
 
+// Revoke calls monsoontiller.peer.v1.PeerService.Revoke.
+func (c *peerServiceClient) Revoke(ctx context.Context, req *connect.Request[peerv1.RevokeRequest]) (*connect.Response[peerv1.RevokeResponse], error) {
+	return c.revoke.CallUnary(ctx, req)
+}
+
 // PeerServiceHandler is an implementation of the monsoontiller.peer.v1.PeerService service.
 type PeerServiceHandler interface {
 	// Exchange is a heartbeat that carries changes and a digest both ways.
@@ -185,6 +201,8 @@
 	Explain(context.Context, *connect.Request[peerv1.ExplainRequest]) (*connect.Response[peerv1.ExplainResponse], error)
 	// Evidence returns what the instance has heard of the members of its groups.
 	Evidence(context.Context, *connect.Request[peerv1.EvidenceRequest]) (*connect.Response[peerv1.EvidenceResponse], error)
+	// Revoke ends the lease of a group's primary on the instance, up to a term.
+	Revoke(context.Context, *connect.Request[peerv1.RevokeRequest]) (*connect.Response[peerv1.RevokeResponse], error)
 }
 
 // NewPeerServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -236,6 +254,12 @@
 		connect.WithSchema(peerServiceMethods.ByName("Evidence")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceRevokeHandler := connect.NewUnaryHandler(
+		PeerServiceRevokeProcedure,
+		svc.Revoke,
+		connect.WithSchema(peerServiceMethods.ByName("Revoke")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/monsoontiller.peer.v1.PeerService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerServiceExchangeProcedure:
@@ -252,6 +276,8 @@
 			peerServiceExplainHandler.ServeHTTP(w, r)
 		case PeerServiceEvidenceProcedure:
 			peerServiceEvidenceHandler.ServeHTTP(w, r)
+		case PeerServiceRevokeProcedure:
+			peerServiceRevokeHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -288,3 +314,7 @@
 func (UnimplementedPeerServiceHandler) Evidence(context.Context, *connect.Request[peerv1.EvidenceRequest]) (*connect.Response[peerv1.EvidenceResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("monsoontiller.peer.v1.PeerService.Evidence is not implemented"))
 }
+
+func (UnimplementedPeerServiceHandler) Revoke(context.Context, *connect.Request[peerv1.RevokeRequest]) (*connect.Response[peerv1.RevokeResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("monsoontiller.peer.v1.PeerService.Revoke is not implemented"))
+}
--- a/route/expected.go
+++ b/route/expected.go
@@ -47,7 +47,7 @@
 func (t *Tracker) offer(now time.Time, name string, m *member, r Request) (d Decision, cost time.Duration, ok bool) {
 	cost = m.expected()
 	if name == t.primary {
-		leased := now.Sub(t.ConfirmedAt()) < t.lease
+		leased := now.Before(t.LeaseUntil())
 		return Decision{target: TargetPrimary, endpoint: name}, cost + primaryPenalty, leased && !m.leaving
 	}
 	if !t.usable(m) || now.Before(m.behindUntil) {
--- a/route/expected_test.go
+++ b/route/expected_test.go
@@ -146,6 +146,31 @@
 	}
 }
 
+func TestARevokedLeaseEndsAndComesBackLate(t *testing.T) {
+	tr := newTracker()
+	if got := tr.LeaseUntil(); !got.Equal(start.Add(lease)) {
+		t.Fatalf("the lease ends at %v", got)
+	}
+	tr.RevokeLease(1, after(100*time.Millisecond), after(5*time.Second))
+	if got := tr.LeaseUntil(); !got.Equal(after(100 * time.Millisecond)) {
+		t.Errorf("a revoked lease ends at %v", got)
+	}
+	observe(tr, "a", after(200*time.Millisecond), 30)
+	observe(tr, "b", after(200*time.Millisecond), 10)
+	if got := tr.LeaseUntil(); got.After(after(100 * time.Millisecond)) {
+		t.Errorf("a revoked lease came back until %v", got)
+	}
+	if floor, _, ok := tr.FloorSince(after(150 * time.Millisecond)); ok {
+		t.Errorf("floor %v from a position past the lease", floor)
+	}
+	late := after(5*time.Second + time.Millisecond)
+	observe(tr, "a", late, 31)
+	observe(tr, "b", late, 30)
+	if got := tr.LeaseUntil(); !got.Equal(late.Add(lease)) {
+		t.Errorf("the lease ends at %v after the promotion came to nothing", got)
+	}
+}
+
 func TestADemotedPrimaryConfirmsNothing(t *testing.T) {
 	tr := newTracker()
 	tr.Observe(after(time.Millisecond), after(time.Millisecond), group.NewStatus(group.StatusConfig{
--- a/route/tracker.go
+++ b/route/tracker.go
@@ -46,6 +46,14 @@
 	primaryConfirmedAt time.Time
 	// storeConfirmedAt is when the store, asked then, told of no promotion past the newest term.
 	storeConfirmedAt time.Time
+	revoked          revocation
+}
+
+// revocation ends the leases of terms up to term, from at until a later confirmation than until.
+type revocation struct {
+	term  group.Term
+	at    time.Time
+	until time.Time
 }
 
 // member is what is known of one endpoint.
@@ -288,13 +296,42 @@
 // Such a position was asked for at or after since, while no other primary can
 // have acknowledged a commit; ok is false when there is none.
 func (t *Tracker) FloorSince(since time.Time) (floor group.Point, at time.Time, ok bool) {
-	s, ok := t.track.oldestSince(since, t.ConfirmedAt().Add(t.lease))
+	s, ok := t.track.oldestSince(since, t.LeaseUntil())
 	if !ok || t.ConfirmedAt().IsZero() {
 		return group.Point{}, time.Time{}, false
 	}
 	return group.NewPoint(t.Term(), s.position), s.sentAt, true
 }
 
+// RevokeLease ends the leases of terms up to term; only what is asked for after until confirms such a term again.
+func (t *Tracker) RevokeLease(term group.Term, at, until time.Time) {
+	if term < t.revoked.term {
+		return
+	}
+	if term > t.revoked.term || !t.LeaseRevoked() {
+		t.revoked = revocation{term: term, at: at, until: until}
+	}
+	t.revoked.until = until
+}
+
+// LeaseRevoked reports whether the lease of the newest term was given up for a promotion.
+func (t *Tracker) LeaseRevoked() bool {
+	return t.Term() <= t.revoked.term && t.ConfirmedAt().Before(t.revoked.until)
+}
+
+// LeaseUntil returns when the lease of the primary ends, or the zero time when there is none.
+func (t *Tracker) LeaseUntil() time.Time {
+	confirmed := t.ConfirmedAt()
+	if confirmed.IsZero() {
+		return confirmed
+	}
+	end := confirmed.Add(t.lease)
+	if t.LeaseRevoked() && t.revoked.at.Before(end) {
+		return t.revoked.at
+	}
+	return end
+}
+
 // Revoke forgets that the primary was confirmed, after it refused a write.
 func (t *Tracker) Revoke() { t.primaryConfirmedAt = time.Time{} }
 
