--- a/cmd/monsoontiller/operate.go
+++ b/cmd/monsoontiller/operate.go
@@ -322,32 +322,3 @@
 		return nil
 	})
 }
-
-// explainCommand shows recent decisions.
-type explainCommand struct {
-	remote
-	Limit uint32 `long:"limit" default:"50" description:"Most decisions per instance"`
-	Args  struct {
-		Subject string `positional-arg-name:"SUBJECT" description:"Start of a subject, such as group/orders-1"`
-	} `positional-args:"true"`
-}
-
-// Execute runs the command.
-func (c *explainCommand) Execute([]string) error {
-	return c.call(func(ctx context.Context, client operatorv1connect.OperatorServiceClient) error {
-		a, err := client.Explain(ctx, connect.NewRequest(&operatorv1.ExplainRequest{Subject: c.Args.Subject, Limit: c.Limit}))
-		if err != nil {
-			return err
-		}
-		t := newTable("TIME", "INSTANCE", "SUBJECT", "DECISION", "EVIDENCE")
-		for _, d := range a.Msg.GetDecisions() {
-			at := time.Unix(0, d.GetAtUnixNano()).UTC().Format("15:04:05.000")
-			row(t, at, d.GetInstance(), d.GetSubject(), d.GetDecision(), d.GetEvidence())
-		}
-		t.Flush()
-		for _, name := range a.Msg.GetUnreachable() {
-			fmt.Println("no answer from", name)
-		}
-		return nil
-	})
-}
--- a/engine/fake_test.go
+++ b/engine/fake_test.go
@@ -89,7 +89,6 @@
 	state      *engine.LinkState
 	answeredAt time.Time
 	tx         engine.TxState
-	readOnly   bool
 	wrote      bool
 	values     map[string]string
 	prepared   map[string]bool
--- a/engine/flow.go
+++ b/engine/flow.go
@@ -68,6 +68,8 @@
 	cfg      FlowConfig[L]
 	attempts int
 	target   route.Target
+	// failures tells of each failed attempt, for the log.
+	failures []string
 }
 
 // NewFlow returns the flow of one request.
@@ -81,6 +83,9 @@
 // Retries returns how many times the request was sent again.
 func (f *Flow[L]) Retries() int { return max(0, f.attempts-1) }
 
+// Failures returns what became of the failed attempts, one phrase each.
+func (f *Flow[L]) Failures() []string { return f.failures }
+
 // Target returns where the request was sent last, or TargetNone.
 func (f *Flow[L]) Target() route.Target { return f.target }
 
@@ -97,6 +102,7 @@
 			return h, nil
 		}
 		f.giveUp(h, o)
+		f.failures = append(f.failures, h.Endpoint+": "+o.Attempt.Failure.String())
 		if o.Err != nil {
 			return Held[L]{}, o.Err
 		}
--- a/engine/session.go
+++ b/engine/session.go
@@ -54,8 +54,12 @@
 	Target   route.Target
 	Floor    group.Point
 	Retries  int
+	// Failures tells what became of the failed attempts.
+	Failures []string
 	Took     time.Duration
-	Revision uint64
+	// Objective is the time within which the contract wants an answer.
+	Objective time.Duration
+	Revision  uint64
 	// Refusal is nil for a success.
 	Refusal *Refusal
 }
@@ -237,19 +241,21 @@
 		return a
 	}
 	r := Record{
-		Session:  s.cfg.ID,
-		Request:  j.statement.ID,
-		Database: s.cfg.Database,
-		Op:       j.statement.Op,
-		Endpoint: j.endpoint,
-		Floor:    h.Request.Floor,
-		Took:     s.cfg.Clock().Sub(j.receivedAt),
-		Revision: s.terms.Revision,
-		Refusal:  a.Refusal,
+		Session:   s.cfg.ID,
+		Request:   j.statement.ID,
+		Database:  s.cfg.Database,
+		Op:        j.statement.Op,
+		Endpoint:  j.endpoint,
+		Floor:     h.Request.Floor,
+		Took:      s.cfg.Clock().Sub(j.receivedAt),
+		Objective: s.terms.Contract.Objectives().Latency(),
+		Revision:  s.terms.Revision,
+		Refusal:   a.Refusal,
 	}
 	if f != nil {
 		r.Target = f.Target()
 		r.Retries = f.Retries()
+		r.Failures = f.Failures()
 	}
 	s.cfg.Recorder.Record(r)
 	return a
--- a/fleet/record.go
+++ b/fleet/record.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"strings"
 	"sync"
 	"time"
 
@@ -20,6 +21,7 @@
 	logger  log.Logger
 	served  [3]tally.Counter
 	refused tally.Counter
+	late    tally.Counter
 	latency tally.Histogram
 	mu      sync.Mutex
 	second  int64
@@ -31,27 +33,37 @@
 var latencyBuckets = tally.MustMakeExponentialDurationBuckets(250*time.Microsecond, 2, 16)
 
 func newRecorder(logger log.Logger, scope tally.Scope) *recorder {
-	r := &recorder{logger: logger, refused: scope.Counter("refused_total"), latency: scope.Histogram("request_seconds", latencyBuckets)}
+	r := &recorder{logger: logger, refused: scope.Counter("refused_total"), late: scope.Counter("late_total"), latency: scope.Histogram("request_seconds", latencyBuckets)}
 	for target, name := range map[route.Target]string{route.TargetNone: "none", route.TargetPrimary: "primary", route.TargetReplica: "replica"} {
 		r.served[target] = scope.Tagged(map[string]string{"target": name}).Counter("served_total")
 	}
 	return r
 }
 
-// Record counts the outcome of a statement and logs a refusal with what decided it.
+// Record counts the outcome of a statement; it logs a refusal or a late answer with what decided it.
 func (r *recorder) Record(rec engine.Record) {
 	r.latency.RecordDuration(rec.Took)
 	if rec.Refusal == nil {
 		r.served[rec.Target].Inc(1)
+		if rec.Objective > 0 && rec.Took > rec.Objective {
+			r.late.Inc(1)
+			r.log("statement_late", rec, "", "")
+		}
 		return
 	}
 	r.refused.Inc(1)
-	if left, ok := r.allow(); ok {
-		logLine(r.logger, "level", "info", "msg", "statement_refused", "id", rec.Request, "session", rec.Session,
-			"database", rec.Database, "op", rec.Op.String(), "endpoint", rec.Endpoint, "floor", rec.Floor.String(),
-			"retries", rec.Retries, "took_ms", rec.Took.Milliseconds(), "revision", rec.Revision,
-			"reason", rec.Refusal.Reason.String(), "text", rec.Refusal.Text, "lines_left_out", left)
+	r.log("statement_refused", rec, rec.Refusal.Reason.String(), rec.Refusal.Text)
+}
+
+func (r *recorder) log(what string, rec engine.Record, reason, text string) {
+	left, ok := r.allow()
+	if !ok {
+		return
 	}
+	logLine(r.logger, "level", "info", "msg", what, "id", rec.Request, "session", rec.Session,
+		"database", rec.Database, "op", rec.Op.String(), "endpoint", rec.Endpoint, "floor", rec.Floor.String(),
+		"retries", rec.Retries, "attempts", strings.Join(rec.Failures, "; "), "took_ms", rec.Took.Milliseconds(),
+		"objective_ms", rec.Objective.Milliseconds(), "revision", rec.Revision, "reason", reason, "text", text, "lines_left_out", left)
 }
 
 // allow takes one line of this second's; left is the number of lines that were left out since the last.
