--- a/engine/session.go
+++ b/engine/session.go
@@ -49,6 +49,7 @@
 	Session  string
 	Request  string
 	Database string
+	Group    string
 	Op       Op
 	Endpoint string
 	Target   route.Target
--- a/fleet/record.go
+++ b/fleet/record.go
@@ -61,7 +61,7 @@
 		return
 	}
 	logLine(r.logger, "level", "info", "msg", what, "id", rec.Request, "session", rec.Session,
-		"database", rec.Database, "op", rec.Op.String(), "endpoint", rec.Endpoint, "floor", rec.Floor.String(),
+		"database", rec.Database, "group", rec.Group, "op", rec.Op.String(), "endpoint", rec.Endpoint, "floor", rec.Floor.String(),
 		"retries", rec.Retries, "attempts", strings.Join(rec.Failures, "; "), "took_ms", rec.Took.Milliseconds(),
 		"objective_ms", rec.Objective.Milliseconds(), "revision", rec.Revision, "reason", reason, "text", text, "lines_left_out", left)
 }
