--- a/engine/monitor.go
+++ b/engine/monitor.go
@@ -32,6 +32,8 @@
 type Orders interface {
 	// Fence asks a member to promise term to attempt.
 	Fence(endpoint string, term group.Term, attempt string)
+	// Release lets a member go of its promise to an abandoned attempt.
+	Release(endpoint string, term group.Term, attempt string)
 	// Promote asks a member to lead term for attempt.
 	Promote(endpoint string, term group.Term, attempt string)
 }
@@ -127,6 +129,8 @@
 		m.cfg.Orders.Fence(a.Endpoint, a.Term, a.Attempt)
 	case failover.Promote:
 		m.cfg.Orders.Promote(a.Endpoint, a.Term, a.Attempt)
+	case failover.Release:
+		m.cfg.Orders.Release(a.Endpoint, a.Term, a.Attempt)
 	case failover.Revoke:
 		go m.revoke(ctx, a)
 	case failover.Publish:
--- a/failover/attempt.go
+++ b/failover/attempt.go
@@ -99,6 +99,24 @@
 
 func (m *Machine) abandon(now time.Time, why string) []Action {
 	m.notBefore = now.Add(m.cfg.StepTimeout)
+	actions := m.releases()
 	m.enter(now, phaseWatching)
-	return []Action{Explain{Decision: DecisionAbandon, Evidence: why}}
+	return append(actions, Explain{Decision: DecisionAbandon, Evidence: why})
+}
+
+// releases lets the held replicas go, unless the old primary is demoted and only a promotion can follow.
+func (m *Machine) releases() []Action {
+	if !m.cfg.ReleaseAbandoned || m.phase == phasePromoting {
+		return nil
+	}
+	if _, demoted := m.attempt.fenced[m.attempt.old]; demoted {
+		return nil
+	}
+	var actions []Action
+	for _, name := range m.cfg.Members {
+		if _, held := m.attempt.fenced[name]; held {
+			actions = append(actions, Release{Endpoint: name, Term: m.attempt.term, Attempt: m.attempt.id})
+		}
+	}
+	return actions
 }
--- a/failover/event.go
+++ b/failover/event.go
@@ -109,6 +109,13 @@
 	Attempt  string
 }
 
+// Release lets a member go of its promise to Attempt, which was abandoned.
+type Release struct {
+	Endpoint string
+	Term     group.Term
+	Attempt  string
+}
+
 // Publish records the primary of Term in the table, when that can be reached.
 type Publish struct {
 	Term     group.Term
@@ -126,6 +133,7 @@
 func (Fence) isAction()    {}
 func (Promote) isAction()  {}
 func (Revoke) isAction()   {}
+func (Release) isAction()  {}
 func (Publish) isAction()  {}
 func (Explain) isAction()  {}
 
@@ -170,6 +178,9 @@
 	Successor bool
 	// KeepDemoted leaves the old primary out of the choice: the platform promotes only another member.
 	KeepDemoted bool
+	// ReleaseAbandoned lets replicas go of their promise to an abandoned attempt, where the old primary still leads
+	// and members hold no promise of their own accord.
+	ReleaseAbandoned bool
 	// ClaimRequired makes the machine wait for the table before it fences; otherwise both go on at once.
 	ClaimRequired bool
 }
--- a/failover/successor_test.go
+++ b/failover/successor_test.go
@@ -24,7 +24,7 @@
 		Group: "orders", Instance: "i", Members: []string{"a", "b", "c"}, Lease: successorLease,
 		SuspectAfter: time.Second, RefusedAfter: 200 * time.Millisecond, Stagger: time.Second, StepTimeout: successorStep,
 		TakeOverAfter: 3 * time.Second, CatchUp: time.Second, ClaimTimeout: 2 * time.Second,
-		ClaimRequired: true, Successor: true, KeepDemoted: true,
+		ClaimRequired: true, Successor: true, KeepDemoted: true, ReleaseAbandoned: true,
 	})}
 }
 
@@ -139,3 +139,21 @@
 		t.Errorf("promoted %+v, want c at once", promote)
 	}
 }
+
+// A replica that is held for a promotion that came to nothing receives again.
+func TestAnAbandonedAttemptReleasesItsReplicas(t *testing.T) {
+	s := newSuccessor()
+	claim := s.suspect(t)
+	s.step(failover.ClaimResult{Attempt: claim.Attempt, Outcome: failover.ClaimWon, Term: 2})
+	s.probed("b", group.RoleReplica, 10, 2, claim.Attempt)
+	var release failover.Release
+	var ok bool
+	for range 100 {
+		if release, ok = find[failover.Release](s.pass(50 * time.Millisecond)); ok {
+			break
+		}
+	}
+	if !ok || release.Endpoint != "b" {
+		t.Errorf("released %+v, want b", release)
+	}
+}
--- a/fleet/adapter.go
+++ b/fleet/adapter.go
@@ -14,6 +14,8 @@
 	engine.StatementLink[L]
 	// Hold asks a replica to receive nothing until term begins and returns the status that shows the promise.
 	Hold(ctx context.Context, term group.Term) (group.Status, error)
+	// Release lets a held replica receive again.
+	Release(ctx context.Context) (group.Status, error)
 	// Demote asks a primary of a term below term to become a replica.
 	Demote(ctx context.Context, term group.Term) (group.Status, error)
 }
--- a/fleet/orders.go
+++ b/fleet/orders.go
@@ -12,19 +12,20 @@
 
 func failoverConfig(name, instance string) failover.Config {
 	return failover.Config{
-		Group:         name,
-		Instance:      instance,
-		Lease:         lease,
-		SuspectAfter:  suspectAfter,
-		RefusedAfter:  refusedAfter,
-		Stagger:       stagger,
-		StepTimeout:   stepTimeout,
-		TakeOverAfter: takeOverAfter,
-		CatchUp:       catchUp,
-		ClaimTimeout:  claimTimeout,
-		Successor:     true,
-		KeepDemoted:   true,
-		ClaimRequired: true,
+		Group:            name,
+		Instance:         instance,
+		Lease:            lease,
+		SuspectAfter:     suspectAfter,
+		RefusedAfter:     refusedAfter,
+		Stagger:          stagger,
+		StepTimeout:      stepTimeout,
+		TakeOverAfter:    takeOverAfter,
+		CatchUp:          catchUp,
+		ClaimTimeout:     claimTimeout,
+		Successor:        true,
+		KeepDemoted:      true,
+		ReleaseAbandoned: true,
+		ClaimRequired:    true,
 	}
 }
 
@@ -86,6 +87,19 @@
 	return s, err
 }
 
+// Release lets a replica receive again, while no other instance can have fenced it for its own promotion.
+func (o *orders[L]) Release(endpoint string, term group.Term, _ string) {
+	if _, ok := o.instance.duty.Held(); !ok {
+		return
+	}
+	o.group().Send(endpoint, func(ctx context.Context, link L) (group.Status, error) {
+		s, err := link.Release(ctx)
+		logLine(o.instance.cfg.Logger, "level", "info", "msg", "endpoint_released", "group", o.name, "endpoint", endpoint,
+			"term", uint64(term), "error", errorText(err))
+		return s, err
+	})
+}
+
 // Promote orders the promotion of a member while this instance holds the duty.
 func (o *orders[L]) Promote(endpoint string, term group.Term, attempt string) {
 	o.note(term, attempt)
--- a/instance/monitor.go
+++ b/instance/monitor.go
@@ -95,6 +95,9 @@
 	})
 }
 
+// Release does nothing: a promise stands until the next term.
+func (o *orders) Release(string, group.Term, string) {}
+
 // Promote asks a member to lead a term.
 func (o *orders) Promote(name string, term group.Term, attempt string) {
 	o.group().Send(name, func(ctx context.Context, c *endpoint.Conn) (group.Status, error) {
