Refuse what cannot finish in time, and register with a value

Cause 2 (both sites, cloud calls doubled): the store refuses rows without a value, so that instances registered again and again and no lease was ever revoked early.

--- a/engine/connections.go
+++ b/engine/connections.go
@@ -86,6 +86,16 @@
 	Priority int
 	// Target is the time by which the request is to be answered for its full worth.
 	Target time.Time
+	// Service is how long the endpoint is expected to take once the request is sent.
+	Service time.Duration
+}
+
+// latest returns the latest useful start as seen at now: one that meets the target, while that is possible.
+func (r Request) latest(now time.Time) time.Time {
+	if start := r.Target.Add(-r.Service); now.Before(start) && start.Before(r.Deadline) {
+		return start
+	}
+	return r.Deadline
 }
 
 // Acquire returns a connection for the request.
@@ -110,6 +120,9 @@
 func (c *Connections[L]) acquire(ctx context.Context, r Request) (link L, err error) {
 	w := &waiter[L]{key: r.Key, grant: make(chan pool.Grant[L], 1)}
 	now := clock.Now()
+	if c.ordered {
+		r.Deadline = r.latest(now)
+	}
 	c.mu.Lock()
 	ask := pool.Ask[*waiter[L]]{
 		Customer:   r.Customer,
@@ -118,7 +131,7 @@
 		QueueLimit: r.QueueLimit,
 		Deadline:   r.Deadline,
 		Priority:   r.Priority,
-		Target:     r.Target.Add(-c.hold),
+		Target:     r.Target.Add(-r.Service),
 	}
 	if wait := c.expectedWait(now, ask); c.ordered && now.Add(wait).After(r.Deadline) {
 		c.mu.Unlock()
--- a/engine/flow.go
+++ b/engine/flow.go
@@ -152,7 +152,10 @@
 	if least := g.cfg.Clock().Add(f.cfg.Grace); f.cfg.Grace > 0 && ask.Deadline.Before(least) {
 		ask.Deadline = least
 	}
-	g.View(func(t *route.Tracker) { t.AddLoad(h.Endpoint, 1) })
+	g.View(func(t *route.Tracker) {
+		ask.Service = t.Service(h.Endpoint)
+		t.AddLoad(h.Endpoint, 1)
+	})
 	defer g.View(func(t *route.Tracker) { t.AddLoad(h.Endpoint, -1) })
 	return h.Connections.Acquire(ctx, ask)
 }
--- a/fleet/revoke.go
+++ b/fleet/revoke.go
@@ -33,7 +33,8 @@
 
 // Run registers, however often that fails, and removes the registration once ctx ends.
 func (r *registration[L]) Run(ctx context.Context) error {
-	row := store.Row{Table: instanceTable, Key: r.instance.cfg.Name}
+	// The store takes no row without a value.
+	row := store.Row{Table: instanceTable, Key: r.instance.cfg.Name, Value: []byte("{}")}
 	for ctx.Err() == nil {
 		_, err := r.instance.cfg.Store.Commit(ctx, store.Tx{Upserts: []store.Row{row}})
 		if err == nil {
--- a/route/tracker.go
+++ b/route/tracker.go
@@ -165,6 +165,14 @@
 	m.service = time.Duration(serviceDecay*float64(m.service) + (1-serviceDecay)*float64(d))
 }
 
+// Service returns how long an endpoint usually takes to answer, or 0 before its first answer.
+func (t *Tracker) Service(endpoint string) time.Duration {
+	if m := t.members[endpoint]; m != nil {
+		return m.service
+	}
+	return 0
+}
+
 // Observe takes a member's status, asked for at sentAt and received at now, and reports whether the term changed.
 func (t *Tracker) Observe(sentAt, now time.Time, s group.Status) bool {
 	m := t.members[s.Endpoint()]
