--- a/engine/group.go
+++ b/engine/group.go
@@ -35,6 +35,8 @@
 	// Outage is how long the loss of a primary usually lasts, from its last confirmation on; 0 lets requests
 	// wait for a primary as long as they may.
 	Outage time.Duration
+	// PromotionTime is how long a promotion takes once no lease stands in its way.
+	PromotionTime time.Duration
 	// Ordered serves waiters by priority and target rather than customers in turn.
 	Ordered bool
 	// Quarantine is how long a link that its endpoint does not close still counts; 0 means DefaultQuarantine.
--- a/engine/lease.go
+++ b/engine/lease.go
@@ -36,9 +36,10 @@
 
 // Outlook returns an error at once where a primary is not expected to be confirmed by until.
 //
-// A lost primary is replaced after the usual outage; until shortly before its end,
-// waiting would only end in a refusal. A primary that was heard of lately lacks
-// nothing but a second member's confirmation, which may come at any moment.
+// A lost primary is replaced after the usual outage, one that was demoted or whose
+// lease was revoked sooner; until shortly before that, waiting would only end in a
+// refusal. A primary that was heard of lately lacks nothing but a second member's
+// confirmation, which may come at any moment.
 func (g *Group[L]) Outlook(until time.Time) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -47,20 +48,28 @@
 	}
 	now := g.cfg.Clock()
 	heard := g.tracker.PrimaryHeardAt()
-	if now.Sub(heard) < g.cfg.Lease {
+	since, revoked, replaced := g.tracker.Succession()
+	var back time.Time
+	switch {
+	case replaced && revoked:
+		back = since.Add(g.cfg.PromotionTime)
+	case replaced:
+		back = since.Add(g.cfg.Lease + g.cfg.PromotionTime)
+	case now.Sub(heard) < g.cfg.Lease:
 		return nil
+	default:
+		back = heard.Add(g.cfg.Outage)
 	}
-	back := heard.Add(g.cfg.Outage)
 	if !back.After(now) {
 		// The outage lasts longer than usual: nobody knows how long.
-		back = now.Add(g.cfg.Lease)
+		back = now.Add(g.cfg.PromotionTime)
 	}
 	if !back.After(until) {
 		return nil
 	}
 	return fault.New(fault.Config{
 		Kind:    fault.KindNoPrimary,
-		Message: fmt.Sprintf("group %s has no primary since %v; the request did not run", g.cfg.Name, now.Sub(heard).Round(time.Millisecond)),
+		Message: fmt.Sprintf("group %s has no primary for %v yet; the request did not run", g.cfg.Name, back.Sub(now).Round(time.Millisecond)),
 		Remedy:  fmt.Sprintf("try again in %v", back.Sub(now).Round(time.Millisecond)),
 	})
 }
--- a/engine/monitor.go
+++ b/engine/monitor.go
@@ -80,6 +80,9 @@
 			rank, others := m.cfg.Fleet.Place("group/" + m.cfg.Failover.Group)
 			m.Step(failover.Fleet{Others: others, Rank: rank})
 			m.Step(failover.Tick{})
+			if m.busy() {
+				g.Kick()
+			}
 			m.measureGap(g.cfg.Clock())
 		case <-ctx.Done():
 			return
@@ -87,6 +90,13 @@
 	}
 }
 
+// busy reports whether a promotion waits for what members say.
+func (m *Monitor[L]) busy() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.machine.Busy()
+}
+
 // measureGap records how long writes were impossible once they are possible again: from the primary's last confirmation on.
 func (m *Monitor[L]) measureGap(now time.Time) {
 	var confirmed time.Time
--- a/engine/session.go
+++ b/engine/session.go
@@ -213,9 +213,9 @@
 }
 
 const (
-	// leaseShare is the part of a request's time for which it waits for a primary: it leaves as much for the
-	// request itself, and a caller that is refused has time to try again.
-	leaseShare = 0.4
+	// leaseShare is the part of a request's time for which it waits for a primary: it leaves more for the request
+	// itself, and a caller that is refused has time to try again.
+	leaseShare = 0.45
 	// graceShare is the part of the target that a request gets for a link after it waited for a primary.
 	graceShare = 0.3
 )
--- a/failover/machine.go
+++ b/failover/machine.go
@@ -72,6 +72,9 @@
 // Phase returns the name of the machine's state.
 func (m *Machine) Phase() string { return m.phase.String() }
 
+// Busy reports whether an attempt waits for the members.
+func (m *Machine) Busy() bool { return m.phase >= phaseCatchingUp }
+
 // Term returns the newest term with a known primary.
 func (m *Machine) Term() group.Term { return m.term }
 
--- a/fleet/config.go
+++ b/fleet/config.go
@@ -69,8 +69,10 @@
 	// quarantine is how long a link still counts that its endpoint does not close: the shares leave room for a
 	// few of these, while a place that is kept from requests during a partition costs them.
 	quarantine = 200 * time.Millisecond
-	// usualOutage is how long the loss of a primary lasts: to suspect it, to wait out leases, and to promote another.
-	usualOutage = suspectAfter + lease + 800*time.Millisecond
+	// promotionTime is how long a promotion takes from its order until all instances know: the platform's 600 ms and two probes.
+	promotionTime = 800 * time.Millisecond
+	// usualOutage is how long the loss of a primary lasts: to suspect it, to revoke leases, and to promote another.
+	usualOutage = suspectAfter + stepTimeout + promotionTime
 	// monitorTick is the interval at which a failover machine looks at the time.
 	monitorTick = 50 * time.Millisecond
 	// publishPause is the wait before a decision is written to the store again.
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -280,6 +280,7 @@
 		Quarantine:    quarantine,
 		Ordered:       true,
 		Outage:        usualOutage,
+		PromotionTime: promotionTime,
 		Probing:       &probing,
 		AllReplicas:   true,
 		Standby:       func() bool { return i.standby(name) },
--- a/route/expected_test.go
+++ b/route/expected_test.go
@@ -181,6 +181,29 @@
 	}
 }
 
+func TestSuccessionIsKnownFromADemotedPrimaryAndARevokedLease(t *testing.T) {
+	tr := newTracker()
+	if _, _, ok := tr.Succession(); ok {
+		t.Error("a primary that leads is being replaced")
+	}
+	tr.Observe(after(time.Millisecond), after(time.Millisecond), group.NewStatus(group.StatusConfig{
+		Endpoint: "a", Role: group.RoleReplica, Point: group.NewPoint(1, 10), Promised: 1,
+	}))
+	if since, revoked, ok := tr.Succession(); !ok || revoked || !since.Equal(after(time.Millisecond)) {
+		t.Errorf("since %v, revoked %v, %v", since, revoked, ok)
+	}
+	tr.RevokeLease(1, after(2*time.Millisecond), after(time.Minute))
+	if since, revoked, ok := tr.Succession(); !ok || !revoked || !since.Equal(after(2*time.Millisecond)) {
+		t.Errorf("since %v, revoked %v, %v", since, revoked, ok)
+	}
+	tr.Observe(after(time.Second), after(time.Second), group.NewStatus(group.StatusConfig{
+		Endpoint: "b", Role: group.RolePrimary, Point: group.NewPoint(2, 10), Promised: 2,
+	}))
+	if _, _, ok := tr.Succession(); ok {
+		t.Error("the new primary is being replaced")
+	}
+}
+
 func TestTheStoreVouchesOnlyForItsTerm(t *testing.T) {
 	tr := newTracker()
 	tr.StoreConfirmed(after(time.Minute), 2)
--- a/route/probing.go
+++ b/route/probing.go
@@ -35,6 +35,9 @@
 	if endpoint == t.primary {
 		return now.Sub(t.primaryConfirmedAt) >= every
 	}
+	if t.all && kicked {
+		return now.Sub(m.statusAt) >= p.Kicked
+	}
 	if t.all {
 		// The replicas are asked in turn.
 		return now.Sub(m.confirmedAt) >= every*time.Duration(max(1, len(t.members)-1)) && now.Sub(m.statusAt) >= p.Kicked
--- a/route/tracker.go
+++ b/route/tracker.go
@@ -47,6 +47,8 @@
 	// storeConfirmedAt is when the store, asked then, told of no promotion past the newest term.
 	storeConfirmedAt time.Time
 	revoked          revocation
+	// demotedAt is when the primary of the newest term was first found demoted, or zero.
+	demotedAt time.Time
 }
 
 // revocation ends the leases of terms up to term, from at until a later confirmation than until.
@@ -215,6 +217,7 @@
 	t.track.reset()
 	t.primaryConfirmedAt = time.Time{}
 	t.storeConfirmedAt = time.Time{}
+	t.demotedAt = time.Time{}
 	for _, m := range t.members {
 		m.confirmedAt = time.Time{}
 	}
@@ -225,6 +228,9 @@
 func (t *Tracker) confirm(sentAt time.Time, s group.Status) {
 	if s.Endpoint() == t.primary && s.Role() != group.RolePrimary {
 		t.primaryConfirmedAt = time.Time{}
+		if t.demotedAt.IsZero() {
+			t.demotedAt = sentAt
+		}
 		return
 	}
 	if !s.Confirms(t.Term()) {
@@ -356,6 +362,16 @@
 // StoreConfirmedAt returns when the store was last asked and told of no promotion, or the zero time.
 func (t *Tracker) StoreConfirmedAt() time.Time { return t.storeConfirmedAt }
 
+// Succession returns since when the primary of the newest term is being replaced on purpose; ok is false when it is not known to be.
+//
+// revoked says that the leases have ended too, so that only the promotion itself is left.
+func (t *Tracker) Succession() (since time.Time, revoked, ok bool) {
+	if t.LeaseRevoked() {
+		return t.revoked.at, true, true
+	}
+	return t.demotedAt, false, !t.demotedAt.IsZero()
+}
+
 // WitnessedAt returns the newest time at which a replica or the store vouched that no other primary was being made.
 func (t *Tracker) WitnessedAt() time.Time {
 	if replica := t.replicaConfirmedAt(); replica.After(t.storeConfirmedAt) {
