--- a/endpoint/conn.go
+++ b/endpoint/conn.go
@@ -8,6 +8,7 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"github.com/monsoontiller/monsoontiller/engine"
 	"github.com/monsoontiller/monsoontiller/fault"
 )
 
@@ -46,7 +47,7 @@
 	defer cancel()
 	nc, err := dialTCP(ctx, cfg)
 	if err != nil {
-		return nil, unreachable(cfg.Address, err)
+		return nil, engine.Unreachable(cfg.Address, err)
 	}
 	c := &Conn{
 		nc:          nc,
@@ -69,15 +70,6 @@
 	return c, nil
 }
 
-func unreachable(address string, cause error) error {
-	return fault.New(fault.Config{
-		Kind:    fault.KindUnavailable,
-		Message: "endpoint " + address + " cannot be reached",
-		Remedy:  "try again; if it lasts, look at the endpoint and the network to it",
-		Cause:   cause,
-	})
-}
-
 // startup sends the startup message and reads up to the first ReadyForQuery.
 func (c *Conn) startup(cfg DialConfig) error {
 	c.frontend.Send(&pgproto3.StartupMessage{
@@ -89,12 +81,12 @@
 		},
 	})
 	if err := c.frontend.Flush(); err != nil {
-		return unreachable(cfg.Address, err)
+		return engine.Unreachable(cfg.Address, err)
 	}
 	for {
 		msg, err := c.frontend.Receive()
 		if err != nil {
-			return unreachable(cfg.Address, err)
+			return engine.Unreachable(cfg.Address, err)
 		}
 		ready, err := c.startupMessage(cfg, msg)
 		if err != nil || ready {
@@ -204,7 +196,7 @@
 	var d net.Dialer
 	nc, err := d.DialContext(ctx, "tcp", c.address)
 	if err != nil {
-		return unreachable(c.address, err)
+		return engine.Unreachable(c.address, err)
 	}
 	defer nc.Close()
 	stop := context.AfterFunc(ctx, func() { nc.SetDeadline(time.Unix(1, 0)) })
@@ -212,10 +204,10 @@
 	msg := &pgproto3.CancelRequest{ProcessID: c.pid, SecretKey: c.secret}
 	encoded, err := msg.Encode(nil)
 	if err != nil {
-		return unreachable(c.address, err)
+		return engine.Unreachable(c.address, err)
 	}
 	if _, err := nc.Write(encoded); err != nil {
-		return unreachable(c.address, err)
+		return engine.Unreachable(c.address, err)
 	}
 	_, _ = nc.Read(make([]byte, 1))
 	return nil
--- a/endpoint/scram.go
+++ b/endpoint/scram.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"github.com/monsoontiller/monsoontiller/engine"
 	"github.com/monsoontiller/monsoontiller/fault"
 	"github.com/monsoontiller/monsoontiller/scram"
 )
@@ -18,11 +19,11 @@
 		Data:          []byte(exchange.First()),
 	})
 	if err := c.frontend.Flush(); err != nil {
-		return unreachable(cfg.Address, err)
+		return engine.Unreachable(cfg.Address, err)
 	}
 	msg, err := c.frontend.Receive()
 	if err != nil {
-		return unreachable(cfg.Address, err)
+		return engine.Unreachable(cfg.Address, err)
 	}
 	challenge, ok := msg.(*pgproto3.AuthenticationSASLContinue)
 	if !ok {
@@ -34,11 +35,11 @@
 	}
 	c.frontend.Send(&pgproto3.SASLResponse{Data: []byte(final)})
 	if err := c.frontend.Flush(); err != nil {
-		return unreachable(cfg.Address, err)
+		return engine.Unreachable(cfg.Address, err)
 	}
 	msg, err = c.frontend.Receive()
 	if err != nil {
-		return unreachable(cfg.Address, err)
+		return engine.Unreachable(cfg.Address, err)
 	}
 	signature, ok := msg.(*pgproto3.AuthenticationSASLFinal)
 	if !ok {
--- a/endpoint/status.go
+++ b/endpoint/status.go
@@ -10,6 +10,7 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"github.com/monsoontiller/monsoontiller/engine"
 	"github.com/monsoontiller/monsoontiller/fault"
 	"github.com/monsoontiller/monsoontiller/group"
 )
@@ -127,13 +128,13 @@
 		return err
 	}
 	if _, err := c.Flush(); err != nil {
-		return unreachable(c.address, err)
+		return engine.Unreachable(c.address, err)
 	}
 	var failure error
 	for {
 		msg, err := c.Receive()
 		if err != nil {
-			return unreachable(c.address, err)
+			return engine.Unreachable(c.address, err)
 		}
 		switch m := msg.(type) {
 		case *pgproto3.DataRow:
--- a/engine/link.go
+++ b/engine/link.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/monsoontiller/monsoontiller/fault"
 	"github.com/monsoontiller/monsoontiller/group"
 )
 
@@ -59,3 +60,13 @@
 	}
 	return link.Drained(c.quarantine)
 }
+
+// Unreachable returns the error of an endpoint that did not take a connection, or lost one.
+func Unreachable(endpoint string, cause error) error {
+	return fault.New(fault.Config{
+		Kind:    fault.KindUnavailable,
+		Message: "endpoint " + endpoint + " cannot be reached",
+		Remedy:  "try again; if it lasts, look at the endpoint and the network to it",
+		Cause:   cause,
+	})
+}
--- /dev/null
+++ b/route/lease.go
@@ -0,0 +1,156 @@
+package route
+
+import (
+	"time"
+
+	"github.com/monsoontiller/monsoontiller/group"
+)
+
+// revocation ends the leases of terms up to term, from at until a later confirmation than until.
+type revocation struct {
+	term  group.Term
+	at    time.Time
+	until time.Time
+}
+
+// confirm notes that a member still takes part in the newest term, or that the primary has been demoted.
+func (t *Tracker) confirm(sentAt time.Time, s group.Status) {
+	if s.Endpoint() == t.primary && s.Role() != group.RolePrimary {
+		t.primaryConfirmedAt = time.Time{}
+		if t.demotedAt.IsZero() {
+			t.demotedAt = sentAt
+		}
+		return
+	}
+	if !s.Confirms(t.Term()) {
+		return
+	}
+	if s.Endpoint() == t.primary {
+		if sentAt.After(t.primaryConfirmedAt) {
+			t.primaryConfirmedAt = sentAt
+		}
+		return
+	}
+	if m := t.members[s.Endpoint()]; sentAt.After(m.confirmedAt) {
+		m.confirmedAt = sentAt
+	}
+}
+
+// replicaConfirmedAt returns the newest time at which the replicas that a lease needs confirmed the term.
+func (t *Tracker) replicaConfirmedAt() time.Time {
+	var oldest, newest time.Time
+	first := true
+	for _, name := range t.order {
+		m := t.members[name]
+		if name == t.primary {
+			continue
+		}
+		if first || m.confirmedAt.Before(oldest) {
+			oldest = m.confirmedAt
+		}
+		first = false
+		if m.confirmedAt.After(newest) {
+			newest = m.confirmedAt
+		}
+	}
+	if t.all {
+		return oldest
+	}
+	return newest
+}
+
+// Led notes that an endpoint took a request sent at sentAt that only the primary of term takes.
+func (t *Tracker) Led(endpoint string, sentAt time.Time, term group.Term) {
+	if endpoint == t.primary && term == t.Term() && sentAt.After(t.primaryConfirmedAt) {
+		t.primaryConfirmedAt = sentAt
+	}
+}
+
+// FloorSince returns the lowest known position of the primary that holds every commit acknowledged by since.
+//
+// Such a position was asked for at or after since, while no other primary can
+// have acknowledged a commit; ok is false when there is none.
+func (t *Tracker) FloorSince(since time.Time) (floor group.Point, at time.Time, ok bool) {
+	s, ok := t.track.oldestSince(since, t.LeaseUntil())
+	if !ok || t.ConfirmedAt().IsZero() {
+		return group.Point{}, time.Time{}, false
+	}
+	return group.NewPoint(t.Term(), s.position), s.sentAt, true
+}
+
+// RevokeLease ends the leases of terms up to term; only what is asked for after until confirms such a term again.
+func (t *Tracker) RevokeLease(term group.Term, at, until time.Time) {
+	if term < t.revoked.term {
+		return
+	}
+	if term > t.revoked.term || !t.LeaseRevoked() {
+		t.revoked = revocation{term: term, at: at, until: until}
+	}
+	t.revoked.until = until
+}
+
+// LeaseRevoked reports whether the lease of the newest term was given up for a promotion.
+func (t *Tracker) LeaseRevoked() bool {
+	return t.Term() <= t.revoked.term && t.ConfirmedAt().Before(t.revoked.until)
+}
+
+// LeaseUntil returns when the lease of the primary ends, or the zero time when there is none.
+func (t *Tracker) LeaseUntil() time.Time {
+	confirmed := t.ConfirmedAt()
+	if confirmed.IsZero() {
+		return confirmed
+	}
+	end := confirmed.Add(t.lease)
+	if t.LeaseRevoked() && t.revoked.at.Before(end) {
+		return t.revoked.at
+	}
+	return end
+}
+
+// Revoke forgets that the primary was confirmed, after it refused a write.
+func (t *Tracker) Revoke() { t.primaryConfirmedAt = time.Time{} }
+
+// PrimaryHeardAt returns when the primary of the newest term last proved that it leads, or the zero time.
+func (t *Tracker) PrimaryHeardAt() time.Time { return t.primaryConfirmedAt }
+
+// StoreConfirmed notes that the store, asked at sentAt, told of no promotion past term.
+func (t *Tracker) StoreConfirmed(sentAt time.Time, term group.Term) {
+	if term == t.Term() && sentAt.After(t.storeConfirmedAt) {
+		t.storeConfirmedAt = sentAt
+	}
+}
+
+// StoreConfirmedAt returns when the store was last asked and told of no promotion, or the zero time.
+func (t *Tracker) StoreConfirmedAt() time.Time { return t.storeConfirmedAt }
+
+// Succession returns since when the primary of the newest term is being replaced on purpose; ok is false when it is not known to be.
+//
+// revoked says that the leases have ended too, so that only the promotion itself is left.
+func (t *Tracker) Succession() (since time.Time, revoked, ok bool) {
+	if t.LeaseRevoked() {
+		return t.revoked.at, true, true
+	}
+	return t.demotedAt, false, !t.demotedAt.IsZero()
+}
+
+// WitnessedAt returns the newest time at which a replica or the store vouched that no other primary was being made.
+func (t *Tracker) WitnessedAt() time.Time {
+	if replica := t.replicaConfirmedAt(); replica.After(t.storeConfirmedAt) {
+		return replica
+	}
+	return t.storeConfirmedAt
+}
+
+// ConfirmedAt returns the newest time at which no promotion past the newest term can have been under way.
+//
+// The primary, and the replicas that a lease needs or the store, confirmed the term
+// to requests sent at or after that time. Any majority of the group shares a member
+// with the primary and a replica; and a promotion is recorded in the store before
+// its first fence, after which it waits out the lease. It is the zero time while
+// either is missing.
+func (t *Tracker) ConfirmedAt() time.Time {
+	if witnessed := t.WitnessedAt(); witnessed.Before(t.primaryConfirmedAt) {
+		return witnessed
+	}
+	return t.primaryConfirmedAt
+}
