--- a/cmd/monsoontiller/node.go
+++ b/cmd/monsoontiller/node.go
@@ -19,8 +19,13 @@
 // nodeCommand runs one instance on a machine of the platform until SIGTERM.
 type nodeCommand struct{}
 
-// memoryShare is the part of the machine's memory at which the collector works harder.
-const memoryShare = 0.6
+const (
+	// memoryShare is the part of the machine's memory at which the collector works harder.
+	memoryShare = 0.6
+	// collectorPercent is how much the heap may grow between collections: memory is dear on the platform, and
+	// the processor is mostly idle.
+	collectorPercent = 50
+)
 
 // Execute runs the command.
 func (c *nodeCommand) Execute([]string) error {
@@ -28,6 +33,7 @@
 	if err != nil {
 		return err
 	}
+	debug.SetGCPercent(collectorPercent)
 	if n.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(n.MemoryMB<<20)))
 	}
--- a/engine/queue.go
+++ b/engine/queue.go
@@ -43,19 +43,11 @@
 	Service time.Duration
 }
 
-// latest returns the latest useful start as seen at now: one that meets the target, while that is possible.
-func (r Request) latest(now time.Time) time.Time {
-	if start := r.Target.Add(-r.Service); now.Before(start) && start.Before(r.Deadline) {
-		return start
-	}
-	return r.Deadline
-}
-
 func (c *Connections[L]) acquire(ctx context.Context, r Request) (link L, err error) {
 	w := &waiter[L]{key: r.Key, grant: make(chan pool.Grant[L], 1)}
 	now := clock.Now()
 	if c.ordered {
-		r.Deadline = r.latest(now)
+		r.Deadline = pool.LatestStart(now, r.Target, r.Deadline, r.Service)
 	}
 	c.mu.Lock()
 	ask := pool.Ask[*waiter[L]]{
--- a/fleet/homes.go
+++ b/fleet/homes.go
@@ -13,11 +13,11 @@
 const (
 	// leastShare is the fewest connections to a member that let an instance serve: one for probes, two for work.
 	leastShare = 3
-	// homeShare is the number of connections that each home holds where not all instances can: enough to have
-	// a choice of what runs next, few enough for homes in every data centre.
-	homeShare = 4
+	// homeShare is the number of connections that each home holds where not all instances can: one for probes, and
+	// as many for work that some transactions can rest; few enough for homes in every data centre.
+	homeShare = 6
 	// homeReserve is the part of the connections that is left for homes that change, whose old links linger.
-	homeReserve = 0.15
+	homeReserve = 0.08
 )
 
 // homeCount returns how many of n instances hold connections to members that take so many, and how many each.
