--- a/fleet/instance.go
+++ b/fleet/instance.go
@@ -135,7 +135,10 @@
 			return err
 		}
 	}
-	stop := context.AfterFunc(ctx, func() { i.stopping.Store(true) })
+	stop := context.AfterFunc(ctx, func() {
+		i.stopping.Store(true)
+		i.node.Leave()
+	})
 	defer stop()
 	logLine(i.cfg.Logger, "level", "info", "msg", "started", "data_centre", i.cfg.DataCentre)
 	err = k.Run(ctx)
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -14,7 +14,7 @@
 )
 
 // homeGrace is how long a group is watched on after this instance has ceased to be a home, so that its callers can finish.
-const homeGrace = 5 * time.Second
+const homeGrace = 8 * time.Second
 
 // watched is one database group as this instance watches it.
 type watched[L Link[L]] struct {
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -227,7 +227,9 @@
 	return answer.Msg.GetComplete()
 }
 
-// leave tells the peers that this instance has left.
+// Leave tells the peers, once, that this instance leaves; its own calls go on.
+func (n *Node) Leave() { n.left.Do(n.leave) }
+
 func (n *Node) leave() {
 	n.mu.Lock()
 	n.roster.Leave()
--- a/peer/node.go
+++ b/peer/node.go
@@ -88,6 +88,8 @@
 	clients   map[string]peerv1connect.PeerServiceClient
 	// seedTurn counts the seeds that were tried; only the exchange loop uses it.
 	seedTurn int
+	// left tells the peers once that this instance leaves.
+	left sync.Once
 }
 
 // NewNode returns a node that knows only itself until Run.
@@ -139,7 +141,7 @@
 	select {
 	case err = <-serving:
 	case <-ctx.Done():
-		n.leave()
+		n.Leave()
 		n.cfg.Server.Close()
 		err = <-serving
 	}
