--- a/engine/connections.go
+++ b/engine/connections.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -32,6 +33,9 @@
 	mu         sync.Mutex
 	pool       *pool.Pool[L, *waiter[L]]
 	ordered    bool
+	// limit is what SetLimit asked for, and capped says that the endpoint takes no more for the moment.
+	limit      int
+	capped     bool
 	generation uint64
 	inUse      map[L]use
 	// hold is the usual time for which a request holds a link, or 0 before the first.
@@ -50,6 +54,7 @@
 		terminator: cfg.Terminator,
 		quarantine: cfg.Quarantine,
 		ordered:    cfg.Ordered,
+		limit:      cfg.Limit,
 		pool:       pool.New[L](line),
 		inUse:      map[L]use{},
 	}
@@ -57,12 +62,16 @@
 
 // Acquire returns a connection for the request.
 //
-// It fails with KindOverloaded when the customer's queue is full, with
-// KindTimeout when the deadline passes, and with the dial's error.
+// It fails with KindOverloaded when the customer's queue is full, or the endpoint
+// takes no more connections, with KindTimeout when the deadline passes, and with the
+// dial's error.
 func (c *Connections[L]) Acquire(ctx context.Context, r Request) (link L, err error) {
 	var none L
 	for {
 		conn, err := c.acquire(ctx, r)
+		if errors.Is(err, ErrEndpointFull) && c.awaitRoom(ctx, r) {
+			continue
+		}
 		if err != nil {
 			return none, err
 		}
@@ -74,6 +83,44 @@
 	}
 }
 
+// ErrEndpointFull is in the chain of a dial's error when the endpoint takes no more connections.
+var ErrEndpointFull = errors.New("the endpoint takes no more connections")
+
+const (
+	// fullPause is how long no further link is opened to an endpoint that takes no more.
+	fullPause = 300 * time.Millisecond
+	// roomPause is the wait before a request without any link tries again.
+	roomPause = 20 * time.Millisecond
+)
+
+// awaitRoom makes requests wait for the links that there are, and reports whether r has time to.
+func (c *Connections[L]) awaitRoom(ctx context.Context, r Request) bool {
+	c.mu.Lock()
+	open := c.pool.Open()
+	if !c.capped {
+		c.capped = true
+		time.AfterFunc(fullPause, c.uncap)
+	}
+	// The limit never falls to 0, so that a first link is tried again.
+	wakes, closes := c.pool.SetLimit(clock.Now(), max(1, open))
+	c.mu.Unlock()
+	wake(wakes)
+	c.retireLater(closes)
+	if open == 0 && Sleep(ctx, roomPause) != nil {
+		return false
+	}
+	return clock.Now().Before(r.Deadline)
+}
+
+// uncap lets the pool grow to its limit again.
+func (c *Connections[L]) uncap() {
+	c.mu.Lock()
+	c.capped = false
+	limit := c.limit
+	c.mu.Unlock()
+	c.SetLimit(limit)
+}
+
 // take turns a grant into a connection, dialing when the grant says so.
 func (c *Connections[L]) take(ctx context.Context, key string, g pool.Grant[L]) (L, error) {
 	c.retireAll(g.Close)
@@ -203,6 +250,10 @@
 // SetLimit changes how many connections this instance may hold.
 func (c *Connections[L]) SetLimit(limit int) {
 	c.mu.Lock()
+	c.limit = limit
+	if c.capped && limit > c.pool.Limit() {
+		limit = c.pool.Limit()
+	}
 	wakes, closes := c.pool.SetLimit(clock.Now(), limit)
 	c.mu.Unlock()
 	wake(wakes)
--- a/engine/failure_test.go
+++ b/engine/failure_test.go
@@ -143,3 +143,25 @@
 	one.do(engine.OpBeginRead)
 	mustRefuse(t, one.do(engine.OpWrite, "i1", "x"), engine.ReasonReadOnly)
 }
+
+// After a loss of power an endpoint counts the links of the processes that are gone for seconds.
+func TestAnEndpointThatTakesNoMoreLinksIsWaitedFor(t *testing.T) {
+	s := newStand(t, contract.ConsistencyPrimary)
+	s.cluster.with("a", func(n *node) { n.fullFor = 5 })
+	mustServe(t, s.session(t).do(engine.OpWrite, "i1", "x"))
+}
+
+func TestRequestsShareTheLinksOfAFullEndpoint(t *testing.T) {
+	s := newStand(t, contract.ConsistencyPrimary)
+	one := s.session(t)
+	mustServe(t, one.do(engine.OpWrite, "i1", "x"))
+	s.cluster.with("a", func(n *node) { n.fullFor = 1000 })
+	one.do(engine.OpBegin)
+	mustServe(t, one.do(engine.OpWrite, "i1", "y"))
+	other := s.session(t)
+	served := make(chan engine.Answer, 1)
+	go func() { served <- other.do(engine.OpWrite, "i2", "z") }()
+	waitUntil(t, func() bool { return s.group.Connections("a").Usage().Waiting() > 0 })
+	mustServe(t, one.do(engine.OpCommit))
+	mustServe(t, <-served)
+}
--- a/engine/fake_test.go
+++ b/engine/fake_test.go
@@ -35,6 +35,8 @@
 	lose map[engine.Op]int
 	// down refuses new links and drops those that are used.
 	down bool
+	// fullFor is how many dials the member still refuses because it takes no more connections.
+	fullFor int
 	// ran lists the statements that ran, with the id, alias and session values that they ran under.
 	ran []run
 	// onRun is called as a statement has run, with the cluster locked.
@@ -102,6 +104,10 @@
 	if n.down {
 		return nil, errDown
 	}
+	if n.fullFor > 0 {
+		n.fullFor--
+		return nil, engine.ErrEndpointFull
+	}
 	return &link{cluster: c, node: n, state: engine.NewLinkState(), values: map[string]string{}, prepared: map[string]bool{}}, nil
 }
 
--- a/engine/flow.go
+++ b/engine/flow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"time"
 
@@ -188,7 +189,9 @@
 	if err != nil && (kind == fault.KindTimeout || kind == fault.KindOverloaded) {
 		return h, Outcome{}, err
 	}
-	f.cfg.Group.View(func(t *route.Tracker) { t.SetDown(h.Endpoint, true) })
+	if !errors.Is(err, ErrEndpointFull) {
+		f.cfg.Group.View(func(t *route.Tracker) { t.SetDown(h.Endpoint, true) })
+	}
 	h.Connections = nil
 	return h, Outcome{Attempt: retry.Attempt{Failure: retry.FailureConnect}}, nil
 }
--- a/fleet/config.go
+++ b/fleet/config.go
@@ -82,6 +82,9 @@
 // probing keeps the evidence of leases young on the instance that probes for the others.
 var probing = route.Probing{Every: renewEvery, Idle: idleEvery, Kicked: kickedAge}
 
+// peerTimeout bounds calls of peers, which take a few milliseconds: one that is gone must not hold up a round of heartbeats.
+const peerTimeout = 500 * time.Millisecond
+
 // Timing of the store.
 const (
 	// retryPause is the wait before the store is asked again after a failure.
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -14,29 +14,28 @@
 	"github.com/monsoontiller/monsoontiller/pool"
 )
 
-// exchangeLoop exchanges with the next peers at every interval.
+// exchangeLoop exchanges with the next peers at every interval, and more often while it knows none.
 func (n *Node) exchangeLoop(ctx context.Context) error {
-	ticker := time.NewTicker(n.cfg.Interval)
-	defer ticker.Stop()
-	n.greetSeeds(ctx)
 	for {
 		n.round(ctx)
+		wait := n.cfg.Interval
+		if len(n.Others()) == 0 {
+			wait = min(wait, lonelyInterval)
+		}
 		select {
-		case <-ticker.C:
+		case <-time.After(wait):
 		case <-ctx.Done():
 			return nil
 		}
 	}
 }
 
-// greetSeeds exchanges once with each configured peer, so that an instance can start while the platform is down.
-func (n *Node) greetSeeds(ctx context.Context) {
-	for _, address := range n.cfg.Seeds {
-		if address != n.cfg.Self.PeerAddress() {
-			n.exchange(ctx, address)
-		}
-	}
-}
+const (
+	// lonelyInterval is the pause between rounds of an instance that knows no other: all may have just started.
+	lonelyInterval = 100 * time.Millisecond
+	// lonelyTimeout bounds its exchanges, since seeds may be down.
+	lonelyTimeout = 300 * time.Millisecond
+)
 
 // round exchanges with this round's targets at the same time and waits for all.
 func (n *Node) round(ctx context.Context) {
@@ -47,9 +46,13 @@
 		addresses = append(addresses, t.PeerAddress())
 	}
 	n.mu.Unlock()
-	if seed, ok := n.strangeSeed(); ok {
-		addresses = append(addresses, seed)
+	lonely := len(addresses) == 0
+	if lonely {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, lonelyTimeout)
+		defer cancel()
 	}
+	addresses = append(addresses, n.strangeSeeds(lonely)...)
 	ends := make(chan struct{}, len(addresses))
 	for _, address := range addresses {
 		go func() {
@@ -63,20 +66,27 @@
 	n.expire()
 }
 
-// strangeSeed returns a seed that is not known to live, a different one at each call; through it a fleet that was split finds together.
-func (n *Node) strangeSeed() (address string, ok bool) {
+// strangeSeeds returns the seeds that are not known to live: all of them for an instance that knows no other, else one in turn.
+//
+// Through them a fleet that was split finds together.
+func (n *Node) strangeSeeds(all bool) []string {
 	known := map[string]bool{n.cfg.Self.PeerAddress(): true}
 	for _, one := range n.Others() {
 		known[one.PeerAddress()] = true
 	}
+	var strange []string
 	for range n.cfg.Seeds {
 		n.seedTurn++
 		seed := n.cfg.Seeds[n.seedTurn%len(n.cfg.Seeds)]
-		if !known[seed] {
-			return seed, true
+		if known[seed] {
+			continue
+		}
+		strange = append(strange, seed)
+		if !all {
+			break
 		}
 	}
-	return "", false
+	return strange
 }
 
 // expire declares dead the watched peers that have been silent for too long.
