--- a/engine/failure_test.go
+++ b/engine/failure_test.go
@@ -104,8 +104,8 @@
 	if diff := cmp.Diff([]string{"q2 write"}, s.cluster.ran("a")); diff != "" {
 		t.Error(diff)
 	}
-	if a := mustServe(t, one.do(engine.OpWrite, "i1", "y")); a.Receipt != "by b" {
-		t.Errorf("the next write was served %s, want the new primary", a.Receipt)
+	if a := mustServe(t, one.do(engine.OpWrite, "i1", "y")); a.Signature != "by b" {
+		t.Errorf("the next write was served %s, want the new primary", a.Signature)
 	}
 }
 
@@ -114,8 +114,8 @@
 	for _, name := range []string{"b", "c"} {
 		s.cluster.with(name, func(n *node) { n.refuse[engine.OpRead] = []engine.Reason{engine.ReasonBehind, engine.ReasonBehind} })
 	}
-	if a := mustServe(t, s.session(t).do(engine.OpRead, "i1")); a.Receipt != "by a" {
-		t.Errorf("served %s, want the primary", a.Receipt)
+	if a := mustServe(t, s.session(t).do(engine.OpRead, "i1")); a.Signature != "by a" {
+		t.Errorf("served %s, want the primary", a.Signature)
 	}
 }
 
--- a/engine/fake_test.go
+++ b/engine/fake_test.go
@@ -158,10 +158,10 @@
 // answer runs one command as a member does.
 func (l *link) answer(c engine.Command) engine.Answer {
 	n := l.node
-	a := engine.Answer{Receipt: engine.OwnID, State: l.tx, Point: group.NewPoint(n.term, n.position)}
+	a := engine.Answer{Signature: engine.OwnID, State: l.tx, Point: group.NewPoint(n.term, n.position)}
 	refuse := func(r engine.Reason) engine.Answer {
 		a.Refusal = &engine.Refusal{Reason: r, Code: r.String()}
-		a.Receipt = ""
+		a.Signature = ""
 		return a
 	}
 	if list := n.refuse[c.Statement.Op]; len(list) > 0 {
@@ -209,7 +209,7 @@
 		}
 	}
 	n.ran = append(n.ran, run{command: c, values: l.values["tenant"], inTx: l.tx == engine.TxOpen})
-	a.Receipt = "by " + n.name
+	a.Signature = "by " + n.name
 	a.Point = group.NewPoint(n.term, n.position)
 	if n.onRun != nil {
 		n.onRun(c)
@@ -314,7 +314,7 @@
 func mustRefuse(t *testing.T, a engine.Answer, want engine.Reason) {
 	t.Helper()
 	if a.Refusal == nil {
-		t.Fatalf("served by %q, want a refusal as %v", a.Receipt, want)
+		t.Fatalf("served by %q, want a refusal as %v", a.Signature, want)
 	}
 	if a.Refusal.Reason != want {
 		t.Fatalf("refused as %v (%s), want %v", a.Refusal.Reason, a.Refusal.Text, want)
--- a/engine/session_test.go
+++ b/engine/session_test.go
@@ -13,11 +13,11 @@
 func TestReadsGoToANearReplicaAndWritesToThePrimary(t *testing.T) {
 	s := newStand(t, contract.ConsistencySession)
 	one := s.session(t)
-	if a := mustServe(t, one.do(engine.OpRead, "i1")); a.Receipt != "by b" {
-		t.Errorf("the read was served %s, want the near replica", a.Receipt)
+	if a := mustServe(t, one.do(engine.OpRead, "i1")); a.Signature != "by b" {
+		t.Errorf("the read was served %s, want the near replica", a.Signature)
 	}
-	if a := mustServe(t, one.do(engine.OpWrite, "i1", "x")); a.Receipt != "by a" {
-		t.Errorf("the write was served %s, want the primary", a.Receipt)
+	if a := mustServe(t, one.do(engine.OpWrite, "i1", "x")); a.Signature != "by a" {
+		t.Errorf("the write was served %s, want the primary", a.Signature)
 	}
 }
 
@@ -26,8 +26,8 @@
 	one := s.session(t)
 	mustServe(t, one.do(engine.OpWrite, "i1", "x"))
 	a := mustServe(t, one.do(engine.OpRead, "i1"))
-	if a.Receipt != "by a" {
-		t.Errorf("a replica without the write served the read: %s", a.Receipt)
+	if a.Signature != "by a" {
+		t.Errorf("a replica without the write served the read: %s", a.Signature)
 	}
 	for _, name := range []string{"b", "c"} {
 		s.cluster.with(name, func(n *node) { n.position = 11 })
@@ -39,15 +39,15 @@
 
 func TestReadsOfTheNewestDataGoToThePrimary(t *testing.T) {
 	s := newStand(t, contract.ConsistencyPrimary)
-	if a := mustServe(t, s.session(t).do(engine.OpRead, "i1")); a.Receipt != "by a" {
-		t.Errorf("served %s, want the primary", a.Receipt)
+	if a := mustServe(t, s.session(t).do(engine.OpRead, "i1")); a.Signature != "by a" {
+		t.Errorf("served %s, want the primary", a.Signature)
 	}
 }
 
 func TestAnIdleTransactionHoldsNoLink(t *testing.T) {
 	s := newStand(t, contract.ConsistencySession)
 	one := s.session(t)
-	if a := mustServe(t, one.do(engine.OpBegin)); a.Receipt != engine.OwnID || a.State != engine.TxOpen {
+	if a := mustServe(t, one.do(engine.OpBegin)); a.Signature != engine.OwnID || a.State != engine.TxOpen {
 		t.Errorf("BEGIN was answered %+v", a)
 	}
 	if one.Holding() {
@@ -57,7 +57,7 @@
 	if !one.Holding() {
 		t.Error("the transaction's link was let go")
 	}
-	if a := mustServe(t, one.do(engine.OpCommit)); a.Receipt != "by a" || a.State != engine.TxNone {
+	if a := mustServe(t, one.do(engine.OpCommit)); a.Signature != "by a" || a.State != engine.TxNone {
 		t.Errorf("COMMIT was answered %+v", a)
 	}
 	want := []string{"q2 write", "q3 commit"}
@@ -74,8 +74,8 @@
 	s.cluster.with("b", func(n *node) { n.refuse[engine.OpBeginRead] = []engine.Reason{engine.ReasonBehind} })
 	second := mustServe(t, one.do(engine.OpRead, "i2"))
 	last := mustServe(t, one.do(engine.OpCommit))
-	if first.Receipt != "by b" || second.Receipt != "by b" || last.Receipt != "by b" {
-		t.Errorf("served %s, %s, %s, want the near replica for all", first.Receipt, second.Receipt, last.Receipt)
+	if first.Signature != "by b" || second.Signature != "by b" || last.Signature != "by b" {
+		t.Errorf("served %s, %s, %s, want the near replica for all", first.Signature, second.Signature, last.Signature)
 	}
 }
 
--- a/engine/statement.go
+++ b/engine/statement.go
@@ -124,8 +124,8 @@
 // Answer is the answer to one statement.
 type Answer struct {
 	Rows []string
-	// Receipt is the endpoint's proof that it ran the statement, or OwnID for an answer of the proxy.
-	Receipt string
+	// Signature is the endpoint's proof that it ran the statement, or OwnID for an answer of the proxy.
+	Signature string
 	// Refusal is nil for a success.
 	Refusal *Refusal
 	State   TxState
@@ -139,7 +139,7 @@
 }
 
 // done returns the answer of the proxy itself to a statement that needs no endpoint.
-func done(state TxState) Answer { return Answer{Receipt: OwnID, State: state} }
+func done(state TxState) Answer { return Answer{Signature: OwnID, State: state} }
 
 // StatementLink is a link whose protocol carries typed statements.
 type StatementLink[L any] interface {
