Keep the links that were opened as the first term became known

Found by TestRequestsShareTheLinksOfAFullEndpoint, which failed once in 40 runs: the first status of a primary counts as a change of term, after which links of the earlier term are closed; a link taken in between was closed with them.

--- a/engine/group.go
+++ b/engine/group.go
@@ -244,11 +244,13 @@
 // Observe takes a status that was asked for at sentAt and acts on a change of term.
 func (g *Group[L]) Observe(sentAt time.Time, s group.Status) {
 	g.mu.Lock()
+	before := g.tracker.Term()
 	changed := g.tracker.Observe(sentAt, g.cfg.Clock(), s)
 	g.noteLocked(sentAt, s)
 	g.broadcastLocked()
 	g.mu.Unlock()
-	if changed {
+	// Before the first term there are no links of an earlier one, and those just opened are of this one.
+	if changed && before != 0 {
 		g.dropOldTerm()
 	}
 }
