--- a/engine/connections.go
+++ b/engine/connections.go
@@ -34,8 +34,10 @@
 	pool       *pool.Pool[L, *waiter[L]]
 	ordered    bool
 	// limit is what SetLimit asked for, and capped says that the endpoint takes no more for the moment.
-	limit      int
-	capped     bool
+	limit  int
+	capped bool
+	// fullUntil is until when no link is dialed because the endpoint takes no more.
+	fullUntil  time.Time
 	generation uint64
 	inUse      map[L]use
 	// hold is the usual time for which a request holds a link, or 0 before the first.
@@ -89,27 +91,24 @@
 const (
 	// fullPause is how long no further link is opened to an endpoint that takes no more.
 	fullPause = 300 * time.Millisecond
-	// roomPause is the wait before a request without any link tries again.
-	roomPause = 20 * time.Millisecond
+	// roomPause is the least time between two dials of an endpoint that takes no more, however many requests wait.
+	roomPause = 50 * time.Millisecond
 )
 
 // awaitRoom makes requests wait for the links that there are, and reports whether r has time to.
 func (c *Connections[L]) awaitRoom(ctx context.Context, r Request) bool {
 	c.mu.Lock()
-	open := c.pool.Open()
+	c.fullUntil = clock.Now().Add(roomPause)
 	if !c.capped {
 		c.capped = true
 		time.AfterFunc(fullPause, c.uncap)
 	}
 	// The limit never falls to 0, so that a first link is tried again.
-	wakes, closes := c.pool.SetLimit(clock.Now(), max(1, open))
+	wakes, closes := c.pool.SetLimit(clock.Now(), max(1, c.pool.Open()))
 	c.mu.Unlock()
 	wake(wakes)
 	c.retireLater(closes)
-	if open == 0 && Sleep(ctx, roomPause) != nil {
-		return false
-	}
-	return clock.Now().Before(r.Deadline)
+	return ctx.Err() == nil && clock.Now().Before(r.Deadline)
 }
 
 // uncap lets the pool grow to its limit again.
@@ -145,6 +144,13 @@
 
 // open dials a link within a bounded time: a dial without an answer must not keep its place in the pool.
 func (c *Connections[L]) open(ctx context.Context, key string) (L, error) {
+	c.mu.Lock()
+	pause := clock.Until(c.fullUntil)
+	c.mu.Unlock()
+	if err := Sleep(ctx, pause); err != nil {
+		var none L
+		return none, err
+	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	return c.dial(ctx, key)
--- a/engine/failure_test.go
+++ b/engine/failure_test.go
@@ -165,3 +165,44 @@
 	mustServe(t, one.do(engine.OpCommit))
 	mustServe(t, <-served)
 }
+
+// However many requests wait, an endpoint that takes no more links is dialed by one at a time, with a pause between.
+func TestAFullEndpointIsNotStormed(t *testing.T) {
+	s := newStand(t, contract.ConsistencyPrimary)
+	s.cluster.with("a", func(n *node) { n.fullFor = 4 })
+	const callers = 30
+	served := make(chan engine.Answer, callers)
+	for range callers {
+		one := s.session(t)
+		go func() { served <- one.do(engine.OpRead, "i1") }()
+	}
+	for range callers {
+		mustServe(t, <-served)
+	}
+	s.cluster.with("a", func(n *node) {
+		if n.fullFor != 0 || n.refusedDials != 4 {
+			t.Errorf("%d dials were refused, %d are left to be", n.refusedDials, n.fullFor)
+		}
+	})
+}
+
+// While nothing frees a place, the dials are bounded by time, not by the requests that wait.
+func TestDialsOfAFullEndpointAreBoundedByTime(t *testing.T) {
+	s := newStand(t, contract.ConsistencyPrimary)
+	s.cluster.with("a", func(n *node) { n.fullFor = 1_000_000 })
+	const callers = 30
+	served := make(chan engine.Answer, callers)
+	for range callers {
+		one := s.session(t)
+		go func() { served <- one.do(engine.OpRead, "i1") }()
+	}
+	for range callers {
+		<-served
+	}
+	s.cluster.with("a", func(n *node) {
+		// Each caller may wait for 5 s, in which a dial every 50 ms makes 100, and one more a limit of 3 links each 300 ms.
+		if limit := 200; n.refusedDials > limit {
+			t.Errorf("%d dials in the callers' time, want at most %d", n.refusedDials, limit)
+		}
+	})
+}
--- a/engine/fake_test.go
+++ b/engine/fake_test.go
@@ -37,6 +37,8 @@
 	down bool
 	// fullFor is how many dials the member still refuses because it takes no more connections.
 	fullFor int
+	// refusedDials counts the dials that were refused so.
+	refusedDials int
 	// ran lists the statements that ran, with the id, alias and session values that they ran under.
 	ran []run
 	// onRun is called as a statement has run, with the cluster locked.
@@ -106,6 +108,7 @@
 	}
 	if n.fullFor > 0 {
 		n.fullFor--
+		n.refusedDials++
 		return nil, engine.ErrEndpointFull
 	}
 	return &link{cluster: c, node: n, state: engine.NewLinkState(), values: map[string]string{}, prepared: map[string]bool{}}, nil
