--- a/engine/session.go
+++ b/engine/session.go
@@ -245,6 +245,7 @@
 		Session:   s.cfg.ID,
 		Request:   j.statement.ID,
 		Database:  s.cfg.Database,
+		Group:     s.terms.Group.Name(),
 		Op:        j.statement.Op,
 		Endpoint:  j.endpoint,
 		Floor:     h.Request.Floor,
--- a/engine/session_test.go
+++ b/engine/session_test.go
@@ -5,9 +5,11 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/monsoontiller/monsoontiller/clock"
 	"github.com/monsoontiller/monsoontiller/contract"
 	"github.com/monsoontiller/monsoontiller/engine"
 	"github.com/monsoontiller/monsoontiller/group"
+	"github.com/monsoontiller/monsoontiller/route"
 )
 
 func TestReadsGoToANearReplicaAndWritesToThePrimary(t *testing.T) {
@@ -116,3 +118,26 @@
 	s.cluster.with("a", func(n *node) { n.refuse[engine.OpExecute] = []engine.Reason{engine.ReasonUnknownStatement} })
 	mustServe(t, one.do(engine.OpExecute, "s1", "i1"))
 }
+
+// taken keeps the records of statements.
+type taken struct{ records []engine.Record }
+
+func (r *taken) Record(one engine.Record) { r.records = append(r.records, one) }
+
+func TestARefusalIsRecordedWithWhatDecidedIt(t *testing.T) {
+	s := newStand(t, contract.ConsistencySession)
+	s.cluster.with("a", func(n *node) { n.lose[engine.OpWrite] = 1 })
+	r := &taken{}
+	one := engine.NewSession(engine.SessionConfig[*link]{
+		ID: "7", Database: "orders", Source: s, Policy: route.Expected{}, Recorder: r, Clock: clock.Now,
+	})
+	t.Cleanup(one.Close)
+	mustRefuse(t, (&session{Session: one}).do(engine.OpWrite, "i1", "x"), engine.ReasonInDoubt)
+	if len(r.records) != 1 {
+		t.Fatalf("%d records", len(r.records))
+	}
+	got := r.records[0]
+	if got.Request != "q1" || got.Session != "7" || got.Group != "orders" || got.Endpoint != "a" || got.Revision != 1 || got.Refusal == nil || len(got.Failures) != 1 {
+		t.Errorf("recorded %+v", got)
+	}
+}
