--- a/engine/failure_test.go
+++ b/engine/failure_test.go
@@ -1,13 +1,17 @@
 package engine_test
 
 import (
+	"strings"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/monsoontiller/monsoontiller/clock"
 	"github.com/monsoontiller/monsoontiller/contract"
 	"github.com/monsoontiller/monsoontiller/engine"
+	"github.com/monsoontiller/monsoontiller/fault"
 	"github.com/monsoontiller/monsoontiller/group"
+	"github.com/monsoontiller/monsoontiller/route"
 )
 
 func TestALostReadRunsElsewhere(t *testing.T) {
@@ -206,3 +210,21 @@
 		}
 	})
 }
+
+// noTerms refuses every database for a while.
+type noTerms struct{}
+
+func (noTerms) Terms(string) (engine.Terms[*link], error) {
+	return engine.Terms[*link]{}, fault.New(fault.Config{
+		Kind: fault.KindNoPrimary, Message: "nobody leads; the request did not run", Remedy: "try again in 400ms",
+	})
+}
+
+func TestARefusalTellsWhenToComeBack(t *testing.T) {
+	one := &session{Session: engine.NewSession(engine.SessionConfig[*link]{Source: noTerms{}, Policy: route.Expected{}, Clock: clock.Now})}
+	a := one.do(engine.OpRead, "i1")
+	mustRefuse(t, a, engine.ReasonOverloaded)
+	if !strings.Contains(a.Refusal.Text, "try again in 400ms") {
+		t.Errorf("refused with %q", a.Refusal.Text)
+	}
+}
--- a/engine/session.go
+++ b/engine/session.go
@@ -223,7 +223,7 @@
 // noIdleCheck leaves out the check of idle links: a lost one shows when it is used.
 const noIdleCheck = time.Hour
 
-// refusal turns an error of the proxy into an answer.
+// refusal turns an error of the proxy into an answer, which tells the caller what to do, and when to come back.
 func (s *Session[L]) refusal(st Statement, err error, state TxState) Answer {
 	e := fault.As(err)
 	reason := ReasonOverloaded
@@ -233,7 +233,7 @@
 	case e.Kind().Ran() == fault.RanUnknown && st.Op != OpRead:
 		reason = ReasonInDoubt
 	}
-	return refuse(reason, e.Message(), state)
+	return refuse(reason, e.Message()+"; "+e.Remedy(), state)
 }
 
 // record reports the outcome of a statement and returns its answer.
