--- a/engine/failure_test.go
+++ b/engine/failure_test.go
@@ -171,7 +171,7 @@
 }
 
 // However many requests wait, an endpoint that takes no more links is dialed by one at a time, with a pause between.
-func TestAFullEndpointIsNotStormed(t *testing.T) {
+func TestAFullEndpointIsDialedByOneAtATime(t *testing.T) {
 	s := newStand(t, contract.ConsistencyPrimary)
 	s.cluster.with("a", func(n *node) { n.fullFor = 4 })
 	const callers = 30
--- a/fleet/instance.go
+++ b/fleet/instance.go
@@ -92,11 +92,11 @@
 // Ready reports whether this instance takes callers.
 func (i *Instance[L]) Ready() bool {
 	_, known := i.directory.Version()
-	return known && i.listed.Load() && i.settled() && !i.stopping.Load() && i.atWork()
+	return known && i.listed.Load() && i.settled() && !i.stopping.Load() && i.watchesGroups()
 }
 
-// atWork reports whether every group that this instance is a home of is watched.
-func (i *Instance[L]) atWork() bool {
+// watchesGroups reports whether every group that this instance is a home of is watched.
+func (i *Instance[L]) watchesGroups() bool {
 	for _, name := range i.directory.GroupNames() {
 		if i.atHome(name) && i.members.group(name) == nil && i.members.has(name) {
 			return false
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -20,7 +20,7 @@
 		n.round(ctx)
 		wait := n.cfg.Interval
 		if len(n.Others()) == 0 {
-			wait = min(wait, lonelyInterval)
+			wait = min(wait, joinInterval)
 		}
 		select {
 		case <-time.After(wait):
@@ -31,10 +31,10 @@
 }
 
 const (
-	// lonelyInterval is the pause between rounds of an instance that knows no other: all may have just started.
-	lonelyInterval = 100 * time.Millisecond
-	// lonelyTimeout bounds its exchanges, since seeds may be down.
-	lonelyTimeout = 300 * time.Millisecond
+	// joinInterval is the pause between rounds of an instance that knows no other: all may have just started.
+	joinInterval = 100 * time.Millisecond
+	// joinTimeout bounds its exchanges, since seeds may be down.
+	joinTimeout = 300 * time.Millisecond
 )
 
 // round exchanges with this round's targets at the same time and waits for all.
@@ -46,13 +46,13 @@
 		addresses = append(addresses, t.PeerAddress())
 	}
 	n.mu.Unlock()
-	lonely := len(addresses) == 0
-	if lonely {
+	alone := len(addresses) == 0
+	if alone {
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, lonelyTimeout)
+		ctx, cancel = context.WithTimeout(ctx, joinTimeout)
 		defer cancel()
 	}
-	addresses = append(addresses, n.strangeSeeds(lonely)...)
+	addresses = append(addresses, n.unknownSeeds(alone)...)
 	ends := make(chan struct{}, len(addresses))
 	for _, address := range addresses {
 		go func() {
@@ -66,27 +66,27 @@
 	n.expire()
 }
 
-// strangeSeeds returns the seeds that are not known to live: all of them for an instance that knows no other, else one in turn.
+// unknownSeeds returns the seeds that are not known to live: all of them for an instance that knows no other, else one in turn.
 //
 // Through them a fleet that was split finds together.
-func (n *Node) strangeSeeds(all bool) []string {
+func (n *Node) unknownSeeds(all bool) []string {
 	known := map[string]bool{n.cfg.Self.PeerAddress(): true}
 	for _, one := range n.Others() {
 		known[one.PeerAddress()] = true
 	}
-	var strange []string
+	var unknown []string
 	for range n.cfg.Seeds {
 		n.seedTurn++
 		seed := n.cfg.Seeds[n.seedTurn%len(n.cfg.Seeds)]
 		if known[seed] {
 			continue
 		}
-		strange = append(strange, seed)
+		unknown = append(unknown, seed)
 		if !all {
 			break
 		}
 	}
-	return strange
+	return unknown
 }
 
 // expire declares dead the watched peers that have been silent for too long.
