--- a/fleet/duty.go
+++ b/fleet/duty.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"sync"
 	"time"
 
@@ -108,8 +109,8 @@
 type errRace struct{ error }
 
 func isRace(err error) bool {
-	_, ok := err.(errRace)
-	return ok
+	var race errRace
+	return errors.As(err, &race)
 }
 
 // claim reads the row and writes it if it is free or this instance's own.
--- a/fleet/instance.go
+++ b/fleet/instance.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"strconv"
 	"strings"
 	"sync"
@@ -287,11 +286,10 @@
 	token, _ := i.duty.Held()
 	logLine(i.cfg.Logger, "level", "info", "msg", "duty_claimed", "group", name, "term", uint64(term), "attempt", attempt,
 		"token", token, "error", errorText(err))
-	var race errRace
 	switch {
 	case err == nil:
 		return failover.ClaimWon, term
-	case fault.KindOf(err) == fault.KindConflict || errors.As(err, &race):
+	case fault.KindOf(err) == fault.KindConflict || isRace(err):
 		return failover.ClaimTaken, 0
 	}
 	return failover.ClaimUnavailable, 0
