Keep the work at a member bounded, and order what waits here

Change: the instances that share a member's slots take two turns per slot together (pool.TurnShare). A transaction gives its turn back while it rests and goes on before those without a link.

--- a/engine/connections.go
+++ b/engine/connections.go
@@ -14,7 +14,9 @@
 type ConnectionsConfig[L Link[L]] struct {
 	Endpoint string
 	Limit    int
-	Dial     func(ctx context.Context, key string) (L, error)
+	// Turns is how many links may be at work at once; 0 means all.
+	Turns int
+	Dial  func(ctx context.Context, key string) (L, error)
 	// Terminator ends connections that do not close by themselves, if set.
 	Terminator Terminator[L]
 	// Ordered serves waiters by priority and target, and refuses at once those that would wait for too long;
@@ -40,17 +42,26 @@
 	fullUntil  time.Time
 	generation uint64
 	inUse      map[L]use
-	// hold is the usual time for which a request holds a link, or 0 before the first.
+	// hold is the usual time for which a request holds a link, and turn for which a link is at work; 0 before the first.
 	hold time.Duration
+	turn time.Duration
+	// turnOf is the usual turn of each customer's requests.
+	turnOf map[string]time.Duration
+	// line is the order of the waiters if they are served by target, or nil.
+	line *pool.Ordered[*waiter[L]]
 }
 
 // NewConnections returns an empty set of connections.
 func NewConnections[L Link[L]](cfg ConnectionsConfig[L]) *Connections[L] {
-	line := pool.Config[*waiter[L]]{Limit: cfg.Limit}
+	line := pool.Config[*waiter[L]]{Limit: cfg.Limit, Turns: cfg.Turns}
+	var ordered *pool.Ordered[*waiter[L]]
 	if cfg.Ordered {
-		line.Line = pool.NewOrdered[*waiter[L]](pool.OrderedConfig{})
+		ordered = pool.NewOrdered[*waiter[L]](pool.OrderedConfig{})
+		line.Line = ordered
 	}
 	return &Connections[L]{
+		line:       ordered,
+		turnOf:     map[string]time.Duration{},
 		endpoint:   cfg.Endpoint,
 		dial:       cfg.Dial,
 		terminator: cfg.Terminator,
@@ -121,27 +132,37 @@
 }
 
 // take turns a grant into a connection, dialing when the grant says so.
-func (c *Connections[L]) take(ctx context.Context, key string, g pool.Grant[L]) (L, error) {
+func (c *Connections[L]) take(ctx context.Context, r Request, g pool.Grant[L]) (L, error) {
 	c.retireAll(g.Close)
 	c.mu.Lock()
 	generation := c.generation
 	c.mu.Unlock()
 	conn := g.Conn
 	if g.Action == pool.ActionOpen {
-		opened, err := c.open(ctx, key)
+		opened, err := c.open(ctx, r.Key)
 		if err != nil {
-			c.discardCount()
+			c.notOpened()
 			return conn, err
 		}
 		opened.SetAnsweredAt(clock.Now())
 		conn = opened
 	}
 	c.mu.Lock()
-	c.inUse[conn] = use{generation: generation, since: clock.Now()}
+	now := clock.Now()
+	c.inUse[conn] = use{generation: generation, since: now, workSince: now, customer: r.Customer}
 	c.mu.Unlock()
 	return conn, nil
 }
 
+// notOpened gives back the place and the turn of a link that could not be opened.
+func (c *Connections[L]) notOpened() {
+	c.mu.Lock()
+	now := clock.Now()
+	wakes := append(c.pool.Discard(now), c.pool.Rest(now)...)
+	c.mu.Unlock()
+	wake(wakes)
+}
+
 // open dials a link within a bounded time: a dial without an answer must not keep its place in the pool.
 func (c *Connections[L]) open(ctx context.Context, key string) (L, error) {
 	c.mu.Lock()
@@ -179,19 +200,15 @@
 // Release returns a connection that is in its initial state.
 func (c *Connections[L]) Release(conn L) {
 	c.mu.Lock()
-	was := c.notHeld(conn)
-	stale := was.generation != c.generation
-	c.mu.Unlock()
-	if stale || conn.Canceled() {
+	was := c.inUse[conn]
+	if was.generation != c.generation || conn.Canceled() {
+		c.mu.Unlock()
 		c.Discard(conn)
 		return
 	}
-	c.put(conn)
-}
-
-func (c *Connections[L]) put(conn L) {
-	c.mu.Lock()
-	wakes, closes := c.pool.Release(clock.Now(), conn, conn.Key())
+	now := clock.Now()
+	wakes, closes := c.pool.Release(now, conn, conn.Key())
+	wakes = append(wakes, c.notHeld(now, conn)...)
 	c.mu.Unlock()
 	wake(wakes)
 	c.retireLater(closes)
@@ -200,8 +217,9 @@
 // Discard ends a connection whose state is not known; it counts until the endpoint has closed it.
 func (c *Connections[L]) Discard(conn L) {
 	c.mu.Lock()
-	c.notHeld(conn)
+	wakes := c.notHeld(clock.Now(), conn)
 	c.mu.Unlock()
+	wake(wakes)
 	go func() {
 		c.retire(conn)
 		c.discardCount()
@@ -266,6 +284,14 @@
 	c.retireLater(closes)
 }
 
+// SetTurns changes how many links may be at work at once, 0 for all.
+func (c *Connections[L]) SetTurns(limit int) {
+	c.mu.Lock()
+	wakes := c.pool.SetTurns(clock.Now(), limit)
+	c.mu.Unlock()
+	wake(wakes)
+}
+
 // Shrink lowers the limit to as little as limit, by what is unused, and returns the limit reached.
 //
 // What it gives up is closed for certain when it returns; a connection that does
--- a/engine/group.go
+++ b/engine/group.go
@@ -7,6 +7,7 @@
 
 	"github.com/monsoontiller/monsoontiller/clock"
 	"github.com/monsoontiller/monsoontiller/group"
+	"github.com/monsoontiller/monsoontiller/pool"
 	"github.com/monsoontiller/monsoontiller/route"
 )
 
@@ -30,8 +31,10 @@
 	ProbeTimeout  time.Duration
 	Lease         time.Duration
 	Limit         int
-	Dial          func(ctx context.Context, m Address, key string) (L, error)
-	Clock         func() time.Time
+	// Sharers is how many instances share the slots of the members; 0 leaves the work at a member unbounded.
+	Sharers int
+	Dial    func(ctx context.Context, m Address, key string) (L, error)
+	Clock   func() time.Time
 	// Outage is how long the loss of a primary usually lasts, from its last confirmation on; 0 lets requests
 	// wait for a primary as long as they may.
 	Outage time.Duration
@@ -68,6 +71,7 @@
 	members map[string]*member[L]
 	order   []string
 	limit   int
+	sharers int
 	// ctx is the context of Run, or nil while the group does not run.
 	ctx   context.Context
 	loops sync.WaitGroup
@@ -107,6 +111,7 @@
 		changed: make(chan struct{}),
 		members: map[string]*member[L]{},
 		limit:   cfg.Limit,
+		sharers: cfg.Sharers,
 		tracker: route.NewTracker(route.TrackerConfig{Group: cfg.Name, Lease: cfg.Lease, AllReplicas: cfg.AllReplicas}),
 	}
 	g.SetMembers(cfg.Members)
@@ -133,6 +138,10 @@
 		if m == nil || m.address.Address != a.Address || m.address.Incarnation != a.Incarnation {
 			m = g.newMember(a)
 		}
+		if m.address != a {
+			m.address = a
+			m.connections.SetTurns(g.turns(a))
+		}
 		kept[a.Endpoint] = m
 		g.order = append(g.order, a.Endpoint)
 		tracked = append(tracked, route.Endpoint{Name: a.Endpoint, Near: a.Near, Slots: a.Slots})
@@ -163,6 +172,7 @@
 		connections: NewConnections(ConnectionsConfig[L]{
 			Endpoint: a.Endpoint,
 			Limit:    max(0, g.limit-probeConnections),
+			Turns:    g.turns(a),
 			Dial: func(ctx context.Context, key string) (L, error) {
 				return g.cfg.Dial(ctx, a, key)
 			},
@@ -173,6 +183,27 @@
 	}
 }
 
+// turns returns how many requests this instance may have at work at a member, or 0 for no bound.
+func (g *Group[L]) turns(a Address) int {
+	if g.sharers == 0 {
+		return 0
+	}
+	return pool.TurnShare(a.Slots, g.sharers)
+}
+
+// SetSharers changes how many instances share the slots of the members.
+func (g *Group[L]) SetSharers(n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.sharers == n {
+		return
+	}
+	g.sharers = n
+	for _, m := range g.members {
+		m.connections.SetTurns(g.turns(m.address))
+	}
+}
+
 // startLocked starts the probe loop of a member while the group runs.
 func (g *Group[L]) startLocked(m *member[L]) {
 	if g.ctx == nil || m.stop != nil {
--- a/engine/transaction.go
+++ b/engine/transaction.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/monsoontiller/monsoontiller/fault"
 	"github.com/monsoontiller/monsoontiller/group"
 	"github.com/monsoontiller/monsoontiller/retry"
 )
@@ -52,7 +53,7 @@
 	if !s.tx.open {
 		return s.first(ctx, j)
 	}
-	return s.next(j)
+	return s.rest(s.next(ctx, j))
 }
 
 // afterFailure answers the statements of a failed transaction, which can only be ended.
@@ -78,7 +79,15 @@
 	}
 	s.tx.held = h
 	s.tx.open = true
-	return s.record(j, f, h, s.settle(j, j.answer))
+	return s.record(j, f, h, s.rest(s.settle(j, j.answer)))
+}
+
+// rest ends the turn of the transaction's link until its next statement.
+func (s *Session[L]) rest(a Answer) Answer {
+	if s.Holding() {
+		s.tx.held.Connections.Rest(s.tx.held.Link)
+	}
+	return a
 }
 
 // endFailed returns the state after a failed statement; a failed COMMIT ends the transaction.
@@ -146,9 +155,15 @@
 }
 
 // next runs a later statement on the transaction's link.
-func (s *Session[L]) next(j *job[L]) Answer {
+func (s *Session[L]) next(ctx context.Context, j *job[L]) Answer {
 	tx := s.tx
 	j.endpoint = tx.held.Endpoint
+	if err := tx.held.Connections.Resume(ctx, tx.held.Link, j.deadline); err != nil {
+		s.rollback()
+		why := fault.As(err).Message()
+		s.fail(why)
+		return s.record(j, nil, tx.held, refuse(ReasonAborted, why, s.endFailed(j)))
+	}
 	if !tx.held.OnReplica && !s.stillCarries(j.deadline) {
 		return s.record(j, nil, tx.held, s.abort(j, "the primary was replaced, or is not confirmed, during the transaction"))
 	}
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -277,6 +277,7 @@
 		ProbeTimeout:  probeTimeout,
 		Lease:         lease,
 		Limit:         m.share(name),
+		Sharers:       m.sharers(name),
 		Quarantine:    quarantine,
 		Ordered:       true,
 		Outage:        usualOutage,
@@ -303,10 +304,22 @@
 	return max(engine.MinLimit, share)
 }
 
-// cutShares brings the shares of connections in line with the fleet's size and the configuration.
+// sharers returns how many instances share the slots of a group's members.
+func (m *members[L]) sharers(name string) int {
+	terms, ok := m.instance.directory.Group(name)
+	if !ok {
+		return 1
+	}
+	alive, _ := m.instance.counts()
+	homes, _ := homeCount(terms.Connections, alive)
+	return homes
+}
+
+// cutShares brings the shares of connections and slots in line with the fleet's size and the configuration.
 func (m *members[L]) cutShares() {
 	for _, g := range m.all() {
 		g.SetLimit(m.share(g.Name()))
+		g.SetSharers(m.sharers(g.Name()))
 	}
 }
 
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -5,6 +5,8 @@
 // Config sets the first limit of a pool.
 type Config[W comparable] struct {
 	Limit int
+	// Turns is how many of the connections may be at work at once; 0 means all.
+	Turns int
 	// Line is the order of the waiters; nil serves customers in turn.
 	Line Line[W]
 }
@@ -15,6 +17,7 @@
 	open  int
 	idle  []idleConn[C]
 	queue Line[W]
+	turns turns[W]
 }
 
 // idleConn is a connection that nobody uses.
@@ -29,7 +32,7 @@
 	if cfg.Line == nil {
 		cfg.Line = NewQueue[W]()
 	}
-	return &Pool[C, W]{limit: cfg.Limit, queue: cfg.Line}
+	return &Pool[C, W]{limit: cfg.Limit, queue: cfg.Line, turns: turns[W]{limit: cfg.Turns}}
 }
 
 // Action says what an Acquire resulted in.
@@ -45,6 +48,8 @@
 	ActionWait
 	// ActionRefuse means that the customer's queue is full.
 	ActionRefuse
+	// ActionResume lets the caller go on with the connection that it has.
+	ActionResume
 )
 
 // Ask describes a request for a connection.
@@ -58,6 +63,8 @@
 	// worth; only an ordered line asks for them.
 	Priority int
 	Target   time.Time
+	// Service is how long the request is expected to be at work, or 0 when that is not known.
+	Service time.Duration
 }
 
 // Grant is the answer to an Ask; Close lists connections that the caller must close.
@@ -68,10 +75,11 @@
 	Close     []C
 }
 
-// Acquire answers ask at once or queues it.
+// Acquire answers ask at once or queues it; a grant takes a turn, which ends with Rest.
 func (p *Pool[C, W]) Acquire(ask Ask[W]) Grant[C] {
-	if p.queue.Len() == 0 {
+	if p.queue.Len() == 0 && p.turns.free() {
 		if g, ok := p.grant(ask.Key); ok {
+			p.turns.taken++
 			return g
 		}
 	}
@@ -111,7 +119,7 @@
 	Grant  Grant[C]
 }
 
-// Release returns a connection; one that exceeds the limit comes back in Close of the last grant.
+// Release returns a connection whose turn Rest ends; one that exceeds the limit comes back in Close of the last grant.
 func (p *Pool[C, W]) Release(now time.Time, conn C, key string) (wakes []Wake[C, W], closes []C) {
 	if p.open > p.limit {
 		p.open--
@@ -129,8 +137,8 @@
 
 // wake serves waiters while connections or room last; the key of a waiter is asked of keyOf.
 func (p *Pool[C, W]) wake(now time.Time) []Wake[C, W] {
-	var wakes []Wake[C, W]
-	for p.queue.Len() > 0 && (len(p.idle) > 0 || p.open < p.limit) {
+	wakes := p.resume()
+	for p.turns.free() && p.queue.Len() > 0 && (len(p.idle) > 0 || p.open < p.limit) {
 		w, ok := p.queue.Pop(now)
 		if !ok {
 			break
@@ -139,6 +147,7 @@
 		if !ok {
 			break
 		}
+		p.turns.taken++
 		wakes = append(wakes, Wake[C, W]{Waiter: w, Grant: g})
 	}
 	return wakes
@@ -159,7 +168,7 @@
 
 // Cancel removes a waiter and reports whether it was still queued.
 func (p *Pool[C, W]) Cancel(customer string, w W) bool {
-	return p.queue.Remove(customer, w)
+	return p.turns.remove(w) || p.queue.Remove(customer, w)
 }
 
 // SetLimit changes the limit; it returns the waiters that may go on and the idle connections to close.
@@ -196,4 +205,4 @@
 func (p *Pool[C, W]) Limit() int { return p.limit }
 
 // Waiting returns the number of queued requests.
-func (p *Pool[C, W]) Waiting() int { return p.queue.Len() }
+func (p *Pool[C, W]) Waiting() int { return p.queue.Len() + len(p.turns.resuming) }
