A home in every data centre

Change: the data centres take turns in the order of homes. Test: TestEachDataCentreHasAHome, which fails without the turns.

--- a/membership/homes.go
+++ b/membership/homes.go
@@ -12,7 +12,8 @@
 //
 // The choice is by rendezvous: an instance that joins or leaves moves few keys, and
 // every instance that knows the same others chooses the same. An instance is chosen
-// in proportion to its capacity.
+// in proportion to its capacity; the data centres take turns, so that each has a
+// home nearby and a cut between them leaves some on either side.
 func Homes(key string, instances []Identity, count int) []Identity {
 	if count >= len(instances) {
 		count = len(instances)
@@ -28,7 +29,19 @@
 		}
 		return out[a].Name() < out[b].Name()
 	})
-	return out[:count]
+	return byTurns(out)[:count]
+}
+
+// byTurns puts the first instance of each data centre first, then the second of each, and so on.
+func byTurns(ranked []Identity) []Identity {
+	seen := map[string]int{}
+	turn := make(map[string]int, len(ranked))
+	for _, one := range ranked {
+		turn[one.Name()] = seen[one.DataCentre()]
+		seen[one.DataCentre()]++
+	}
+	sort.SliceStable(ranked, func(a, b int) bool { return turn[ranked[a].Name()] < turn[ranked[b].Name()] })
+	return ranked
 }
 
 // score is the weighted rendezvous score: the highest of several goes to each with a chance of its share of the capacity.
--- a/membership/homes_test.go
+++ b/membership/homes_test.go
@@ -66,3 +66,25 @@
 		t.Errorf("%d homes of 3 instances", got)
 	}
 }
+
+// The pattern: a data centre is cut off. With a home in each, its callers are served within it, and pay for no
+// bytes between data centres while nothing is cut.
+func TestEachDataCentreHasAHome(t *testing.T) {
+	var all []membership.Identity
+	for i := range 60 {
+		all = append(all, membership.NewIdentity(membership.IdentityConfig{
+			Name: fmt.Sprintf("i%d", i), DataCentre: fmt.Sprintf("dc%d", i%7%4), Capacity: uint32(200 + 150*(i%5)),
+		}))
+	}
+	for g := range 100 {
+		for _, count := range []int{4, 6} {
+			in := map[string]int{}
+			for _, one := range membership.Homes(fmt.Sprintf("g%d", g), all, count) {
+				in[one.DataCentre()]++
+			}
+			if len(in) != 4 {
+				t.Fatalf("group %d has its %d homes in %v", g, count, in)
+			}
+		}
+	}
+}
