A fault soak: the real program as processes, faults from outside, every promise checked

cmd/monsoonsoak plays schedules that a seed decides: processes killed, terminated, frozen, hung up; the store down, silent, reset, losing answers, without history, its clock ahead; endpoints that crash, lag, leave, or whose connections are silent, deaf, slow or reset.

--- /dev/null
+++ b/cmd/monsoonsoak/main.go
@@ -0,0 +1,99 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/monsoontiller/monsoontiller/soak"
+)
+
+// options are the flags of the command.
+type options struct {
+	Seed        uint64        `long:"seed" default:"1" description:"first seed"`
+	Count       int           `long:"count" default:"1" description:"number of seeds, one after the other from the first"`
+	Jobs        int           `long:"jobs" default:"1" description:"seeds that run at once"`
+	Length      time.Duration `long:"length" default:"20s" description:"how long callers ask while faults come"`
+	Instances   int           `long:"instances" default:"4" description:"processes of the program for each seed"`
+	Clients     int           `long:"clients" default:"24" description:"callers for each seed"`
+	Connections int           `long:"connections" default:"40" description:"connections that each endpoint takes; few make instances pass sessions on"`
+	Binary      string        `long:"binary" default:"target/monsoontiller" description:"the program"`
+	Directory   string        `long:"directory" default:"target/soak" description:"takes the settings and output of the processes of each seed"`
+}
+
+func main() {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		os.Exit(2)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if !o.run(ctx) {
+		os.Exit(1)
+	}
+}
+
+// run plays the seeds and reports whether every promise held.
+func (o options) run(ctx context.Context) bool {
+	seeds := make(chan int, o.Count)
+	for i := range o.Count {
+		seeds <- i
+	}
+	close(seeds)
+	var mu sync.Mutex
+	held := true
+	var wait sync.WaitGroup
+	for job := range o.Jobs {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			for i := range seeds {
+				if ctx.Err() != nil {
+					return
+				}
+				ok := o.play(ctx, o.Seed+uint64(i), job+1)
+				mu.Lock()
+				held = held && ok
+				mu.Unlock()
+			}
+		}()
+	}
+	wait.Wait()
+	return held
+}
+
+// play runs one seed on a network of its own.
+func (o options) play(ctx context.Context, seed uint64, network int) bool {
+	directory := filepath.Join(o.Directory, fmt.Sprint(seed))
+	if err := os.MkdirAll(directory, 0o700); err != nil {
+		fmt.Println("seed", seed, "not run:", err)
+		return false
+	}
+	faults, err := os.Create(filepath.Join(directory, "faults.txt"))
+	if err != nil {
+		fmt.Println("seed", seed, "not run:", err)
+		return false
+	}
+	defer faults.Close()
+	r, err := soak.Run(ctx, soak.Config{
+		Seed: seed, Length: o.Length, Instances: o.Instances, Clients: o.Clients, Connections: o.Connections,
+		Network: network, Binary: o.Binary, Directory: directory, Output: io.Writer(faults),
+	})
+	if err != nil {
+		fmt.Println("seed", seed, "not run:", err)
+		return false
+	}
+	fmt.Printf("seed %d: %d statements ran, %d writes acknowledged, %d violations\n", seed, r.Runs(), r.Acked(), len(r.Violations()))
+	for _, v := range r.Violations() {
+		fmt.Println("  ", v)
+	}
+	return len(r.Violations()) == 0
+}
