--- a/cmd/monsoontiller/report.go
+++ b/cmd/monsoontiller/report.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"os"
+	"path/filepath"
 	"strings"
 	"time"
 
@@ -14,13 +16,38 @@
 	"github.com/monsoontiller/monsoontiller/operator"
 	"github.com/monsoontiller/monsoontiller/operator/operatorv1"
 	"github.com/monsoontiller/monsoontiller/operator/operatorv1/operatorv1connect"
+	"github.com/monsoontiller/monsoontiller/platform"
 	"github.com/monsoontiller/monsoontiller/report"
 	"github.com/monsoontiller/monsoontiller/scram"
 )
 
 // reportCommand groups the reports.
 type reportCommand struct {
-	Burn reportBurn `command:"burn" description:"Report how fast error budgets are used up"`
+	Burn     reportBurn     `command:"burn" description:"Report how fast error budgets are used up"`
+	Timeline reportTimeline `command:"timeline" description:"Draw a day that the users' test tool played: outcomes, faults, latency"`
+}
+
+// reportTimeline draws a played day.
+type reportTimeline struct {
+	Played string `long:"played" value-name:"FILE" required:"true" description:"Report of the played day, as JSON"`
+	Output string `long:"output" value-name:"FILE" required:"true" description:"HTML page to write"`
+}
+
+// Execute runs the command.
+func (c *reportTimeline) Execute([]string) error {
+	text, err := os.ReadFile(c.Played)
+	if err != nil {
+		return err
+	}
+	t, err := platform.ParsePlayed(filepath.Base(c.Played), text)
+	if err != nil {
+		return err
+	}
+	f, err := os.Create(c.Output)
+	if err != nil {
+		return err
+	}
+	return errors.Join(report.WriteTimeline(f, t), f.Close())
 }
 
 // reportBurn reports burn rates over the instances named.
