Refuse at once what would be given up late, and join faster

Change: after a waiter of a customer was given up late, its requests are refused at once for 100 ms.

--- a/engine/queue.go
+++ b/engine/queue.go
@@ -65,6 +65,7 @@
 		Priority:   r.Priority,
 		Target:     r.Target.Add(-r.Service),
 		Service:    r.Service,
+		Since:      now,
 	}
 	if wait, refused := c.crowded(now, ask); refused {
 		c.mu.Unlock()
--- a/fleet/instance.go
+++ b/fleet/instance.go
@@ -71,6 +71,7 @@
 		Client:   peer.NewClient(nil),
 		Server:   peer.NewServer(nil),
 		Seeds:    cfg.Seeds,
+		Settled:  i.settled,
 		Timeout:  peerTimeout,
 		Backend:  &backend[L]{instance: i},
 		Events:   i.events,
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -14,12 +14,12 @@
 	"github.com/monsoontiller/monsoontiller/pool"
 )
 
-// exchangeLoop exchanges with the next peers at every interval, and more often while it knows none.
+// exchangeLoop exchanges with the next peers at every interval, and more often until it knows the fleet.
 func (n *Node) exchangeLoop(ctx context.Context) error {
 	for {
 		n.round(ctx)
 		wait := n.cfg.Interval
-		if len(n.Others()) == 0 {
+		if len(n.Others()) == 0 || n.cfg.Settled != nil && !n.cfg.Settled() {
 			wait = min(wait, joinInterval)
 		}
 		select {
@@ -31,7 +31,8 @@
 }
 
 const (
-	// joinInterval is the pause between rounds of an instance that knows no other: all may have just started.
+	// joinInterval is the pause between rounds of an instance that knows no other, or not yet the fleet: all may have
+	// just started.
 	joinInterval = 100 * time.Millisecond
 	// joinTimeout bounds its exchanges, since seeds may be down.
 	joinTimeout = 300 * time.Millisecond
--- a/peer/node.go
+++ b/peer/node.go
@@ -61,9 +61,12 @@
 	DeadAfter  time.Duration
 	FreshBound time.Duration
 	Seeds      []string
-	Backend    Backend
-	Events     *event.Log
-	Logger     log.Logger
+	// Settled reports whether this instance knows the fleet; until then it exchanges more often. Nil means that it
+	// does once it knows another.
+	Settled func() bool
+	Backend Backend
+	Events  *event.Log
+	Logger  log.Logger
 }
 
 // Timing and bounds of the exchange.
--- a/pool/ordered.go
+++ b/pool/ordered.go
@@ -27,6 +27,8 @@
 	// waiters ascend by priority, then by target.
 	waiters []Ask[W]
 	limit   int
+	// gaveUpAt is when a waiter of a customer was last given up for others.
+	gaveUpAt map[string]time.Time
 }
 
 // OrderedConfig describes an ordered line.
@@ -36,7 +38,9 @@
 }
 
 // NewOrdered returns an empty line.
-func NewOrdered[W comparable](cfg OrderedConfig) *Ordered[W] { return &Ordered[W]{limit: cfg.Limit} }
+func NewOrdered[W comparable](cfg OrderedConfig) *Ordered[W] {
+	return &Ordered[W]{limit: cfg.Limit, gaveUpAt: map[string]time.Time{}}
+}
 
 // Len returns the number of waiters.
 func (o *Ordered[W]) Len() int { return len(o.waiters) }
--- a/pool/ordered_test.go
+++ b/pool/ordered_test.go
@@ -15,7 +15,7 @@
 func at(ms int) time.Time { return origin.Add(time.Duration(ms) * time.Millisecond) }
 
 func ask(name string, priority, target, deadline int) pool.Ask[string] {
-	return pool.Ask[string]{Waiter: name, Priority: priority, Target: at(target), Deadline: at(deadline)}
+	return pool.Ask[string]{Customer: name, Waiter: name, Priority: priority, Target: at(target), Deadline: at(deadline)}
 }
 
 func drain(o *pool.Ordered[string], now time.Time) []string {
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -65,6 +65,8 @@
 	Target   time.Time
 	// Service is how long the request is expected to be at work, or 0 when that is not known.
 	Service time.Duration
+	// Since is when the request asked, or zero when that is not known.
+	Since time.Time
 }
 
 // Grant is the answer to an Ask; Close lists connections that the caller must close.
--- a/pool/schedule.go
+++ b/pool/schedule.go
@@ -24,7 +24,13 @@
 // least urgent of those up to there, and of these the longest (the rule of Moore
 // and Hodgson): so as many as possible are served in time. A waiter whose target
 // has passed already is not weighed; it takes what is left.
+//
+// A customer of whom a waiter was just given up late is refused at once for a
+// while: its requests would be queued only to be given up later.
 func (o *Ordered[W]) Hopeless(s Schedule, ask Ask[W]) (waiters []W, asked bool) {
+	if len(o.waiters) > 0 && s.Now.Sub(o.gaveUpAt[ask.Customer]) < giveUpMemory {
+		return nil, true
+	}
 	p := plan[W]{next: s.Now.Add(s.First)}
 	for _, one := range o.inOrder(s.Now, ask) {
 		service := one.Service
@@ -37,11 +43,34 @@
 				continue
 			}
 			waiters = append(waiters, w)
+			o.noteGivenUp(s.Now, w)
 		}
 	}
 	return waiters, asked
 }
 
+const (
+	// giveUpMemory is how long a customer is refused at once after one of its waiters was given up late: about as
+	// long as a full line takes to be worked off.
+	giveUpMemory = 100 * time.Millisecond
+	// lateShare is the part of the time up to its target after which a waiter is given up late: its caller has lost
+	// time in which it could have tried again.
+	lateShare = 0.25
+	// maxGivenUp bounds the number of customers that are remembered.
+	maxGivenUp = 4096
+)
+
+func (o *Ordered[W]) noteGivenUp(now time.Time, w W) {
+	if len(o.gaveUpAt) >= maxGivenUp {
+		clear(o.gaveUpAt)
+	}
+	for _, one := range o.waiters {
+		if one.Waiter == w && now.Sub(one.Since) > time.Duration(lateShare*float64(one.Target.Sub(one.Since))) {
+			o.gaveUpAt[one.Customer] = now
+		}
+	}
+}
+
 // plan is the part of a line that is served in time.
 type plan[W comparable] struct {
 	// next is when the next request would start.
--- a/pool/schedule_test.go
+++ b/pool/schedule_test.go
@@ -98,6 +98,8 @@
 		requests = 30_000
 		// bound is the stated target under overload: the share of what the slots can carry.
 		bound = 0.95
+		// lateBound is the most that may be refused after a quarter of its time: the hopeless is to be refused at once.
+		lateBound = 0.10
 	)
 	kinds := []kind{
 		{share: 0.15, service: 11 * time.Millisecond, target: 200 * time.Millisecond, priority: 1},
@@ -105,11 +107,14 @@
 		{share: 0.70, service: 33 * time.Millisecond, target: 400 * time.Millisecond, priority: 2},
 	}
 	carried := carry(kinds, factor)
-	with := playKinds(kinds, slots, factor, requests, true)
+	with, late := playKinds(kinds, slots, factor, requests, true)
 	if with < bound*carried {
 		t.Errorf("served %.3f of the requests in time, the slots can carry %.3f", with, carried)
 	}
-	if without := playKinds(kinds, slots, factor, requests, false); without >= bound*carried {
+	if late > lateBound {
+		t.Errorf("refused %.3f of the requests after a quarter of their time, want at most %.2f", late, lateBound)
+	}
+	if without, _ := playKinds(kinds, slots, factor, requests, false); without >= bound*carried {
 		t.Errorf("the pattern is no overload for the order of targets alone: it serves %.3f of %.3f", without, carried)
 	}
 }
@@ -140,15 +145,16 @@
 	return served
 }
 
-// playKinds plays the kinds and returns the share that was served within its target.
-func playKinds(kinds []kind, slots int, factor float64, requests int, weigh bool) float64 {
+// playKinds plays the kinds and returns the share that was served within its target, and that which was refused after
+// a quarter of its time.
+func playKinds(kinds []kind, slots int, factor float64, requests int, weigh bool) (served, refusedLate float64) {
 	r := rand.New(rand.NewPCG(3, 5))
 	line := pool.NewOrdered[int](pool.OrderedConfig{})
 	p := pool.New[int](pool.Config[int]{Limit: 100, Turns: slots, Line: line})
 	var ends finishes
 	arrivals := make([]arrival, 0, requests)
 	kindOf := make([]kind, 0, requests)
-	conns := 0
+	conns, late := 0, 0
 	now := origin
 	start := func(i int, g pool.Grant[int]) {
 		conn := g.Conn
@@ -179,7 +185,7 @@
 		arrivals = append(arrivals, arrival{at: now, service: k.service})
 		kindOf = append(kindOf, k)
 		a := pool.Ask[int]{
-			Waiter: i, QueueLimit: 10_000, Priority: k.priority, Service: k.service,
+			Customer: k.service.String(), Since: now, Waiter: i, QueueLimit: 10_000, Priority: k.priority, Service: k.service,
 			Target: now.Add(k.target - k.service), Deadline: now.Add(k.target - k.service),
 		}
 		_, taken := p.Turns()
@@ -192,6 +198,9 @@
 			gone, refused := line.Hopeless(pool.Schedule{Now: now, First: mean / time.Duration(slots), Turns: slots, Service: mean}, a)
 			for _, w := range gone {
 				p.Cancel("", w)
+				if now.Sub(arrivals[w].at) > kindOf[w].target/4 {
+					late++
+				}
 			}
 			if refused {
 				continue
@@ -207,7 +216,7 @@
 			inTime++
 		}
 	}
-	return float64(inTime) / float64(requests)
+	return float64(inTime) / float64(requests), float64(late) / float64(requests)
 }
 
 // pick returns the kind at a place among all requests.
