Close links that nobody uses

Cause: after a loss of all instances the endpoints count the links of the dead processes for three seconds.

Change: a link that was not used for 2 s is closed, but for one to each member; an instance that gets the evidence of leases from another closes its link for probes too.

--- a/engine/connections.go
+++ b/engine/connections.go
@@ -289,6 +289,19 @@
 	return c.pool.TakeIdle()
 }
 
+// keptIdle is how many links stay open however long nobody uses them, so that the next request need not dial.
+const keptIdle = 1
+
+// CloseIdle ends the links that nobody has used for age, but for one.
+func (c *Connections[L]) CloseIdle(age time.Duration) {
+	c.mu.Lock()
+	conns := c.pool.TakeIdleBefore(clock.Now().Add(-age), keptIdle)
+	c.mu.Unlock()
+	for _, conn := range conns {
+		c.Discard(conn)
+	}
+}
+
 // CloseAll ends the idle connections and marks those in use to be ended on release.
 func (c *Connections[L]) CloseAll() {
 	c.mu.Lock()
--- a/engine/fake_test.go
+++ b/engine/fake_test.go
@@ -124,6 +124,8 @@
 func (l *link) State() *engine.LinkState                       { return l.state }
 
 func (l *link) Close() error {
+	l.cluster.mu.Lock()
+	defer l.cluster.mu.Unlock()
 	l.closed = true
 	return nil
 }
--- a/engine/group.go
+++ b/engine/group.go
@@ -48,6 +48,9 @@
 	AllReplicas bool
 	// Probing decides which probes are due; nil probes every member at every interval.
 	Probing *route.Probing
+	// LinkIdle is how long a link may go unused: the places of links that nobody uses are missed where many processes
+	// are lost at once, whose links count on for seconds. 0 keeps all links.
+	LinkIdle time.Duration
 	// Standby reports whether another instance probes and passes on what it hears, if set.
 	Standby func() bool
 	// Observer is told of every probe's result, if set.
--- a/engine/probe.go
+++ b/engine/probe.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"github.com/monsoontiller/monsoontiller/clock"
 	"github.com/monsoontiller/monsoontiller/fault"
 	"github.com/monsoontiller/monsoontiller/group"
 )
@@ -77,20 +78,29 @@
 	defer ticker.Stop()
 	var none, conn L
 	order := Order[L](statusOrder[L])
+	var usedAt time.Time
 	for {
 		if order != nil {
 			conn = g.probe(ctx, m, conn, order)
+			usedAt = clock.Now()
 		}
 		order = statusOrder[L]
 		select {
 		case <-ticker.C:
-			if s, ok := g.heardByTraffic(m); ok && conn != none {
+			if s, ok := g.heardByTraffic(m); ok && (conn != none || g.cfg.LinkIdle > 0) {
 				g.tell(s)
 				order = nil
 			}
 			if !g.due(m, false) {
 				order = nil
 			}
+			if order == nil && conn != none && g.unused(usedAt) {
+				g.farewell(conn)
+				conn = none
+			}
+			if g.cfg.LinkIdle > 0 {
+				m.connections.CloseIdle(g.cfg.LinkIdle)
+			}
 		case order = <-m.orders:
 		case <-m.kick:
 			g.pace(ctx, conn)
@@ -107,6 +117,21 @@
 	}
 }
 
+// unused reports whether the link for probes is to be closed: this instance gets what it needs from another one.
+func (g *Group[L]) unused(since time.Time) bool {
+	return g.cfg.LinkIdle > 0 && clock.Since(since) >= g.cfg.LinkIdle && g.cfg.Standby != nil && g.cfg.Standby()
+}
+
+// farewell closes a link for probes; the group's end awaits it.
+func (g *Group[L]) farewell(conn L) {
+	g.loops.Add(1)
+	go func() {
+		defer g.loops.Done()
+		conn.Goodbye(goodbyeTimeout)
+		conn.Close()
+	}()
+}
+
 // due reports whether to probe a member now; without a rule, every tick and every kick probes.
 func (g *Group[L]) due(m *member[L], kicked bool) bool {
 	if g.cfg.Probing == nil {
--- a/engine/turns_test.go
+++ b/engine/turns_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/monsoontiller/monsoontiller/clock"
 	"github.com/monsoontiller/monsoontiller/engine"
+	"github.com/monsoontiller/monsoontiller/route"
 )
 
 // newTurns returns connections to a member of a cluster of which one link may be at work at once.
@@ -97,3 +98,71 @@
 	}
 	conns.Release(next)
 }
+
+// The pattern: all instances lose power. Endpoints count their links for seconds more, so that what nobody used
+// before keeps the places from the instances that start again.
+func TestUnusedLinksAreClosedButOne(t *testing.T) {
+	c := newCluster()
+	conns := engine.NewConnections(engine.ConnectionsConfig[*link]{
+		Endpoint: "a", Limit: 4, Ordered: true,
+		Dial: func(ctx context.Context, key string) (*link, error) {
+			return c.dial(ctx, engine.Address{Endpoint: "a"}, key)
+		},
+	})
+	var held []*link
+	for range 3 {
+		l, err := conns.Acquire(t.Context(), request("orders", 2, time.Minute))
+		if err != nil {
+			t.Fatal(err)
+		}
+		held = append(held, l)
+	}
+	for _, l := range held {
+		conns.Release(l)
+	}
+	conns.CloseIdle(time.Minute)
+	if u := conns.Usage(); u.Idle() != 3 {
+		t.Fatalf("%d links are left though they were just used, want 3", u.Idle())
+	}
+	conns.CloseIdle(0)
+	waitUntil(t, func() bool { return conns.Usage().Open() == 1 })
+}
+
+// An instance that gets the evidence of leases from another one keeps no link for probes.
+func TestAStandbyKeepsNoLinkForProbes(t *testing.T) {
+	c := newCluster()
+	dialed := make(chan *link, 100)
+	g := engine.NewGroup(engine.GroupConfig[*link]{
+		Name:          "orders",
+		Members:       []engine.Address{{Endpoint: "a", Slots: 4}},
+		ProbeInterval: time.Millisecond,
+		ProbeTimeout:  time.Second,
+		Lease:         time.Minute,
+		Limit:         4,
+		LinkIdle:      5 * time.Millisecond,
+		Probing:       &route.Probing{Every: time.Minute, Idle: time.Minute, Kicked: time.Minute},
+		Standby:       func() bool { return true },
+		Dial: func(ctx context.Context, m engine.Address, key string) (*link, error) {
+			l, err := c.dial(ctx, m, key)
+			if err == nil {
+				dialed <- l
+			}
+			return l, err
+		},
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- g.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	})
+	probe := <-dialed
+	waitUntil(t, func() bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return probe.closed
+	})
+}
--- a/fleet/config.go
+++ b/fleet/config.go
@@ -69,6 +69,9 @@
 	// quarantine is how long a link still counts that its endpoint does not close: the shares leave room for a
 	// few of these, while a place that is kept from requests during a partition costs them.
 	quarantine = 200 * time.Millisecond
+	// linkIdle is how long a link may go unused: longer than the pauses between bursts, and shorter than the time for
+	// which an endpoint counts the links of a process that is gone.
+	linkIdle = 2 * time.Second
 	// promotionTime is how long a promotion takes from its order until all instances know: the platform's 600 ms and two probes.
 	promotionTime = 800 * time.Millisecond
 	// usualOutage is how long the loss of a primary lasts: to suspect it, to revoke leases, and to promote another.
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -312,6 +312,7 @@
 		Limit:         m.share(name),
 		Sharers:       m.sharers(name),
 		Quarantine:    quarantine,
+		LinkIdle:      linkIdle,
 		Ordered:       true,
 		Outage:        usualOutage,
 		PromotionTime: promotionTime,
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -194,6 +194,16 @@
 	return conns
 }
 
+// TakeIdleBefore hands over the connections that nobody has used since before, still counted, but for the keep newest.
+func (p *Pool[C, W]) TakeIdleBefore(before time.Time, keep int) []C {
+	var conns []C
+	for len(p.idle) > keep && p.idle[0].since.Before(before) {
+		conns = append(conns, p.idle[0].conn)
+		p.idle = p.idle[1:]
+	}
+	return conns
+}
+
 // Ahead returns how many waiters would go before ask at now.
 func (p *Pool[C, W]) Ahead(now time.Time, ask Ask[W]) int { return p.queue.Ahead(now, ask) }
 
