Evidence only of the groups that an instance wants; the store asked later as a witness

An instance that is no home asked another for the evidence of all groups five times a second, to learn two versions.

Change: the store is asked 200 ms before the lease ends while the replicas confirmed until then; the question for evidence names the groups.

--- a/cmd/monsoontiller/node.go
+++ b/cmd/monsoontiller/node.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"strconv"
 	"syscall"
 
 	"github.com/go-kit/log"
@@ -17,7 +18,9 @@
 )
 
 // nodeCommand runs one instance on a machine of the platform until SIGTERM.
-type nodeCommand struct{}
+type nodeCommand struct {
+	MetricsPort int `long:"metrics-port" value-name:"PORT" default:"0" description:"Port on which the machine's address serves the counters alone; 0 for none"`
+}
 
 const (
 	// memoryShare is the part of the machine's memory at which the collector works harder.
@@ -80,7 +83,9 @@
 	if err != nil {
 		return err
 	}
-	ready, err := platform.NewReadyServer(platform.ReadyConfig{Address: n.ReadinessAddress, Ready: i.Ready, Metrics: metrics})
+	ready, err := platform.NewReadyServer(platform.ReadyConfig{
+		Address: n.ReadinessAddress, Ready: i.Ready, Metrics: metrics, MetricsAddress: c.metricsAddress(n),
+	})
 	if err != nil {
 		return err
 	}
@@ -88,6 +93,15 @@
 	return i.Run(ctx, reload, ready, callers)
 }
 
+// metricsAddress returns where the counters are served besides, or "".
+func (c *nodeCommand) metricsAddress(n platform.Node) string {
+	host, _, err := net.SplitHostPort(n.TunnelAddress)
+	if err != nil || c.MetricsPort == 0 {
+		return ""
+	}
+	return net.JoinHostPort(host, strconv.Itoa(c.MetricsPort))
+}
+
 // reloader reads the settings again on SIGHUP.
 //
 // What an instance listens on and whom it calls is fixed for the life of its
--- a/fleet/backend.go
+++ b/fleet/backend.go
@@ -25,11 +25,15 @@
 // ItemApplied takes what a peer has from the store.
 func (b *backend[L]) ItemApplied(item peer.ConfigItem) { b.instance.itemApplied(item) }
 
-// Evidence returns what this instance knows of the leases of its groups.
-func (b *backend[L]) Evidence() peer.AllEvidence {
+// Evidence returns what this instance knows of the leases of some groups.
+func (b *backend[L]) Evidence(groups []string) peer.AllEvidence {
 	version, _ := b.instance.directory.Version()
 	out := peer.AllEvidence{Configuration: version, Endpoints: b.instance.members.Version()}
-	for _, g := range b.instance.members.all() {
+	for _, name := range groups {
+		g := b.instance.members.group(name)
+		if g == nil {
+			continue
+		}
 		revoked := false
 		g.View(func(t *route.Tracker) { revoked = t.LeaseRevoked() })
 		if revoked {
--- a/fleet/export_test.go
+++ b/fleet/export_test.go
@@ -47,3 +47,14 @@
 
 // SettleTime is how long an instance at most waits to meet the others.
 const SettleTime = settleTime
+
+// NeedsStore reports whether to ask the store as a witness.
+func NeedsStore(now, primary, witnessed, replicas time.Time, standby bool) bool {
+	return needsStore(now, primary, witnessed, replicas, standby)
+}
+
+// Lease is how long the primary may be used after it was confirmed, and RenewEvery how often its evidence is renewed.
+const (
+	Lease      = lease
+	RenewEvery = renewEvery
+)
--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -55,8 +55,9 @@
 	}
 }
 
-func (r *relay[L]) ask(ctx context.Context, source membership.Identity) {
-	all, err := r.instance.node.Evidence(ctx, source)
+func (r *relay[L]) ask(ctx context.Context, from evidenceSource) {
+	source := from.instance
+	all, err := r.instance.node.Evidence(ctx, source, from.groups)
 	r.instance.relayLost(source.Name(), err)
 	if err != nil {
 		return
@@ -77,11 +78,17 @@
 	}
 }
 
+// evidenceSource is an instance to get evidence from, and of which groups; of none, it tells the versions only.
+type evidenceSource struct {
+	instance membership.Identity
+	groups   []string
+}
+
 // evidenceSources returns the instances to get evidence from: for each group the home before this one in a tree.
 //
 // Where all instances are homes of all groups, their order is that of the first group.
-func (i *Instance[L]) evidenceSources() map[string]membership.Identity {
-	out := map[string]membership.Identity{}
+func (i *Instance[L]) evidenceSources() map[string]evidenceSource {
+	out := map[string]evidenceSource{}
 	for _, g := range i.members.all() {
 		place, _ := i.GroupPlace(g.Name())
 		homes := i.homes(g.Name())
@@ -89,10 +96,10 @@
 			continue
 		}
 		source := homes[(place-1)/relayFanout]
-		out[source.Name()] = source
+		out[source.Name()] = evidenceSource{instance: source, groups: append(out[source.Name()].groups, g.Name())}
 	}
 	if source, ok := i.reader(); ok && len(out) == 0 {
-		out[source.Name()] = source
+		out[source.Name()] = evidenceSource{instance: source}
 	}
 	return out
 }
--- a/fleet/watchlog.go
+++ b/fleet/watchlog.go
@@ -14,9 +14,10 @@
 // watchLogInterval is how often a group in difficulties is described in the log.
 const watchLogInterval = time.Second
 
-// watchLog describes the groups whose primary is not confirmed or for whose endpoints requests wait.
+// watchLog tells whether this instance takes callers, and describes the groups whose primary is not confirmed or for whose endpoints requests wait.
 type watchLog[L Link[L]] struct {
 	instance *Instance[L]
+	ready    bool
 }
 
 // Name returns the service's name.
@@ -29,6 +30,7 @@
 	for {
 		select {
 		case <-ticker.C:
+			w.noteReady(w.instance.Ready())
 			for _, g := range w.instance.members.all() {
 				w.look(g)
 			}
@@ -38,6 +40,18 @@
 	}
 }
 
+// noteReady logs when this instance begins and ceases to take callers.
+func (w *watchLog[L]) noteReady(ready bool) {
+	if ready == w.ready {
+		return
+	}
+	w.ready = ready
+	version, _ := w.instance.directory.Version()
+	alive, _ := w.instance.counts()
+	logLine(w.instance.cfg.Logger, "level", "info", "msg", "ready", "ready", ready, "revision", version,
+		"listed", w.instance.listed.Load(), "alive", alive, "since_start_ms", timeSince(clock.Now(), w.instance.startedAt))
+}
+
 func (w *watchLog[L]) look(g *engine.Group[L]) {
 	now := clock.Now()
 	waiting, usage := describeUsage(g)
--- a/fleet/witness.go
+++ b/fleet/witness.go
@@ -9,8 +9,16 @@
 	"github.com/monsoontiller/monsoontiller/route"
 )
 
-// witnessAge is the age of the replicas' confirmation at which the store is asked instead: the turn of one was missed.
-const witnessAge = 3*renewEvery - 50*time.Millisecond
+// Ages of the evidence at which the store is asked as a witness.
+const (
+	// firstWitnessAge is that at which a replica that confirmed until now has missed its turn: late enough that its
+	// answer may still come, and early enough that the store's does before the lease ends.
+	firstWitnessAge = lease - 200*time.Millisecond
+	// witnessAge is that while the store is the witness already.
+	witnessAge = 3*renewEvery - 50*time.Millisecond
+	// witnessTick is how often the ages are looked at.
+	witnessTick = 100 * time.Millisecond
+)
 
 // witness asks the store whether a promotion is under way where a primary answers and a replica does not.
 //
@@ -19,6 +27,7 @@
 type witness[L Link[L]] struct {
 	instance *Instance[L]
 	lost     bool
+	askedAt  time.Time
 }
 
 // Name returns the service's name.
@@ -26,7 +35,7 @@
 
 // Run looks at the leases at every interval until ctx ends.
 func (w *witness[L]) Run(ctx context.Context) error {
-	ticker := time.NewTicker(witnessEvery)
+	ticker := time.NewTicker(witnessTick)
 	defer ticker.Stop()
 	for {
 		select {
@@ -39,10 +48,15 @@
 }
 
 func (w *witness[L]) look(ctx context.Context) {
-	lacking := w.lacking(clock.Now())
+	now := clock.Now()
+	if now.Sub(w.askedAt) < witnessEvery {
+		return
+	}
+	lacking := w.lacking(now)
 	if len(lacking) == 0 {
 		return
 	}
+	w.askedAt = now
 	ctx, cancel := context.WithTimeout(ctx, lease)
 	defer cancel()
 	askedAt := clock.Now()
@@ -62,13 +76,9 @@
 func (w *witness[L]) lacking(now time.Time) map[string]group.Term {
 	out := map[string]group.Term{}
 	for _, g := range w.instance.members.all() {
-		age := witnessAge
-		if w.instance.standby(g.Name()) {
-			// The instance that probes asks first, and passes on what it hears.
-			age += relayEvery
-		}
+		standby := w.instance.standby(g.Name())
 		g.View(func(t *route.Tracker) {
-			if now.Sub(t.PrimaryHeardAt()) < lease && now.Sub(t.WitnessedAt()) >= age {
+			if needsStore(now, t.PrimaryHeardAt(), t.WitnessedAt(), t.ReplicasConfirmedAt(), standby) {
 				out[g.Name()] = t.Term()
 			}
 		})
@@ -76,6 +86,20 @@
 	return out
 }
 
+// needsStore reports whether to ask the store, by when the primary and any witness last vouched for the term, and when
+// all replicas last did.
+func needsStore(now, primary, witnessed, replicas time.Time, standby bool) bool {
+	age := witnessAge
+	if now.Sub(replicas) < lease {
+		age = firstWitnessAge
+	}
+	if standby {
+		// The instance that probes asks first, and passes on what it hears.
+		age = min(age+relayEvery, lease-witnessTick)
+	}
+	return now.Sub(primary) < lease && now.Sub(witnessed) >= age
+}
+
 // note logs when the store is lost as a witness, and when it is back.
 func (w *witness[L]) note(err error) {
 	if (err != nil) == w.lost {
--- a/instance/balancer.go
+++ b/instance/balancer.go
@@ -169,7 +169,7 @@
 }
 
 // Evidence returns nothing: each instance probes its endpoints itself.
-func (b *backend) Evidence() peer.AllEvidence { return peer.AllEvidence{} }
+func (b *backend) Evidence([]string) peer.AllEvidence { return peer.AllEvidence{} }
 
 // Revoke does nothing: promoters wait leases out here.
 func (b *backend) Revoke(string, uint64) {}
--- a/peer/evidence.go
+++ b/peer/evidence.go
@@ -38,15 +38,15 @@
 // evidenceTimeout bounds the call for evidence, which is worthless once it is as old as a lease.
 const evidenceTimeout = 400 * time.Millisecond
 
-// Evidence asks a peer what it has heard of the members.
+// Evidence asks a peer what it has heard of the members of some groups; without any it asks for the versions only.
 //
 // The times are on this instance's clock: the age that the peer tells counts from
 // before the question was sent, so that no evidence looks younger than it is.
-func (n *Node) Evidence(ctx context.Context, from membership.Identity) (AllEvidence, error) {
+func (n *Node) Evidence(ctx context.Context, from membership.Identity, groups []string) (AllEvidence, error) {
 	ctx, cancel := context.WithTimeout(ctx, evidenceTimeout)
 	defer cancel()
 	askedAt := clock.Now()
-	a, err := n.client(from.PeerAddress()).Evidence(ctx, connect.NewRequest(&peerv1.EvidenceRequest{}))
+	a, err := n.client(from.PeerAddress()).Evidence(ctx, connect.NewRequest(&peerv1.EvidenceRequest{Groups: groups}))
 	if err != nil {
 		return AllEvidence{}, err
 	}
@@ -86,9 +86,9 @@
 func ageMicros(now, at time.Time) uint64 { return uint64(max(0, now.Sub(at).Microseconds())) + 1 }
 
 // Evidence returns what this instance has heard of the members; ages are rounded up.
-func (h *handler) Evidence(context.Context, *connect.Request[peerv1.EvidenceRequest]) (*connect.Response[peerv1.EvidenceResponse], error) {
+func (h *handler) Evidence(_ context.Context, r *connect.Request[peerv1.EvidenceRequest]) (*connect.Response[peerv1.EvidenceResponse], error) {
 	a := &peerv1.EvidenceResponse{}
-	all := h.node.cfg.Backend.Evidence()
+	all := h.node.cfg.Backend.Evidence(r.Msg.GetGroups())
 	a.Configuration, a.Endpoints = all.Configuration, all.Endpoints
 	now := clock.Now()
 	for _, s := range all.Stores {
--- a/peer/node.go
+++ b/peer/node.go
@@ -40,8 +40,8 @@
 	Loans(peer string) []Loan
 	// ItemApplied is told of each configuration item that came into force.
 	ItemApplied(item ConfigItem)
-	// Evidence returns what this instance knows of the leases of its groups.
-	Evidence() AllEvidence
+	// Evidence returns what this instance knows of the leases of some groups.
+	Evidence(groups []string) AllEvidence
 	// Revoke ends the lease of a group's primary here, up to a term.
 	Revoke(groupName string, term uint64)
 	// PeerChanged is told that the set of live instances may have changed.
--- a/route/lease.go
+++ b/route/lease.go
@@ -59,6 +59,9 @@
 	return newest
 }
 
+// ReplicasConfirmedAt returns the newest time at which the replicas that a lease needs confirmed the newest term.
+func (t *Tracker) ReplicasConfirmedAt() time.Time { return t.replicaConfirmedAt() }
+
 // Led notes that an endpoint took a request sent at sentAt that only the primary of term takes.
 func (t *Tracker) Led(endpoint string, sentAt time.Time, term group.Term) {
 	if endpoint == t.primary && term == t.Term() && sentAt.After(t.primaryConfirmedAt) {
