Evidence that is older than a request's sample counts; long configurations are pulled, not pushed

Cause 1: a status that another instance relayed was dropped whole when a read had found the member's position later, which under load is always so.

Change: what a member vouched for counts whatever its position's age; items over 1 KB go only to those whose digest differs; instances that need no evidence ask for versions every 800 ms.

--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/monsoontiller/monsoontiller/clock"
 	"github.com/monsoontiller/monsoontiller/membership"
 )
 
@@ -21,6 +22,8 @@
 // probes for itself.
 type relay[L Link[L]] struct {
 	instance *Instance[L]
+	// versionsAt is when an instance that needs no evidence last asked for versions.
+	versionsAt time.Time
 }
 
 // Name returns the service's name.
@@ -40,9 +43,23 @@
 	}
 }
 
+// versionsEvery is how often an instance without evidence to get asks for newer versions: a few times within the
+// shortest bound on how late a configuration may come into force.
+const versionsEvery = 800 * time.Millisecond
+
 // pull asks each source of evidence once, all at the same time.
 func (r *relay[L]) pull(ctx context.Context) {
 	sources := r.instance.evidenceSources()
+	for name, one := range sources {
+		if len(one.groups) > 0 {
+			continue
+		}
+		if clock.Since(r.versionsAt) < versionsEvery {
+			delete(sources, name)
+			continue
+		}
+		r.versionsAt = clock.Now()
+	}
 	ends := make(chan struct{}, len(sources))
 	for _, source := range sources {
 		go func() {
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -146,6 +146,10 @@
 	return ""
 }
 
+// maxPushed is the longest text, in bytes, that is passed on unasked. A longer one is pulled by those whose digest
+// differs: passed on unasked, each instance would get it from most of its peers.
+const maxPushed = 1024
+
 // news returns what to tell a peer.
 func (n *Node) news(peer string) *peerv1.News {
 	loans := n.cfg.Backend.Loans(peer)
@@ -164,7 +168,9 @@
 	}
 	fleet := n.roster.Presences().Len()
 	for _, item := range n.items.Deltas(maxDeltas, fleet) {
-		out.Items = append(out.Items, itemMessage(item))
+		if len(item.Value().Text()) <= maxPushed {
+			out.Items = append(out.Items, itemMessage(item))
+		}
 	}
 	for _, p := range n.roster.Presences().Deltas(maxDeltas, fleet) {
 		out.Presences = append(out.Presences, presenceMessage(p))
--- a/route/expected_test.go
+++ b/route/expected_test.go
@@ -146,6 +146,24 @@
 	}
 }
 
+// The pattern: an instance gets the evidence of leases from another one, and its own reads find a replica's position
+// all the time. The evidence is always a little older than the newest read.
+func TestEvidenceOlderThanARequestsSampleCounts(t *testing.T) {
+	tr := route.NewTracker(route.TrackerConfig{Group: "orders", Lease: lease, AllReplicas: true})
+	tr.SetEndpoints([]route.Endpoint{{Name: "a"}, {Name: "b"}, {Name: "c"}})
+	for _, name := range []string{"a", "b", "c"} {
+		observe(tr, name, start, 10)
+	}
+	at := after(200 * time.Millisecond)
+	tr.Reached("b", after(300*time.Millisecond), after(310*time.Millisecond), group.NewPoint(1, 12))
+	for _, name := range []string{"a", "b", "c"} {
+		observe(tr, name, at, 11)
+	}
+	if got := tr.ConfirmedAt(); !got.Equal(at) {
+		t.Errorf("confirmed at %v, though all members vouched at %v", got, at)
+	}
+}
+
 func TestARevokedLeaseEndsAndComesBackLate(t *testing.T) {
 	tr := newTracker()
 	if got := tr.LeaseUntil(); !got.Equal(start.Add(lease)) {
--- a/route/tracker.go
+++ b/route/tracker.go
@@ -177,6 +177,10 @@
 	if sentAt.After(m.statusAt) {
 		m.statusAt = sentAt
 	}
+	// What a member vouched for holds, however much newer a request's sample of its position is.
+	if s.Point().Term() == t.Term() {
+		t.confirm(sentAt, s)
+	}
 	if m.sampledAt.After(sentAt) {
 		return changed
 	}
@@ -185,7 +189,6 @@
 	if s.Point().Term() != t.Term() {
 		return changed
 	}
-	t.confirm(sentAt, s)
 	if s.Role() == group.RolePrimary && s.Endpoint() == t.primary {
 		t.track.add(sample{sentAt: sentAt, position: s.Point().Position()})
 		return changed
