Take over a group whose primary was demoted and whose promoter is gone

Found by the soak, seed 26: a primary leaves, instance-2 claims the duty and demotes it, and is killed in the same moment. The members answered, none led and none was held, so that no instance ever suspected the primary: no write was served for good.

Ruled out: the hold on replicas (none was held; the existing rule for rivals covers that).

--- a/cmd/monsoonsoak/main.go
+++ b/cmd/monsoonsoak/main.go
@@ -51,7 +51,7 @@
 	var mu sync.Mutex
 	held := true
 	var wait sync.WaitGroup
-	for job := range o.Jobs {
+	for range o.Jobs {
 		wait.Add(1)
 		go func() {
 			defer wait.Done()
@@ -59,7 +59,7 @@
 				if ctx.Err() != nil {
 					return
 				}
-				ok := o.play(ctx, o.Seed+uint64(i), job+1)
+				ok := o.play(ctx, o.Seed+uint64(i))
 				mu.Lock()
 				held = held && ok
 				mu.Unlock()
@@ -70,8 +70,11 @@
 	return held
 }
 
+// networks is the number of loopback networks for runs at the same time; each seed has its own.
+const networks = 90
+
 // play runs one seed on a network of its own.
-func (o options) play(ctx context.Context, seed uint64, network int) bool {
+func (o options) play(ctx context.Context, seed uint64) bool {
 	directory := filepath.Join(o.Directory, fmt.Sprint(seed))
 	if err := os.MkdirAll(directory, 0o700); err != nil {
 		fmt.Println("seed", seed, "not run:", err)
@@ -85,7 +88,7 @@
 	defer faults.Close()
 	r, err := soak.Run(ctx, soak.Config{
 		Seed: seed, Length: o.Length, Instances: o.Instances, Clients: o.Clients, Connections: o.Connections,
-		Network: network, Binary: o.Binary, Directory: directory, Output: io.Writer(faults),
+		Network: 1 + int(seed%networks), Binary: o.Binary, Directory: directory, Output: io.Writer(faults),
 	})
 	if err != nil {
 		fmt.Println("seed", seed, "not run:", err)
--- a/failover/machine.go
+++ b/failover/machine.go
@@ -53,9 +53,11 @@
 	lostSince time.Time
 	rivalSeen time.Time
 	rival     string
-	highest   group.Term
-	suspended bool
-	startedAt time.Time
+	// demotedSeen is since when the primary of the newest term says that it no longer leads, or zero.
+	demotedSeen time.Time
+	highest     group.Term
+	suspended   bool
+	startedAt   time.Time
 	// notBefore is when a new attempt may start after one was abandoned.
 	notBefore time.Time
 }
@@ -152,6 +154,7 @@
 	state.refusedAt = time.Time{}
 	m.highest = max(m.highest, s.Promised(), s.Point().Term())
 	m.noteRival(now, s)
+	m.noteDemoted(now, s)
 	if s.Role() == group.RolePrimary && s.Confirms(s.Point().Term()) && s.Point().Term() > m.term {
 		return m.adopt(now, s)
 	}
@@ -167,11 +170,24 @@
 	m.rivalSeen = now
 }
 
+// noteDemoted remembers since when the primary has been demoted without another one in its place.
+func (m *Machine) noteDemoted(now time.Time, s group.Status) {
+	if s.Endpoint() != m.primary || s.Point().Term() != m.term {
+		return
+	}
+	if s.Role() == group.RolePrimary {
+		m.demotedSeen = time.Time{}
+	} else if m.demotedSeen.IsZero() {
+		m.demotedSeen = now
+	}
+}
+
 // adopt takes a new primary as found, whoever promoted it.
 func (m *Machine) adopt(now time.Time, s group.Status) []Action {
 	m.term = s.Point().Term()
 	m.primary = s.Endpoint()
 	m.rivalSeen = time.Time{}
+	m.demotedSeen = time.Time{}
 	m.suspended = false
 	m.lostSince = time.Time{}
 	own := m.phase == phasePromoting && s.Attempt() == m.attempt.id
--- a/failover/successor_test.go
+++ b/failover/successor_test.go
@@ -157,3 +157,26 @@
 		t.Errorf("released %+v, want b", release)
 	}
 }
+
+// The pattern: the instance that replaces a leaving primary is killed once it has demoted it. The members answer, and
+// none of them leads or is held.
+func TestAGroupLeftWithoutAPrimaryIsTakenOver(t *testing.T) {
+	s := newSuccessor()
+	s.probed("a", group.RolePrimary, 20, 1, "")
+	var claim failover.Claim
+	ok := false
+	for waited := time.Duration(0); !ok && waited < 10*time.Second; waited += 100 * time.Millisecond {
+		s.now = s.now.Add(100 * time.Millisecond)
+		for _, name := range []string{"a", "b", "c"} {
+			if claim, ok = find[failover.Claim](s.probed(name, group.RoleReplica, 20, 1, "")); ok {
+				break
+			}
+		}
+		if ok && waited < 2*time.Second {
+			t.Fatalf("claimed %+v after %v, though the other attempt may go on", claim, waited)
+		}
+	}
+	if !ok || claim.Term != 2 {
+		t.Fatalf("claimed %+v, %v; want the next term", claim, ok)
+	}
+}
--- a/failover/suspect.go
+++ b/failover/suspect.go
@@ -14,6 +14,9 @@
 	if state.heard && !state.status.Confirms(m.term) && state.status.Promised() > m.term {
 		return m.rivalExpired(now)
 	}
+	if !m.demotedSeen.IsZero() && now.Sub(m.demotedSeen) >= m.cfg.TakeOverAfter {
+		return true
+	}
 	if !state.refusedAt.IsZero() && now.Sub(state.refusedAt) >= m.cfg.RefusedAfter {
 		return true
 	}
@@ -64,6 +67,9 @@
 	if state == nil {
 		return "unknown"
 	}
+	if !m.demotedSeen.IsZero() {
+		return fmt.Sprintf("demoted %v ago without a successor", now.Sub(m.demotedSeen))
+	}
 	if !state.refusedAt.IsZero() {
 		return fmt.Sprintf("refusing connections for %v", now.Sub(state.refusedAt))
 	}
--- a/soak/run_test.go
+++ b/soak/run_test.go
@@ -17,6 +17,7 @@
 }{
 	{1, 40, "none: all instances hold connections"},
 	{2, 8, "none: sessions are passed on to one home"},
+	{26, 40, "the promoter was killed once it had demoted the leaving primary, and nobody took over"},
 }
 
 // The real program runs as separate processes under faults; the long runs are those of cmd/monsoonsoak.
