Refuse at once while the witnesses of a primary are partitioned

Change: once the confirmation has been lacking for a lease beyond the lease's end, a request is refused at once and told to come back after a promotion's time.

--- a/engine/group.go
+++ b/engine/group.go
@@ -75,6 +75,9 @@
 	order   []string
 	limit   int
 	sharers int
+	// hopeful is when the lease ended, or when a new term was heard of or this instance began to watch if that was
+	// later: from then on a confirmation is lacking.
+	hopeful time.Time
 	// ctx is the context of Run, or nil while the group does not run.
 	ctx   context.Context
 	loops sync.WaitGroup
@@ -117,6 +120,7 @@
 		sharers: cfg.Sharers,
 		tracker: route.NewTracker(route.TrackerConfig{Group: cfg.Name, Lease: cfg.Lease, AllReplicas: cfg.AllReplicas}),
 	}
+	g.hopeful = cfg.Clock()
 	g.SetMembers(cfg.Members)
 	return g
 }
@@ -281,6 +285,9 @@
 	before := g.tracker.Term()
 	changed := g.tracker.Observe(sentAt, g.cfg.Clock(), s)
 	g.noteLocked(sentAt, s)
+	if changed {
+		g.hopeful = g.cfg.Clock()
+	}
 	g.broadcastLocked()
 	g.mu.Unlock()
 	// Before the first term there are no links of an earlier one, and those just opened are of this one.
--- a/engine/lease.go
+++ b/engine/lease.go
@@ -19,7 +19,12 @@
 }
 
 func (g *Group[L]) leaseLocked() bool {
-	return g.cfg.Clock().Before(g.tracker.LeaseUntil())
+	until := g.tracker.LeaseUntil()
+	if !g.cfg.Clock().Before(until) {
+		return false
+	}
+	g.hopeful = until
+	return true
 }
 
 // RevokeLease ends the leases of terms up to term, and of what is asked for before until.
@@ -39,7 +44,7 @@
 // A lost primary is replaced after the usual outage, one that was demoted or whose
 // lease was revoked sooner; until shortly before that, waiting would only end in a
 // refusal. A primary that was heard of lately lacks nothing but a second member's
-// confirmation, which may come at any moment.
+// confirmation, which may come at any moment, unless it has been lacking for a lease.
 func (g *Group[L]) Outlook(until time.Time) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -55,8 +60,10 @@
 		back = since.Add(g.cfg.PromotionTime)
 	case replaced:
 		back = since.Add(g.cfg.Lease + g.cfg.PromotionTime)
-	case now.Sub(heard) < g.cfg.Lease:
+	case now.Sub(heard) < g.cfg.Lease && now.Sub(g.hopeful) < g.cfg.Lease:
 		return nil
+	case now.Sub(heard) < g.cfg.Lease:
+		// A partition keeps the witnesses away, and nobody knows for how long.
 	default:
 		back = heard.Add(g.cfg.Outage)
 	}
