--- a/engine/connections.go
+++ b/engine/connections.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -96,70 +95,6 @@
 	}
 }
 
-// ErrEndpointFull is in the chain of a dial's error when the endpoint takes no more connections.
-var ErrEndpointFull = errors.New("the endpoint takes no more connections")
-
-const (
-	// fullPause is how long no further link is opened to an endpoint that takes no more.
-	fullPause = 300 * time.Millisecond
-	// roomPause is the least time between two dials of an endpoint that takes no more, however many requests wait.
-	roomPause = 50 * time.Millisecond
-	// maxRoomPause is the longest such time, which grows with each refusal: what holds the places may do so for
-	// seconds, and every dial costs the endpoint a slot.
-	maxRoomPause = 400 * time.Millisecond
-)
-
-// room paces the dials of an endpoint that takes no more connections.
-type room struct {
-	// pause is the time between two dials, or 0 while the endpoint takes them.
-	pause time.Duration
-	// dialAt is when the next may be made.
-	dialAt time.Time
-}
-
-// refused notes that the endpoint takes no more; the jitter keeps instances from dialing at the same time.
-func (r *room) refused(now time.Time) {
-	r.pause = min(max(2*r.pause, roomPause), maxRoomPause)
-	r.dialAt = now.Add(r.pause + rand.N(r.pause/2))
-}
-
-// next returns how long to wait for the next dial; 0 takes it.
-func (r *room) next(now time.Time) time.Duration {
-	if r.pause == 0 {
-		return 0
-	}
-	if wait := r.dialAt.Sub(now); wait > 0 {
-		return wait
-	}
-	r.dialAt = now.Add(r.pause)
-	return 0
-}
-
-// awaitRoom makes requests wait for the links that there are, and reports whether r has time to.
-func (c *Connections[L]) awaitRoom(ctx context.Context, r Request) bool {
-	c.mu.Lock()
-	c.room.refused(clock.Now())
-	if !c.capped {
-		c.capped = true
-		time.AfterFunc(fullPause, c.uncap)
-	}
-	// The limit never falls to 0, so that a first link is tried again.
-	wakes, closes := c.pool.SetLimit(clock.Now(), max(1, c.pool.Open()))
-	c.mu.Unlock()
-	wake(wakes)
-	c.retireLater(closes)
-	return ctx.Err() == nil && clock.Now().Before(r.Deadline)
-}
-
-// uncap lets the pool grow to its limit again.
-func (c *Connections[L]) uncap() {
-	c.mu.Lock()
-	c.capped = false
-	limit := c.limit
-	c.mu.Unlock()
-	c.SetLimit(limit)
-}
-
 // take turns a grant into a connection, dialing when the grant says so.
 func (c *Connections[L]) take(ctx context.Context, r Request, g pool.Grant[L]) (L, error) {
 	c.retireAll(g.Close)
@@ -168,9 +103,9 @@
 	c.mu.Unlock()
 	conn := g.Conn
 	if g.Action == pool.ActionOpen {
-		opened, err := c.open(ctx, r)
+		opened, turn, err := c.open(ctx, r)
 		if err != nil {
-			c.notOpened()
+			c.notOpened(turn)
 			return conn, err
 		}
 		opened.SetAnsweredAt(clock.Now())
@@ -183,45 +118,6 @@
 	return conn, nil
 }
 
-// notOpened gives back the place and the turn of a link that could not be opened.
-func (c *Connections[L]) notOpened() {
-	c.mu.Lock()
-	now := clock.Now()
-	wakes := append(c.pool.Discard(now), c.pool.Rest(now)...)
-	c.mu.Unlock()
-	wake(wakes)
-}
-
-// open dials a link within a bounded time: a dial without an answer must not keep its place in the pool.
-func (c *Connections[L]) open(ctx context.Context, r Request) (link L, err error) {
-	for {
-		c.mu.Lock()
-		pause := c.room.next(clock.Now())
-		c.mu.Unlock()
-		if pause == 0 {
-			break
-		}
-		if clock.Now().Add(pause).After(r.Deadline) {
-			return link, c.late()
-		}
-		if err := Sleep(ctx, pause); err != nil {
-			return link, err
-		}
-	}
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
-	link, err = c.dial(ctx, r.Key)
-	if err == nil {
-		c.mu.Lock()
-		c.room = room{}
-		c.mu.Unlock()
-	}
-	return link, err
-}
-
-// dialTimeout bounds the dial of a link, its handshake and the detour through another instance included.
-const dialTimeout = time.Second
-
 // usable checks a connection that has been idle for longer than r allows.
 func (c *Connections[L]) usable(ctx context.Context, conn L, r Request) bool {
 	if clock.Since(conn.AnsweredAt()) <= r.MaxIdle {
--- a/engine/group.go
+++ b/engine/group.go
@@ -7,7 +7,6 @@
 
 	"github.com/monsoontiller/monsoontiller/clock"
 	"github.com/monsoontiller/monsoontiller/group"
-	"github.com/monsoontiller/monsoontiller/pool"
 	"github.com/monsoontiller/monsoontiller/route"
 )
 
@@ -190,27 +189,6 @@
 	}
 }
 
-// turns returns how many requests this instance may have at work at a member, or 0 for no bound.
-func (g *Group[L]) turns(a Address) int {
-	if g.sharers == 0 {
-		return 0
-	}
-	return pool.TurnShare(a.Slots, g.sharers)
-}
-
-// SetSharers changes how many instances share the slots of the members.
-func (g *Group[L]) SetSharers(n int) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.sharers == n {
-		return
-	}
-	g.sharers = n
-	for _, m := range g.members {
-		m.connections.SetTurns(g.turns(m.address))
-	}
-}
-
 // startLocked starts the probe loop of a member while the group runs.
 func (g *Group[L]) startLocked(m *member[L]) {
 	if g.ctx == nil || m.stop != nil {
@@ -393,32 +371,3 @@
 	close(g.changed)
 	g.changed = make(chan struct{})
 }
-
-// MinLimit is the fewest connections to an endpoint with which an instance can serve: its probe and one more.
-const MinLimit = probeConnections + 1
-
-// SetLimit changes how many connections to each member this instance may hold, probes included.
-func (g *Group[L]) SetLimit(limit int) {
-	g.mu.Lock()
-	unchanged := g.limit == limit
-	g.limit = limit
-	g.mu.Unlock()
-	if unchanged {
-		return
-	}
-	for _, a := range g.Members() {
-		g.SetEndpointLimit(a.Endpoint, limit)
-	}
-}
-
-// SetEndpointLimit changes how many connections to one member this instance may hold, probes included.
-func (g *Group[L]) SetEndpointLimit(endpoint string, limit int) {
-	if c := g.Connections(endpoint); c != nil {
-		c.SetLimit(max(0, limit-probeConnections))
-	}
-}
-
-// ShrinkEndpoint lowers that limit as far as limit by what is unused, and returns what was reached, probes included.
-func (g *Group[L]) ShrinkEndpoint(endpoint string, limit int) int {
-	return g.Connections(endpoint).Shrink(max(0, limit-probeConnections)) + probeConnections
-}
--- a/engine/queue.go
+++ b/engine/queue.go
@@ -174,11 +174,7 @@
 
 // Resume waits for the next turn of a link that rests; it fails with KindTimeout at the deadline.
 func (c *Connections[L]) Resume(ctx context.Context, conn L, deadline time.Time) error {
-	c.mu.Lock()
-	w := &waiter[L]{grant: make(chan pool.Grant[L], 1)}
-	g := c.pool.Resume(w)
-	c.mu.Unlock()
-	if g.Action == pool.ActionWait && !c.granted(ctx, w, deadline) {
+	if !c.takeTurn(ctx, deadline) {
 		return c.late()
 	}
 	c.mu.Lock()
@@ -189,6 +185,15 @@
 	return nil
 }
 
+// takeTurn waits for a turn, before all who have no link, and reports whether it came.
+func (c *Connections[L]) takeTurn(ctx context.Context, deadline time.Time) bool {
+	c.mu.Lock()
+	w := &waiter[L]{grant: make(chan pool.Grant[L], 1)}
+	g := c.pool.Resume(w)
+	c.mu.Unlock()
+	return g.Action != pool.ActionWait || c.granted(ctx, w, deadline)
+}
+
 // granted waits for a turn and reports whether it came.
 func (c *Connections[L]) granted(ctx context.Context, w *waiter[L], deadline time.Time) bool {
 	timer := time.NewTimer(clock.Until(deadline))
--- /dev/null
+++ b/engine/room.go
@@ -0,0 +1,133 @@
+package engine
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/monsoontiller/monsoontiller/clock"
+)
+
+// ErrEndpointFull is in the chain of a dial's error when the endpoint takes no more connections.
+var ErrEndpointFull = errors.New("the endpoint takes no more connections")
+
+const (
+	// fullPause is how long no further link is opened to an endpoint that takes no more.
+	fullPause = 300 * time.Millisecond
+	// roomPause is the least time between two dials of an endpoint that takes no more, however many requests wait.
+	roomPause = 50 * time.Millisecond
+	// maxRoomPause is the longest such time, which grows with each refusal: what holds the places may do so for
+	// seconds, and every dial costs the endpoint a slot.
+	maxRoomPause = 400 * time.Millisecond
+)
+
+// room paces the dials of an endpoint that takes no more connections.
+type room struct {
+	// pause is the time between two dials, or 0 while the endpoint takes them.
+	pause time.Duration
+	// dialAt is when the next may be made.
+	dialAt time.Time
+}
+
+// refused notes that the endpoint takes no more; the jitter keeps instances from dialing at the same time.
+func (r *room) refused(now time.Time) {
+	r.pause = min(max(2*r.pause, roomPause), maxRoomPause)
+	r.dialAt = now.Add(r.pause + rand.N(r.pause/2))
+}
+
+// next returns how long to wait for the next dial; 0 takes it.
+func (r *room) next(now time.Time) time.Duration {
+	if r.pause == 0 {
+		return 0
+	}
+	if wait := r.dialAt.Sub(now); wait > 0 {
+		return wait
+	}
+	r.dialAt = now.Add(r.pause)
+	return 0
+}
+
+// awaitRoom makes requests wait for the links that there are, and reports whether r has time to.
+func (c *Connections[L]) awaitRoom(ctx context.Context, r Request) bool {
+	c.mu.Lock()
+	c.room.refused(clock.Now())
+	if !c.capped {
+		c.capped = true
+		time.AfterFunc(fullPause, c.uncap)
+	}
+	// The limit never falls to 0, so that a first link is tried again.
+	wakes, closes := c.pool.SetLimit(clock.Now(), max(1, c.pool.Open()))
+	c.mu.Unlock()
+	wake(wakes)
+	c.retireLater(closes)
+	return ctx.Err() == nil && clock.Now().Before(r.Deadline)
+}
+
+// uncap lets the pool grow to its limit again.
+func (c *Connections[L]) uncap() {
+	c.mu.Lock()
+	c.capped = false
+	limit := c.limit
+	c.mu.Unlock()
+	c.SetLimit(limit)
+}
+
+// notOpened gives back the place of a link that could not be opened, and the turn if it is still held.
+func (c *Connections[L]) notOpened(turn bool) {
+	c.mu.Lock()
+	now := clock.Now()
+	wakes := c.pool.Discard(now)
+	if turn {
+		wakes = append(wakes, c.pool.Rest(now)...)
+	}
+	c.mu.Unlock()
+	wake(wakes)
+}
+
+// open dials a link within a bounded time: a dial without an answer must not keep its place in the pool.
+//
+// turn reports whether the caller's turn is still held, as it is after a success.
+func (c *Connections[L]) open(ctx context.Context, r Request) (link L, turn bool, err error) {
+	for {
+		c.mu.Lock()
+		pause := c.room.next(clock.Now())
+		c.mu.Unlock()
+		if pause == 0 {
+			break
+		}
+		if clock.Now().Add(pause).After(r.Deadline) {
+			return link, true, c.late()
+		}
+		if turn, err := c.pauseDial(ctx, pause, r.Deadline); err != nil {
+			return link, turn, err
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	link, err = c.dial(ctx, r.Key)
+	if err == nil {
+		c.mu.Lock()
+		c.room = room{}
+		c.mu.Unlock()
+	}
+	return link, true, err
+}
+
+// pauseDial waits until the next dial, and lets others have the turn meanwhile: those who hold a link can use it.
+func (c *Connections[L]) pauseDial(ctx context.Context, pause time.Duration, deadline time.Time) (turn bool, err error) {
+	c.mu.Lock()
+	wakes := c.pool.Rest(clock.Now())
+	c.mu.Unlock()
+	wake(wakes)
+	if err := Sleep(ctx, pause); err != nil {
+		return false, err
+	}
+	if !c.takeTurn(ctx, deadline) {
+		return false, c.late()
+	}
+	return true, nil
+}
+
+// dialTimeout bounds the dial of a link, its handshake and the detour through another instance included.
+const dialTimeout = time.Second
--- a/engine/turns_test.go
+++ b/engine/turns_test.go
@@ -78,6 +78,47 @@
 	}
 }
 
+// The pattern: an endpoint takes no more links for seconds after a loss of power. The request that waits to dial again
+// must not keep the transactions that hold a link from going on.
+func TestWaitingToDialTakesNoTurn(t *testing.T) {
+	c := newCluster()
+	conns := newTurns(c)
+	held, err := conns.Acquire(t.Context(), request("orders", 2, time.Minute))
+	if err != nil {
+		t.Fatal(err)
+	}
+	conns.Rest(held)
+	c.with("a", func(n *node) { n.fullFor = 1_000_000 })
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() {
+		_, err := conns.Acquire(ctx, request("orders", 2, time.Minute))
+		ended <- err
+	}()
+	waitUntil(t, func() bool {
+		refused := 0
+		c.with("a", func(n *node) { refused = n.refusedDials })
+		return refused >= 3
+	})
+	for range 20 {
+		if err := conns.Resume(t.Context(), held, clock.Now().Add(100*time.Millisecond)); err != nil {
+			t.Fatalf("the transaction did not go on while another request waited to dial: %v", err)
+		}
+		conns.Rest(held)
+		time.Sleep(5 * time.Millisecond)
+	}
+	cancel()
+	if err := <-ended; err == nil {
+		t.Error("an endpoint without room gave a link")
+	}
+	c.with("a", func(n *node) { n.fullFor = 0 })
+	next, err := conns.Acquire(t.Context(), request("orders", 2, time.Minute))
+	if err != nil {
+		t.Fatal(err)
+	}
+	conns.Release(next)
+}
+
 // A link that is discarded, or whose dial failed, gives its turn back at once.
 func TestALostLinkGivesItsTurnBack(t *testing.T) {
 	c := newCluster()
