--- a/engine/turns_test.go
+++ b/engine/turns_test.go
@@ -95,13 +95,13 @@
 		_, err := conns.Acquire(ctx, request("orders", 2, time.Minute))
 		ended <- err
 	}()
-	waitUntil(t, func() bool {
-		refused := 0
-		c.with("a", func(n *node) { refused = n.refusedDials })
-		return refused >= 3
-	})
-	for range 20 {
-		if err := conns.Resume(t.Context(), held, clock.Now().Add(100*time.Millisecond)); err != nil {
+	refused := func() (n int) {
+		c.with("a", func(m *node) { n = m.refusedDials })
+		return n
+	}
+	// Each dial is further from the one before: the last of these waits for several tenths of a second.
+	for refused() < 6 {
+		if err := conns.Resume(t.Context(), held, clock.Now().Add(300*time.Millisecond)); err != nil {
 			t.Fatalf("the transaction did not go on while another request waited to dial: %v", err)
 		}
 		conns.Rest(held)
