Wait 120 ms, not 300 ms, for the turn in TestWaitingToDialTakesNoTurn

With 300 ms, as committed, the test passed without the safeguard: a limit that is lifted every 300 ms leaves at most that much of a pause.

--- a/engine/turns_test.go
+++ b/engine/turns_test.go
@@ -100,8 +100,8 @@
 		return n
 	}
 	// Each dial is further from the one before: the last of these waits for several tenths of a second.
-	for refused() < 6 {
-		if err := conns.Resume(t.Context(), held, clock.Now().Add(300*time.Millisecond)); err != nil {
+	for refused() < 8 {
+		if err := conns.Resume(t.Context(), held, clock.Now().Add(120*time.Millisecond)); err != nil {
 			t.Fatalf("the transaction did not go on while another request waited to dial: %v", err)
 		}
 		conns.Rest(held)
