A late position is no lag, and lag does not outlive a term

Cause: the lag of a replica was taken from when its position arrived, not from when it was found. What another instance passes on is up to 0.7 s older, so that caught-up replicas showed lags of 0.3 s to 1.8 s; and the lag that a replica gathered while a promotion held it stayed in the new term.

Change: at most 50 ms of a sample's age count as its way; a new term forgets lag and exclusions. Tests: TestAPositionThatIsPassedOnLateIsNoLag, TestLagDoesNotOutliveATerm (both fail without the change).

--- a/route/expected_test.go
+++ b/route/expected_test.go
@@ -266,3 +266,55 @@
 		t.Errorf("asked %q, though an accepted write confirmed the primary", got)
 	}
 }
+
+func lagOf(t *testing.T, tr *route.Tracker, name string) time.Duration {
+	t.Helper()
+	for _, r := range tr.Replicas() {
+		if r.Endpoint() == name {
+			return r.Lag()
+		}
+	}
+	t.Fatalf("%s is no replica", name)
+	return 0
+}
+
+// The pattern: a replica's position is passed on by another instance, half a second after it was found.
+func TestAPositionThatIsPassedOnLateIsNoLag(t *testing.T) {
+	tr := newTracker()
+	for i := range 10 {
+		at := after(time.Duration(i) * 100 * time.Millisecond)
+		observe(tr, "a", at, group.Position(11+i))
+	}
+	asked, heard := after(450*time.Millisecond), after(950*time.Millisecond)
+	tr.Observe(asked, heard, group.NewStatus(group.StatusConfig{
+		Endpoint: "b", Role: group.RoleReplica, Point: group.NewPoint(1, 14), Promised: 1,
+	}))
+	if got := lagOf(t, tr, "b"); got > 150*time.Millisecond {
+		t.Errorf("the lag is %v, though the replica had what the primary had 100ms before", got)
+	}
+}
+
+// The pattern: a primary is released. Its successor's replicas were held for the promotion, and are not behind after it.
+func TestLagDoesNotOutliveATerm(t *testing.T) {
+	tr := newTracker()
+	for i := range 10 {
+		observe(tr, "a", after(time.Duration(i)*100*time.Millisecond), group.Position(11+i))
+	}
+	observe(tr, "c", after(900*time.Millisecond), 10)
+	if got := lagOf(t, tr, "c"); got < 500*time.Millisecond {
+		t.Fatalf("the lag is %v, want most of a second", got)
+	}
+	at := after(time.Second)
+	tr.Behind("c", at)
+	status := func(name string, role group.Role) {
+		tr.Observe(at, at, group.NewStatus(group.StatusConfig{Endpoint: name, Role: role, Point: group.NewPoint(2, 20), Promised: 2}))
+	}
+	status("b", group.RolePrimary)
+	status("c", group.RoleReplica)
+	if got := lagOf(t, tr, "c"); got != 0 {
+		t.Errorf("the lag is %v in the new term, though the replica holds all", got)
+	}
+	if got := (route.Expected{}).Decide(at, tr, route.Request{Class: route.ClassRead, Floor: group.NewPoint(2, 20), FloorAt: at}); got.Endpoint() != "c" {
+		t.Errorf("a read went to %q, want the replica that has what it needs", got.Endpoint())
+	}
+}
--- a/route/tracker.go
+++ b/route/tracker.go
@@ -214,6 +214,9 @@
 	t.demotedAt = time.Time{}
 	for _, m := range t.members {
 		m.confirmedAt = time.Time{}
+		// While a promotion holds a replica, it falls behind a primary that is none any more.
+		m.lag = 0
+		m.behindUntil = time.Time{}
 	}
 	return true
 }
@@ -246,11 +249,19 @@
 	}
 }
 
+// maxTransit is how much later than it was asked for a position is taken to be found: longer than the usual way to a
+// member and through its queue. A position that another instance passed on arrives much later, and would look like lag.
+const maxTransit = 50 * time.Millisecond
+
 func (t *Tracker) estimateLag(m *member, now time.Time) {
+	if found := m.sampledAt.Add(maxTransit); found.Before(now) {
+		now = found
+	}
 	lag, ok := t.track.behind(now, m.point.Position())
 	if !ok {
 		return
 	}
+	lag = max(0, lag)
 	if lag > m.lag {
 		m.lag = lag
 		return
