Who was not asked is not declared dead; few homes while most of a fleet restarts

Change: only who is watched and was asked can expire, from the time at which the watch began. All instances are homes only while there are no more than four for each slot of a member.

Tests: TestWhoWasNotAskedIsNotDeclaredDead (fails without the change), the case of 48 instances in TestHomesFollowConnectionsAndSlots.

--- a/fleet/homes.go
+++ b/fleet/homes.go
@@ -13,6 +13,9 @@
 const (
 	// leastShare is the fewest connections to a member that let an instance serve: one for probes, two for work.
 	leastShare = 3
+	// mostPerSlot is the most instances for each slot of a member that are all homes: each has at least one request at
+	// work there, and more would fill the member's own queue.
+	mostPerSlot = 4
 	// leastHomes is the fewest homes where not all instances can be: one in each of several data centres, so that
 	// a cut leaves some on either side.
 	leastHomes = 4
@@ -29,7 +32,7 @@
 // There are no more homes than slots, so that each has work for two turns: many
 // homes with one each could neither order the work among them nor keep it short.
 func homeCount(connections, slots, n int) (homes, share int) {
-	if all := connections / (n + reservedInstances); all >= leastShare {
+	if all := connections / (n + reservedInstances); all >= leastShare && (slots == 0 || n <= mostPerSlot*slots) {
 		return n, all
 	}
 	usable := int((1 - homeReserve) * float64(connections))
--- a/fleet/homes_test.go
+++ b/fleet/homes_test.go
@@ -14,6 +14,7 @@
 		homes, share          int
 	}{
 		{"all instances of a small fleet", 30, 2, 7, 7, 3},
+		{"too many instances for the slots", 151, 3, 48, 4, 34},
 		{"no more than the slots", 53, 6, 78, 6, 8},
 		{"several for few slots", 151, 3, 69, 4, 34},
 		{"as the connections allow", 20, 16, 300, 3, 6},
--- a/membership/roster.go
+++ b/membership/roster.go
@@ -136,7 +136,9 @@
 		return
 	}
 	r.heardAt[from.Name()] = now
-	r.watched[from.Name()] = now
+	if _, ok := r.watched[from.Name()]; ok {
+		r.watched[from.Name()] = now
+	}
 	held, ok := r.presences.Get(from.Name())
 	switch {
 	case !ok:
@@ -202,11 +204,15 @@
 	ring := r.current().ring
 	n := min(r.cfg.Fanout, len(ring))
 	targets := append([]Identity(nil), ring[:n]...)
+	watched := make(map[string]time.Time, n)
 	for _, one := range targets {
-		if _, ok := r.watched[one.Name()]; !ok {
-			r.watched[one.Name()] = now
+		since, ok := r.watched[one.Name()]
+		if !ok {
+			since = now
 		}
+		watched[one.Name()] = since
 	}
+	r.watched = watched
 	rest := ring[n:]
 	if len(rest) > 0 {
 		r.turn++
@@ -218,8 +224,8 @@
 // Expire declares dead the watched instances that have not answered for DeadAfter, and returns them.
 func (r *Roster) Expire(now time.Time) []Identity {
 	var dead []Identity
-	ring := r.current().ring
-	for _, one := range ring[:min(r.cfg.Fanout, len(ring))] {
+	// The ring may have changed since the targets were chosen: who was not asked cannot have failed to answer.
+	for _, one := range r.current().ring {
 		since, ok := r.watched[one.Name()]
 		if !ok || now.Sub(since) < r.cfg.DeadAfter {
 			continue
