--- a/fleet/export_test.go
+++ b/fleet/export_test.go
@@ -41,8 +41,8 @@
 func HomeCount(connections, slots, n int) (homes, share int) { return homeCount(connections, slots, n) }
 
 // KnowsFleet reports whether an instance has waited long enough to be a home.
-func KnowsFleet(alive, registered int, age time.Duration) bool {
-	return knowsFleet(alive, registered, age)
+func KnowsFleet(alive, registered int, age, quiet time.Duration) bool {
+	return knowsFleet(alive, registered, age, quiet)
 }
 
 // SettleTime is how long an instance at most waits to meet the others.
--- a/fleet/homes.go
+++ b/fleet/homes.go
@@ -85,6 +85,9 @@
 	// settledShare is the part of the registered instances that it must have met to wait no longer: some may be gone
 	// for good without having left.
 	settledShare = 0.75
+	// settleQuiet is how long the number of instances must stand still where the store does not tell how many are
+	// registered: a few rounds of exchanges.
+	settleQuiet = 400 * time.Millisecond
 )
 
 // settled reports whether this instance knows the fleet well enough to be a home.
@@ -97,7 +100,7 @@
 	}
 	alive, _ := i.counts()
 	registered := int(i.registered.Load())
-	if !knowsFleet(alive, registered, clock.Since(i.startedAt)) {
+	if !knowsFleet(alive, registered, clock.Since(i.startedAt), i.standsStill(alive)) {
 		return false
 	}
 	if i.hasSettled.CompareAndSwap(false, true) {
@@ -107,13 +110,27 @@
 	return true
 }
 
-// knowsFleet reports whether an instance that knows alive instances has waited long enough for the registered ones; 0
-// registered means that their number is not known.
-func knowsFleet(alive, registered int, age time.Duration) bool {
-	if registered > 0 && float64(alive) >= settledShare*float64(registered) {
+// standsStill returns for how long the number of instances has not changed.
+func (i *Instance[L]) standsStill(alive int) time.Duration {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	now := clock.Now()
+	if alive != i.lastAlive {
+		i.lastAlive, i.lastAliveAt = alive, now
+	}
+	return now.Sub(i.lastAliveAt)
+}
+
+// knowsFleet reports whether an instance that knows alive instances, a number that has stood still for quiet, has waited
+// long enough for the registered ones; 0 registered means that their number is not known.
+func knowsFleet(alive, registered int, age, quiet time.Duration) bool {
+	switch {
+	case age >= settleTime:
 		return true
+	case registered > 0:
+		return float64(alive) >= settledShare*float64(registered)
 	}
-	return age >= settleTime
+	return alive > 1 && quiet >= settleQuiet
 }
 
 // atHome reports whether this instance holds connections of a group.
--- a/fleet/homes_test.go
+++ b/fleet/homes_test.go
@@ -37,16 +37,20 @@
 	for _, c := range []struct {
 		name              string
 		alive, registered int
-		age               time.Duration
+		age, quiet        time.Duration
 		want              bool
 	}{
-		{"has met two of many", 2, 78, 100 * time.Millisecond, false},
-		{"has met most", 60, 78, 100 * time.Millisecond, true},
-		{"is the only one", 1, 1, 0, true},
-		{"the store did not tell", 5, 0, 100 * time.Millisecond, false},
-		{"has waited long enough", 2, 78, fleet.SettleTime, true},
+		{"has met two of many", 2, 78, 100 * time.Millisecond, 0, false},
+		{"has met two of many and no other lately", 2, 78, time.Second, time.Second, false},
+		{"has met most", 60, 78, 100 * time.Millisecond, 0, true},
+		{"is the only one", 1, 1, 0, 0, true},
+		{"the store did not tell, and more are found", 5, 0, time.Second, 100 * time.Millisecond, false},
+		// The pattern: the store is slow as all start again.
+		{"the store did not tell, and no more are found", 69, 0, time.Second, 400 * time.Millisecond, true},
+		{"the store did not tell, and nobody is found", 1, 0, time.Second, time.Second, false},
+		{"has waited long enough", 2, 78, fleet.SettleTime, 0, true},
 	} {
-		if got := fleet.KnowsFleet(c.alive, c.registered, c.age); got != c.want {
+		if got := fleet.KnowsFleet(c.alive, c.registered, c.age, c.quiet); got != c.want {
 			t.Errorf("%s: %v, want %v", c.name, got, c.want)
 		}
 	}
--- a/fleet/instance.go
+++ b/fleet/instance.go
@@ -46,6 +46,9 @@
 	lostSources map[string]bool
 	// registered is how many instances the store listed at this one's start, or 0 before that is known.
 	registered atomic.Int64
+	// lastAlive is how many instances were known when that was last asked, and lastAliveAt since when; mu guards both.
+	lastAlive   int
+	lastAliveAt time.Time
 	// hasSettled says that this instance knows the fleet well enough to be a home.
 	hasSettled atomic.Bool
 }
