No turn and no link is lost where a waiter gives up as its grant comes

Cause: a waiter was taken out of the line under the lock and got its grant after it. One that gave up in between found itself neither queued nor granted, and the link and the turn were counted as used for good; with one turn to a member, this instance never used the member again. One that was given up for others in the same moment returned a turn that it did not have. Found by reading; change: grants are handed over under the lock, and a refusal returns nothing.

--- a/engine/connections.go
+++ b/engine/connections.go
@@ -147,8 +147,8 @@
 	now := clock.Now()
 	wakes, closes := c.pool.Release(now, conn, conn.Key())
 	wakes = append(wakes, c.notHeld(now, conn)...)
-	c.mu.Unlock()
 	wake(wakes)
+	c.mu.Unlock()
 	c.retireLater(closes)
 }
 
@@ -156,8 +156,8 @@
 func (c *Connections[L]) Discard(conn L) {
 	c.mu.Lock()
 	wakes := c.notHeld(clock.Now(), conn)
-	c.mu.Unlock()
 	wake(wakes)
+	c.mu.Unlock()
 	go func() {
 		c.retire(conn)
 		c.discardCount()
@@ -167,8 +167,8 @@
 func (c *Connections[L]) discardCount() {
 	c.mu.Lock()
 	wakes := c.pool.Discard(clock.Now())
-	c.mu.Unlock()
 	wake(wakes)
+	c.mu.Unlock()
 }
 
 // suspectIdle ends the idle connections after one of them was found silent.
@@ -230,8 +230,8 @@
 		limit = c.pool.Limit()
 	}
 	wakes, closes := c.pool.SetLimit(clock.Now(), limit)
-	c.mu.Unlock()
 	wake(wakes)
+	c.mu.Unlock()
 	c.retireLater(closes)
 }
 
@@ -239,8 +239,8 @@
 func (c *Connections[L]) SetTurns(limit int) {
 	c.mu.Lock()
 	wakes := c.pool.SetTurns(clock.Now(), limit)
-	c.mu.Unlock()
 	wake(wakes)
+	c.mu.Unlock()
 }
 
 // Shrink lowers the limit to as little as limit, by what is unused, and returns the limit reached.
@@ -256,8 +256,8 @@
 		return reached
 	}
 	wakes, closes := c.pool.SetLimit(clock.Now(), reached)
-	c.mu.Unlock()
 	wake(wakes)
+	c.mu.Unlock()
 	return reached + c.leftOpen(closes)
 }
 
@@ -285,6 +285,7 @@
 	open    int
 	idle    int
 	waiting int
+	atWork  int
 }
 
 // Limit returns how many connections this instance may hold.
@@ -299,13 +300,19 @@
 // Waiting returns how many requests wait for a connection.
 func (u Usage) Waiting() int { return u.waiting }
 
+// AtWork returns how many links have a turn.
+func (u Usage) AtWork() int { return u.atWork }
+
 // Usage returns how the connections are used now.
 func (c *Connections[L]) Usage() Usage {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return Usage{limit: c.pool.Limit(), open: c.pool.Open(), idle: c.pool.Idle(), waiting: c.pool.Waiting()}
+	_, atWork := c.pool.Turns()
+	return Usage{limit: c.pool.Limit(), open: c.pool.Open(), idle: c.pool.Idle(), waiting: c.pool.Waiting(), atWork: atWork}
 }
 
+// wake hands grants to their waiters, with the connections locked: whoever finds its waiter no longer queued finds the
+// grant, unless the waiter was dropped as late. It never blocks, since a waiter gets one grant.
 func wake[L Link[L]](wakes []pool.Wake[L, *waiter[L]]) {
 	for _, w := range wakes {
 		w.Waiter.grant <- w.Grant
--- a/engine/queue.go
+++ b/engine/queue.go
@@ -154,8 +154,8 @@
 	wakes := c.rest(clock.Now(), was)
 	was.workSince = time.Time{}
 	c.inUse[conn] = was
-	c.mu.Unlock()
 	wake(wakes)
+	c.mu.Unlock()
 }
 
 // maxTurnOf bounds the number of customers whose usual turns are kept; beyond it they are learned anew.
@@ -255,6 +255,9 @@
 func (c *Connections[L]) giveBack(w *waiter[L]) {
 	select {
 	case g := <-w.grant:
+		if g.Action == pool.ActionRefuse {
+			return
+		}
 		c.retireAll(g.Close)
 		c.mu.Lock()
 		now := clock.Now()
@@ -267,8 +270,8 @@
 			wakes = c.pool.Discard(now)
 		}
 		wakes = append(wakes, c.pool.Rest(now)...)
-		c.mu.Unlock()
 		wake(wakes)
+		c.mu.Unlock()
 		c.retireLater(closes)
 	default:
 	}
--- a/engine/room.go
+++ b/engine/room.go
@@ -58,8 +58,8 @@
 	}
 	// The limit never falls to 0, so that a first link is tried again.
 	wakes, closes := c.pool.SetLimit(clock.Now(), max(1, c.pool.Open()))
-	c.mu.Unlock()
 	wake(wakes)
+	c.mu.Unlock()
 	c.retireLater(closes)
 	return ctx.Err() == nil && clock.Now().Before(r.Deadline)
 }
@@ -81,8 +81,8 @@
 	if turn {
 		wakes = append(wakes, c.pool.Rest(now)...)
 	}
-	c.mu.Unlock()
 	wake(wakes)
+	c.mu.Unlock()
 }
 
 // open dials a link within a bounded time: a dial without an answer must not keep its place in the pool.
@@ -118,8 +118,8 @@
 func (c *Connections[L]) pauseDial(ctx context.Context, pause time.Duration, deadline time.Time) (turn bool, err error) {
 	c.mu.Lock()
 	wakes := c.pool.Rest(clock.Now())
-	c.mu.Unlock()
 	wake(wakes)
+	c.mu.Unlock()
 	if err := Sleep(ctx, pause); err != nil {
 		return false, err
 	}
--- a/engine/turns_test.go
+++ b/engine/turns_test.go
@@ -207,3 +207,35 @@
 		return probe.closed
 	})
 }
+
+// A grant that comes as its waiter gives up goes back, whichever is first.
+func TestNoTurnIsLostWhereWaitersGiveUp(t *testing.T) {
+	conns := newTurns(newCluster())
+	const callers, rounds = 16, 400
+	ended := make(chan struct{}, callers)
+	for i := range callers {
+		go func() {
+			defer func() { ended <- struct{}{} }()
+			for n := range rounds {
+				ctx, cancel := context.WithTimeout(t.Context(), time.Duration((i*n)%17)*20*time.Microsecond)
+				r := request("orders", 2, time.Duration(1+(i+n)%9)*100*time.Microsecond)
+				if l, err := conns.Acquire(ctx, r); err == nil {
+					if n%3 == 0 {
+						conns.Rest(l)
+						if conns.Resume(ctx, l, r.Deadline) != nil {
+							conns.Discard(l)
+							cancel()
+							continue
+						}
+					}
+					conns.Release(l)
+				}
+				cancel()
+			}
+		}()
+	}
+	for range callers {
+		<-ended
+	}
+	waitUntil(t, func() bool { u := conns.Usage(); return u.Open() == u.Idle() && u.AtWork() == 0 })
+}
