The soak speaks the users' protocol through platformtest only

What it sends, the settings and the configuration that it writes are built in platform/platformtest, so that no name of the wire stands outside platform/.

--- a/soak/client.go
+++ b/soak/client.go
@@ -1,33 +1,20 @@
 package soak
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"net"
-	"strings"
 	"time"
-)
 
-// database is one that callers use, by the consistency of its reads.
-type database struct {
-	name string
-	// kind is the consistency as the configuration names it.
-	kind string
-}
+	"github.com/monsoontiller/monsoontiller/platform/platformtest"
+)
 
 // databases are those of the soak's configuration, all of one group.
-var databases = []database{
-	{name: "orders", kind: "primary"},
-	{name: "stock", kind: "read_your_writes"},
-	{name: "history", kind: "bounded_staleness"},
-}
-
-// promises are the errors after which nothing of what was asked is kept.
-var promises = map[string]bool{
-	"BUSY": true, "ABORTED": true, "LAGGING": true, "READONLY": true, "WRONGNODE": true, "CONNLIMIT": true,
+var databases = []platformtest.Database{
+	{Name: "orders", Kind: platformtest.KindPrimary},
+	{Name: "stock", Kind: platformtest.KindSession},
+	{Name: "history", Kind: platformtest.KindBounded},
 }
 
 const (
@@ -45,11 +32,10 @@
 	ledger    *Ledger
 	addresses []string
 	random    *rand.Rand
-	database  database
+	database  platformtest.Database
 	ids       int
 	served    int
-	nc        net.Conn
-	in        *bufio.Reader
+	session   *platformtest.Caller
 	values    map[string]string
 	prepared  map[string]string
 	// wrote is the newest acknowledged write of the session.
@@ -70,20 +56,18 @@
 // Run asks until ctx ends, whatever becomes of the answers.
 func (c *Client) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if c.nc == nil && !c.connect(ctx) {
+		if c.session == nil && !c.connect(ctx) {
 			pause(ctx, 5*clientPause)
 			continue
 		}
 		if err := c.operation(); err != nil {
-			c.nc.Close()
-			c.nc = nil
+			c.end()
 			continue
 		}
 		pause(ctx, time.Duration(c.random.Int64N(int64(clientPause))))
 	}
-	if c.nc != nil {
-		c.nc.Close()
-		c.nc = nil
+	if c.session != nil {
+		c.end()
 	}
 }
 
@@ -91,13 +75,12 @@
 func (c *Client) Serve(ctx context.Context) bool {
 	before := c.served
 	for ctx.Err() == nil && c.served == before {
-		if c.nc == nil && !c.connect(ctx) {
+		if c.session == nil && !c.connect(ctx) {
 			pause(ctx, 5*clientPause)
 			continue
 		}
 		if c.write() != nil {
-			c.nc.Close()
-			c.nc = nil
+			c.end()
 		}
 	}
 	return c.served > before
@@ -111,67 +94,27 @@
 }
 
 func (c *Client) connect(ctx context.Context) bool {
-	d := net.Dialer{Timeout: time.Second}
-	nc, err := d.DialContext(ctx, "tcp", c.addresses[c.random.IntN(len(c.addresses))])
+	session, err := platformtest.Dial(ctx, platformtest.CallerConfig{
+		Address: c.addresses[c.random.IntN(len(c.addresses))], Database: c.database.Name, Timeout: answerTimeout,
+	})
 	if err != nil {
 		return false
 	}
-	c.nc, c.in = nc, bufio.NewReader(nc)
+	c.session = session
 	c.values, c.prepared, c.wrote = map[string]string{}, map[string]string{}, ""
-	if c.send("START "+c.database.name+" soak") == nil {
-		if line, err := c.line(); err == nil && strings.HasPrefix(line, "READY") {
-			return true
-		}
-	}
-	nc.Close()
-	c.nc = nil
-	return false
-}
-
-func (c *Client) send(line string) error {
-	if err := c.nc.SetDeadline(time.Now().Add(answerTimeout)); err != nil {
-		return err
-	}
-	_, err := c.nc.Write([]byte(line + "\r\n"))
-	return err
+	return true
 }
 
-func (c *Client) line() (string, error) {
-	line, err := c.in.ReadString('\n')
-	return strings.TrimRight(line, "\r\n"), err
+// end closes the session.
+func (c *Client) end() {
+	c.session.Close()
+	c.session = nil
 }
 
-// answer is the whole answer to one statement.
-type answer struct {
-	lines []string
-	code  string
-	state string
-}
+// valueName is the session value that callers set.
+const valueName = "customer"
 
-// ask sends a statement and reads its answer; it fails when the session is lost.
-func (c *Client) ask(id, text string) (a answer, err error) {
-	if err := c.send("QUERY " + id + " " + text); err != nil {
-		return a, err
-	}
-	for {
-		line, err := c.line()
-		if err != nil {
-			return a, err
-		}
-		fields := strings.Fields(line)
-		if len(fields) < 2 {
-			return a, errEnded
-		}
-		switch fields[0] {
-		case "READY":
-			a.state = fields[1]
-			return a, nil
-		case "ERROR":
-			a.code = fields[1]
-		}
-		a.lines = append(a.lines, line)
-	}
-}
+func (c *Client) item() string { return fmt.Sprintf("i%d", c.random.IntN(items)) }
 
 func (c *Client) nextID() string {
 	c.ids++
@@ -195,59 +138,59 @@
 
 func (c *Client) set() error {
 	value := fmt.Sprintf("v%d", c.random.IntN(3))
-	a, err := c.ask(c.nextID(), "SET tenant "+value)
-	if err != nil || a.code != "" {
+	a, err := c.session.Ask(c.nextID(), platformtest.TextSet(valueName, value))
+	if err != nil || !a.Served() {
 		return errEnded
 	}
-	c.values["tenant"] = value
+	c.values[valueName] = value
 	return nil
 }
 
 func (c *Client) prepare() error {
-	name, shape := fmt.Sprintf("s%d", c.random.IntN(2)), fmt.Sprintf("READ q%d", c.random.IntN(4))
-	a, err := c.ask(c.nextID(), "PARSE "+name+" "+shape)
-	if err != nil || a.code != "" {
+	name, shape := fmt.Sprintf("s%d", c.random.IntN(2)), fmt.Sprintf("q%d", c.random.IntN(4))
+	a, err := c.session.Ask(c.nextID(), platformtest.TextPrepare(name, shape))
+	if err != nil || !a.Served() {
 		return errEnded
 	}
-	c.prepared[name] = shape
+	c.prepared[name] = platformtest.ReadShape(shape)
 	return nil
 }
 
 // sees returns the writes that a read which starts now must see.
 func (c *Client) sees() []string {
 	before := time.Now()
-	if c.database.kind != "primary" {
+	if c.database.Kind != platformtest.KindPrimary {
 		before = before.Add(-maxStaleness)
 	}
 	var out []string
 	if newest := c.ledger.NewestAcked(before); newest != "" {
 		out = append(out, newest)
 	}
-	if c.database.kind == "read_your_writes" && c.wrote != "" {
+	if c.database.Kind == platformtest.KindSession && c.wrote != "" {
 		out = append(out, c.wrote)
 	}
 	return out
 }
 
-// readText returns a read, prepared or not, and what to expect of it.
-func (c *Client) readText() (text string, e Expectation) {
-	item := fmt.Sprintf("i%d", c.random.IntN(items))
-	e = Expectation{Text: "READ " + item, Values: c.values}
+// readText returns a read, prepared or not, as it is expected to run.
+func (c *Client) readText() Expectation {
+	item := c.item()
+	e := Expectation{Text: platformtest.TextRead(item), Values: c.values}
 	for _, name := range []string{"s0", "s1"} {
 		if shape := c.prepared[name]; shape != "" && c.random.IntN(2) == 0 {
-			e.Text, e.Shape = "EXECUTE * "+item, shape
-			return "EXECUTE " + name + " " + item, e
+			e.Text, e.Shape = platformtest.TextExecute(name, item), shape
+			return e
 		}
 	}
-	return e.Text, e
+	return e
 }
 
 func (c *Client) read() error {
-	text, e := c.readText()
+	e := c.readText()
 	e.Sees = c.sees()
 	id := c.nextID()
 	c.ledger.Expect(id, e)
-	a, err := c.ask(id, text)
+	a, err := c.session.Ask(id, e.Text)
 	if err != nil {
 		return err
 	}
@@ -255,12 +198,12 @@
 }
 
 // settle takes the answer to a statement outside a transaction.
-func (c *Client) settle(id string, a answer) error {
-	if a.code == "" {
-		c.ledger.Answered(id, a.lines)
+func (c *Client) settle(id string, a platformtest.Answer) error {
+	if a.Served() {
+		c.ledger.Answered(id, a.Lines)
 		c.served++
 	}
-	if a.state != "I" {
+	if !a.Idle() {
 		return errEnded
 	}
 	return nil
@@ -269,9 +212,9 @@
 func (c *Client) write() error {
 	id := c.nextID()
 	data := "d" + id
-	text := fmt.Sprintf("WRITE i%d %s", c.random.IntN(items), data)
+	text := platformtest.TextWrite(c.item(), data)
 	c.ledger.Expect(id, Expectation{Text: text, Values: c.values})
-	a, err := c.ask(id, text)
+	a, err := c.session.Ask(id, text)
 	if err != nil {
 		return err
 	}
@@ -280,15 +223,15 @@
 }
 
 // outcome tells the ledger what a caller was told of writes.
-func (c *Client) outcome(a answer, data ...string) {
+func (c *Client) outcome(a platformtest.Answer, data ...string) {
 	if len(data) == 0 {
 		return
 	}
 	switch {
-	case a.code == "":
+	case a.Served():
 		c.ledger.Acked(data...)
 		c.wrote = data[len(data)-1]
-	case promises[a.code]:
+	case a.NothingKept():
 		c.ledger.Denied(data...)
 	}
 }
@@ -297,12 +240,12 @@
 func (c *Client) transaction() error {
 	sees := c.sees()
 	readOnly := c.random.IntN(3) == 0
-	begin := "BEGIN"
+	begin := platformtest.TextBegin
 	if readOnly {
-		begin = "BEGIN READ"
+		begin = platformtest.TextBeginRead
 	}
-	a, err := c.ask(c.nextID(), begin)
-	if err != nil || a.code != "" {
+	a, err := c.session.Ask(c.nextID(), begin)
+	if err != nil || !a.Served() {
 		return errEnded
 	}
 	var wrote []string
@@ -312,60 +255,59 @@
 		if first == "" {
 			first = id
 		}
-		text, e := c.readText()
+		e := c.readText()
 		e.Sees = sees
 		data := ""
 		if !readOnly && c.random.IntN(2) == 0 {
 			data = "d" + id
-			text = fmt.Sprintf("WRITE i%d %s", c.random.IntN(items), data)
-			e = Expectation{Text: text, Values: c.values}
+			e = Expectation{Text: platformtest.TextWrite(c.item(), data), Values: c.values}
 		}
 		e.Transaction = first
 		c.ledger.Expect(id, e)
-		if a, err = c.ask(id, text); err != nil {
+		if a, err = c.session.Ask(id, e.Text); err != nil {
 			return err
 		}
-		if a.code != "" {
+		if !a.Served() {
 			return c.failed(a, wrote)
 		}
-		c.ledger.Answered(id, a.lines)
+		c.ledger.Answered(id, a.Lines)
 		if data != "" {
 			wrote = append(wrote, data)
 		}
 	}
-	return c.end(first, wrote)
+	return c.finish(first, wrote)
 }
 
 // failed ends a transaction of which a statement failed.
-func (c *Client) failed(a answer, wrote []string) error {
-	if promises[a.code] {
+func (c *Client) failed(a platformtest.Answer, wrote []string) error {
+	if a.NothingKept() {
 		c.ledger.Denied(wrote...)
 	}
-	if a.state == "I" {
+	if a.Idle() {
 		return nil
 	}
-	if a, err := c.ask(c.nextID(), "ROLLBACK"); err != nil || a.state != "I" {
+	if a, err := c.session.Ask(c.nextID(), platformtest.TextRollback); err != nil || !a.Idle() {
 		return errEnded
 	}
 	return nil
 }
 
-// end ends a transaction in one of three ways.
-func (c *Client) end(first string, wrote []string) error {
+// finish ends a transaction in one of three ways.
+func (c *Client) finish(first string, wrote []string) error {
 	switch c.random.IntN(8) {
 	case 0:
 		return errEnded
 	case 1:
-		a, err := c.ask(c.nextID(), "ROLLBACK")
-		if err != nil || a.code != "" || a.state != "I" {
+		a, err := c.session.Ask(c.nextID(), platformtest.TextRollback)
+		if err != nil || !a.Served() || !a.Idle() {
 			return errEnded
 		}
 		c.ledger.Denied(wrote...)
 		return nil
 	}
 	id := c.nextID()
-	c.ledger.Expect(id, Expectation{Text: "COMMIT", Values: c.values, Transaction: first})
-	a, err := c.ask(id, "COMMIT")
+	c.ledger.Expect(id, Expectation{Text: platformtest.TextCommit, Values: c.values, Transaction: first})
+	a, err := c.session.Ask(id, platformtest.TextCommit)
 	if err != nil {
 		return err
 	}
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -76,9 +76,9 @@
 		}
 	case "primary_leaves":
 		if m := s.group.Leader(); m != nil {
-			s.list(m, "draining")
+			s.list(m, platformtest.StateLeaving)
 			pause(ctx, f.For)
-			s.list(m, "ready")
+			s.list(m, platformtest.StateReady)
 		}
 	case "replicas_lag":
 		s.group.SetLag(f.For / 2)
@@ -102,7 +102,7 @@
 	s.store.Rows.Remove(platform.TableEndpoints, m.ID)
 	pause(ctx, f.For/2)
 	m.Start(time.Now().UnixMilli())
-	s.list(m, "ready")
+	s.list(m, platformtest.StateReady)
 }
 
 // restart ends an instance and starts it again after the time of a fault.
--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -15,7 +15,7 @@
 
 // Expectation is what must hold when a statement runs.
 type Expectation struct {
-	// Text is the statement, without what the program may add or rename.
+	// Text is the statement as the caller sends it.
 	Text string
 	// Transaction is the id of the transaction's first statement that reached an endpoint, or "".
 	Transaction string
@@ -109,11 +109,7 @@
 
 // compare checks a run against what its caller expects.
 func (l *Ledger) compare(r platformtest.Run, e Expectation) {
-	text := r.Text
-	if rest, ok := strings.CutPrefix(text, "MINLSN "); ok {
-		_, text, _ = strings.Cut(rest, " ")
-	}
-	if got := plain(text); got != e.Text {
+	if got := platformtest.Plain(r.Text); got != platformtest.Plain(e.Text) {
 		l.violate("unasked", "%s ran %s as %q, asked was %q", r.Member, r.ID, got, e.Text)
 	}
 	if e.Shape != r.Shape {
@@ -132,15 +128,6 @@
 	}
 }
 
-// plain takes the name of a prepared statement out of a text, which the program may change.
-func plain(text string) string {
-	fields := strings.Fields(text)
-	if len(fields) > 1 && fields[0] == "EXECUTE" {
-		fields[1] = "*"
-	}
-	return strings.Join(fields, " ")
-}
-
 func (l *Ledger) commit(r platformtest.Run, data string) {
 	w := l.write(data)
 	if w.committed {
--- a/soak/ledger_test.go
+++ b/soak/ledger_test.go
@@ -9,10 +9,13 @@
 	"github.com/monsoontiller/monsoontiller/soak"
 )
 
+// read is the statement that most cases run.
+var read = platformtest.TextRead("i1")
+
 // ran returns a run of a statement that a member signed.
 func ran(id, text string) platformtest.Run {
 	return platformtest.Run{
-		Member: "m", ID: id, Text: text, Answer: []string{"COMPLETE m.1"}, Leads: true,
+		Member: "m", ID: id, Text: text, Answer: []string{platformtest.SignedLine("m.1")}, Leads: true,
 		Holds: func(string) bool { return false }, Lost: func(string) bool { return false },
 	}
 }
@@ -23,50 +26,50 @@
 		rule    string
 		violate func(l *soak.Ledger)
 	}{
-		{"unasked", func(l *soak.Ledger) { l.Ran(ran("q1", "READ i1")) }},
+		{"unasked", func(l *soak.Ledger) { l.Ran(ran("q1", read)) }},
 		{"unasked", func(l *soak.Ledger) {
-			l.Expect("q1", soak.Expectation{Text: "WRITE i1 x"})
-			l.Ran(ran("q1", "WRITE i1 y"))
+			l.Expect("q1", soak.Expectation{Text: platformtest.TextWrite("i1", "x")})
+			l.Ran(ran("q1", platformtest.TextWrite("i1", "y")))
 		}},
 		{"pinned", func(l *soak.Ledger) {
-			l.Expect("q1", soak.Expectation{Text: "READ i1", Values: map[string]string{"tenant": "a"}})
-			l.Ran(ran("q1", "READ i1"))
+			l.Expect("q1", soak.Expectation{Text: read, Values: map[string]string{"customer": "a"}})
+			l.Ran(ran("q1", read))
 		}},
 		{"pinned", func(l *soak.Ledger) {
-			l.Expect("q1", soak.Expectation{Text: "EXECUTE * i1", Shape: "READ q1"})
-			l.Ran(ran("q1", "EXECUTE s0 i1"))
+			l.Expect("q1", soak.Expectation{Text: platformtest.TextExecute("s0", "i1"), Shape: platformtest.ReadShape("q1")})
+			l.Ran(ran("q1", platformtest.TextExecute("s0", "i1")))
 		}},
 		{"pinned", func(l *soak.Ledger) {
-			l.Expect("q2", soak.Expectation{Text: "READ i1", Transaction: "q1"})
-			r := ran("q2", "READ i1")
+			l.Expect("q2", soak.Expectation{Text: read, Transaction: "q1"})
+			r := ran("q2", read)
 			r.Owner = "q9"
 			l.Ran(r)
 		}},
 		{"stale", func(l *soak.Ledger) {
-			l.Expect("q1", soak.Expectation{Text: "READ i1", Sees: []string{"d0"}})
-			l.Ran(ran("q1", "MINLSN 1.2 READ i1"))
+			l.Expect("q1", soak.Expectation{Text: read, Sees: []string{"d0"}})
+			l.Ran(ran("q1", platformtest.TextAtLeast("1.2", read)))
 		}},
 		{"mixed", func(l *soak.Ledger) {
-			l.Expect("q1", soak.Expectation{Text: "READ i1"})
-			l.Ran(ran("q1", "READ i1"))
-			l.Answered("q1", []string{"DATAROW other", "COMPLETE m.1"})
+			l.Expect("q1", soak.Expectation{Text: read})
+			l.Ran(ran("q1", read))
+			l.Answered("q1", []string{"other", platformtest.SignedLine("m.1")})
 		}},
 		{"twice", func(l *soak.Ledger) {
 			for range 2 {
-				r := ran("-", "COMMIT")
-				r.Committed, r.Answer = []string{"d1"}, []string{"COMPLETE -"}
+				r := ran("-", platformtest.TextCommit)
+				r.Committed, r.Answer = []string{"d1"}, []string{platformtest.OwnLine()}
 				l.Ran(r)
 			}
 		}},
 		{"refused", func(l *soak.Ledger) {
 			l.Denied("d1")
-			r := ran("-", "COMMIT")
-			r.Committed, r.Answer = []string{"d1"}, []string{"COMPLETE -"}
+			r := ran("-", platformtest.TextCommit)
+			r.Committed, r.Answer = []string{"d1"}, []string{platformtest.OwnLine()}
 			l.Ran(r)
 		}},
 		{"one", func(l *soak.Ledger) {
-			r := ran("-", "COMMIT")
-			r.Committed, r.Answer, r.Leads = []string{"d1"}, []string{"COMPLETE -"}, false
+			r := ran("-", platformtest.TextCommit)
+			r.Committed, r.Answer, r.Leads = []string{"d1"}, []string{platformtest.OwnLine()}, false
 			l.Ran(r)
 			l.Acked("d1")
 		}},
@@ -85,9 +88,9 @@
 
 func TestTheLedgerAllowsWhatIsPromised(t *testing.T) {
 	l := soak.NewLedger()
-	l.Expect("q1", soak.Expectation{Text: "EXECUTE * i1", Shape: "READ q1", Sees: []string{"rolled back"}})
-	r := ran("q1", "MINLSN 1.2 EXECUTE r_q1 i1")
-	r.Shape = "READ q1"
+	l.Expect("q1", soak.Expectation{Text: platformtest.TextExecute("s0", "i1"), Shape: platformtest.ReadShape("q1"), Sees: []string{"rolled back"}})
+	r := ran("q1", platformtest.TextAtLeast("1.2", platformtest.TextExecute("r_q1", "i1")))
+	r.Shape = platformtest.ReadShape("q1")
 	r.Lost = func(data string) bool { return data == "rolled back" }
 	l.Ran(r)
 	l.Answered("q1", r.Answer)
--- a/soak/process.go
+++ b/soak/process.go
@@ -1,15 +1,17 @@
 package soak
 
 import (
+	"context"
 	"fmt"
-	"net"
-	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/monsoontiller/monsoontiller/platform"
+	"github.com/monsoontiller/monsoontiller/platform/platformtest"
 )
 
 // Process is one instance of the real program; it is safe for concurrent use.
@@ -26,15 +28,6 @@
 	stopping bool
 }
 
-// The ports of every instance, each of which has an address of its own on the loopback.
-const (
-	portCallers   = 7600
-	portReadiness = 7601
-	portPeers     = 7602
-	portFirst     = 7610
-	portLast      = 7620
-)
-
 // ProcessConfig describes an instance.
 type ProcessConfig struct {
 	Name string
@@ -44,38 +37,20 @@
 	Binary     string
 	// Directory takes its settings and its output.
 	Directory string
-	Seeds     []string
-	Store     string
-	Promoter  string
+	// Seeds are the hosts of other instances.
+	Seeds    []string
+	Store    string
+	Promoter string
 }
 
 // NewProcess writes the settings of an instance, which Start starts; it fails with the error of the file system.
 func NewProcess(cfg ProcessConfig) (*Process, error) {
-	text := fmt.Sprintf(`NodeName = %q
-Zone = %q
-Ip = %q
-PortRange = [%d,%d]
-Seeds = [`, cfg.Name, cfg.DataCentre, cfg.Host, portFirst, portLast)
-	for _, s := range cfg.Seeds {
-		text += fmt.Sprintf("%q,", net.JoinHostPort(s, fmt.Sprint(portPeers)))
-	}
-	text += fmt.Sprintf(`]
-[BindAddrs]
-Frontend = "%[1]s:%[2]d"
-Readiness = "%[1]s:%[3]d"
-Control = "%[1]s:%[4]d"
-[Limits]
-CpuQuota = 0.5
-MemoryMb = 256
-[Bounds]
-GraceS = %[5]d
-[platform]
-Address = %[6]q
-[CloudApi]
-Address = %[7]q
-`, cfg.Host, portCallers, portReadiness, portPeers, int(grace/time.Second), cfg.Store, cfg.Promoter)
+	text := platformtest.Settings{
+		Instance: cfg.Name, DataCentre: cfg.DataCentre, Host: cfg.Host, SeedHosts: cfg.Seeds,
+		Store: cfg.Store, Promoter: cfg.Promoter, Grace: grace,
+	}.Text()
 	p := &Process{name: cfg.Name, host: cfg.Host, binary: cfg.Binary, settings: filepath.Join(cfg.Directory, cfg.Name+".toml")}
-	if err := os.WriteFile(p.settings, []byte(text), 0o600); err != nil {
+	if err := os.WriteFile(p.settings, text, 0o600); err != nil {
 		return nil, err
 	}
 	var err error
@@ -90,14 +65,14 @@
 func (p *Process) Name() string { return p.name }
 
 // Address returns where callers connect.
-func (p *Process) Address() string { return net.JoinHostPort(p.host, fmt.Sprint(portCallers)) }
+func (p *Process) Address() string { return platformtest.CallerAddress(p.host) }
 
 // Start starts the program; it fails with the system's error.
 func (p *Process) Start() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	command := exec.Command(p.binary, "node")
-	command.Env = append(os.Environ(), "MONSOONTILLER_NODE_FILE="+p.settings)
+	command.Env = append(os.Environ(), platform.NodeFileVariable+"="+p.settings)
 	command.Stdout, command.Stderr = p.output, p.output
 	if err := command.Start(); err != nil {
 		return err
@@ -160,12 +135,4 @@
 }
 
 // Ready reports whether the instance says that it takes callers.
-func (p *Process) Ready() bool {
-	client := http.Client{Timeout: time.Second}
-	r, err := client.Get(fmt.Sprintf("http://%s:%d/api/readiness", p.host, portReadiness))
-	if err != nil {
-		return false
-	}
-	r.Body.Close()
-	return r.StatusCode == http.StatusOK
-}
+func (p *Process) Ready(ctx context.Context) bool { return platformtest.Ready(ctx, p.host) }
--- a/soak/run.go
+++ b/soak/run.go
@@ -94,7 +94,7 @@
 func (s *stand) awaitReady(ctx context.Context) error {
 	deadline := time.Now().Add(startTime)
 	for _, p := range s.instances {
-		for !p.Ready() {
+		for !p.Ready(ctx) {
 			if time.Now().After(deadline) || ctx.Err() != nil {
 				return fmt.Errorf("instance %s is not ready after %v", p.Name(), startTime)
 			}
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// Fault is one disturbance of a schedule.
+// Fault is one fault of a schedule.
 type Fault struct {
 	// At is when it starts, from the start of the callers, and For how long it lasts.
 	At  time.Duration
--- a/soak/stand.go
+++ b/soak/stand.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"path/filepath"
-	"strings"
 	"sync"
 	"time"
 
@@ -77,7 +76,7 @@
 		}
 		s.endpoints = append(s.endpoints, p)
 		m.ListAt(p.Address())
-		s.list(m, "ready")
+		s.list(m, platformtest.StateReady)
 	}
 	s.configure()
 	for i := range cfg.Instances {
@@ -149,17 +148,16 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.version += 3
-	routes := make([]string, 0, len(databases)+1)
-	for _, d := range databases {
-		routes = append(routes, route(d.name, d.kind))
-	}
-	routes = append(routes, route(fmt.Sprintf("extra%d", s.version), "primary"))
-	s.store.Rows.Put(platform.TableConfiguration, platform.KeyConfiguration, []byte(fmt.Sprintf(
-		`{"Version":%d,"Routes":[%s],"Services":[{"Name":%q,"MaxConnections":%d}],"Limits":{"TxIdleMs":3000}}`,
-		s.version, strings.Join(routes, ","), groupName, s.cfg.Connections)))
+	all := append([]platformtest.Database{{Name: fmt.Sprintf("extra%d", s.version), Kind: platformtest.KindPrimary}}, databases...)
+	s.store.Rows.Put(platform.TableConfiguration, platform.KeyConfiguration, platformtest.Configuration{
+		Version: s.version, Group: groupName, Connections: s.cfg.Connections, Databases: all,
+		Timeout: requestTimeout, Target: targetLatency, MaxStaleness: maxStaleness, MaxIdle: transactionIdle,
+	}.Text())
 }
 
-func route(name, kind string) string {
-	return fmt.Sprintf(`{"Host":%q,"Type":%q,"TimeoutMs":3000,"TargetLatencyMs":1000,"Priority":1,"Service":%q,"MaxStalenessMs":%d}`,
-		name, kind, groupName, maxStaleness.Milliseconds())
-}
+// The limits of the contracts, in the middle of what the users' have.
+const (
+	requestTimeout  = 3 * time.Second
+	targetLatency   = time.Second
+	transactionIdle = 3 * time.Second
+)
