Look groups up with the configuration's lock released

Its last line is an endpoint that changed, written under the lock of the groups; the configuration that it had missed never came into force. Cause: a statement looked its group up while it held the configuration's lock for reading, the change asked for the configuration under the groups' lock, and a new configuration waited to write: a reader behind a waiting writer waits too, so that the three waited for each other for good.

Ruled out: the signal to go on (lines were written after it), the new turns (no statement was waiting). The soak asks an instance that does not recover for the stacks of its goroutines.

--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -82,30 +82,40 @@
 
 // Terms returns what the contract in force grants on a database.
 func (d *directory[L]) Terms(database string) (engine.Terms[L], error) {
-	d.mu.RLock()
-	defer d.mu.RUnlock()
-	if !d.known {
+	t, known := d.granted(database)
+	if !known {
 		return engine.Terms[L]{}, fault.New(fault.Config{
 			Kind:    fault.KindStale,
 			Message: "this instance has not learned its configuration yet; nothing ran",
 			Remedy:  "connect through another instance, or try again in a second",
 		})
 	}
-	c := d.document.Contracts[database]
-	if c == nil {
+	if t.Contract == nil {
 		return engine.Terms[L]{}, fault.New(fault.Config{
 			Kind:    fault.KindNotFound,
 			Message: "no contract names the database " + database + "; nothing ran",
 			Remedy:  "connect to a database that the configuration names",
 		})
 	}
-	g := d.group(c.Databases()[0].Group())
-	if g == nil {
+	t.Group = d.group(t.Contract.Databases()[0].Group())
+	if t.Group == nil {
 		return engine.Terms[L]{}, fault.New(fault.Config{
 			Kind:    fault.KindUnavailable,
 			Message: "no endpoint of the database " + database + " is known yet; nothing ran",
 			Remedy:  "try again in a second",
 		})
 	}
-	return engine.Terms[L]{Contract: c, Group: g, Retries: d.budgets[database], Revision: d.document.Version}, nil
+	return t, nil
+}
+
+// granted returns the terms without their group; known is false before there is a configuration.
+//
+// The group is looked up with the lock released: the groups have a lock of their own, under which they ask for the
+// configuration, and a configuration that waits to come into force holds such a question up.
+func (d *directory[L]) granted(database string) (t engine.Terms[L], known bool) {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return engine.Terms[L]{
+		Contract: d.document.Contracts[database], Retries: d.budgets[database], Revision: d.document.Version,
+	}, d.known
 }
--- a/fleet/export_test.go
+++ b/fleet/export_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/monsoontiller/monsoontiller/engine"
 	"github.com/monsoontiller/monsoontiller/group"
 	"github.com/monsoontiller/monsoontiller/store"
 )
@@ -58,3 +59,26 @@
 	Lease      = lease
 	RenewEvery = renewEvery
 )
+
+// Directory gives tests the configuration in force, which has no exported form.
+type Directory[L Link[L]] struct{ directory *directory[L] }
+
+// NewDirectory returns an empty directory that calls lookup as it looks for a group, and finds none.
+func NewDirectory[L Link[L]](lookup func()) *Directory[L] {
+	return &Directory[L]{directory: &directory[L]{group: func(string) *engine.Group[L] {
+		lookup()
+		return nil
+	}}}
+}
+
+// Apply brings a configuration into force.
+func (d *Directory[L]) Apply(doc Document) { d.directory.Apply(doc) }
+
+// Group returns what the configuration says of a group.
+func (d *Directory[L]) Group(name string) (GroupTerms, bool) { return d.directory.Group(name) }
+
+// Terms looks a database up.
+func (d *Directory[L]) Terms(database string) error {
+	_, err := d.directory.Terms(database)
+	return err
+}
--- a/soak/process.go
+++ b/soak/process.go
@@ -86,7 +86,7 @@
 func (p *Process) Signal(s os.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if s == syscall.SIGTERM || s == syscall.SIGKILL {
+	if s == syscall.SIGTERM || s == syscall.SIGKILL || s == syscall.SIGQUIT {
 		p.stopping = true
 	}
 	// One that has just ended cannot be signalled, which is as well.
--- a/soak/run.go
+++ b/soak/run.go
@@ -148,6 +148,8 @@
 		go func() {
 			c := NewClient(s.cfg.Clients+i, s.cfg.Seed, ledger, []string{p.Address()})
 			if !c.Serve(ctx) {
+				// The program answers with the stacks of its goroutines, in its output.
+				p.Signal(syscall.SIGQUIT)
 				ends <- "recovery: " + p.Name() + " serves no write " + recoveryTime.String() + " after the last fault"
 				return
 			}
