--- a/engine/group.go
+++ b/engine/group.go
@@ -74,9 +74,9 @@
 	order   []string
 	limit   int
 	sharers int
-	// hopeful is when the lease ended, or when a new term was heard of or this instance began to watch if that was
-	// later: from then on a confirmation is lacking.
-	hopeful time.Time
+	// lackingSince is from when on a confirmation of the primary is lacking: the end of the newest lease, or when a new
+	// term was heard of or the watch began, if that was later.
+	lackingSince time.Time
 	// ctx is the context of Run, or nil while the group does not run.
 	ctx   context.Context
 	loops sync.WaitGroup
@@ -119,7 +119,7 @@
 		sharers: cfg.Sharers,
 		tracker: route.NewTracker(route.TrackerConfig{Group: cfg.Name, Lease: cfg.Lease, AllReplicas: cfg.AllReplicas}),
 	}
-	g.hopeful = cfg.Clock()
+	g.lackingSince = cfg.Clock()
 	g.SetMembers(cfg.Members)
 	return g
 }
@@ -264,7 +264,7 @@
 	changed := g.tracker.Observe(sentAt, g.cfg.Clock(), s)
 	g.noteLocked(sentAt, s)
 	if changed {
-		g.hopeful = g.cfg.Clock()
+		g.lackingSince = g.cfg.Clock()
 	}
 	g.broadcastLocked()
 	g.mu.Unlock()
--- a/engine/lease.go
+++ b/engine/lease.go
@@ -23,7 +23,7 @@
 	if !g.cfg.Clock().Before(until) {
 		return false
 	}
-	g.hopeful = until
+	g.lackingSince = until
 	return true
 }
 
@@ -60,7 +60,7 @@
 		back = since.Add(g.cfg.PromotionTime)
 	case replaced:
 		back = since.Add(g.cfg.Lease + g.cfg.PromotionTime)
-	case now.Sub(heard) < g.cfg.Lease && now.Sub(g.hopeful) < g.cfg.Lease:
+	case now.Sub(heard) < g.cfg.Lease && now.Sub(g.lackingSince) < g.cfg.Lease:
 		return nil
 	case now.Sub(heard) < g.cfg.Lease:
 		// A partition keeps the witnesses away, and nobody knows for how long.
