Take up a promotion that died with all instances

Found by the soak, seed 142: all instances are killed while one replaces a leaving primary, and no write is served for good. Cause, four faults for an instance that has never seen a primary: noteRival took the members with and without a hold for another new attempt in turn, so that the wait for it never ended; the next term was counted from 0; the leases of term 0 were revoked; and the demoted primary could be chosen again and again, which the platform answers with success and no change.

Change: an attempt of others counts once a term, and only a hold beyond the member's own term; terms follow from what the members say; a member whose promotion had no effect is left to the last.

--- a/failover/attempt.go
+++ b/failover/attempt.go
@@ -34,7 +34,10 @@
 		oldTerm: m.term,
 		old:     m.primary,
 	}
-	if !m.cfg.Successor {
+	if m.cfg.Successor {
+		// An instance that has just started may know no primary, and others still hold leases of its term.
+		m.attempt.oldTerm = term - 1
+	} else {
 		m.highest = m.attempt.term
 	}
 	m.enter(now, phaseClaiming)
@@ -56,7 +59,7 @@
 // nextTerm returns the term that a new attempt goes for.
 func (m *Machine) nextTerm() group.Term {
 	if m.cfg.Successor {
-		return m.term + 1
+		return max(m.term, m.newest) + 1
 	}
 	return m.highest + 1
 }
@@ -68,7 +71,7 @@
 	}
 	m.highest = max(m.highest, r.Term)
 	if r.Outcome == ClaimTaken {
-		m.rival = ""
+		clear(m.rivals)
 		m.rivalSeen = now
 		return m.abandon(now, fmt.Sprintf("the table holds term %d for another attempt", r.Term))
 	}
--- a/failover/machine.go
+++ b/failover/machine.go
@@ -52,7 +52,12 @@
 	attempt   attemptState
 	lostSince time.Time
 	rivalSeen time.Time
-	rival     string
+	// rivals are the attempts of others that were seen in this term.
+	rivals map[string]bool
+	// newest is the newest term that any member takes part in, whether or not its primary is known.
+	newest group.Term
+	// fruitless are the members whose promotion had no effect in this term.
+	fruitless map[string]bool
 	// demotedSeen is since when the primary of the newest term says that it no longer leads, or zero.
 	demotedSeen time.Time
 	highest     group.Term
@@ -64,7 +69,7 @@
 
 // New returns a machine that watches.
 func New(cfg Config) *Machine {
-	m := &Machine{cfg: cfg, members: map[string]*memberState{}, views: map[string]bool{}}
+	m := &Machine{cfg: cfg, members: map[string]*memberState{}, views: map[string]bool{}, rivals: map[string]bool{}, fruitless: map[string]bool{}}
 	for _, name := range cfg.Members {
 		m.members[name] = &memberState{}
 	}
@@ -153,6 +158,7 @@
 	state.answered = now
 	state.refusedAt = time.Time{}
 	m.highest = max(m.highest, s.Promised(), s.Point().Term())
+	m.newest = max(m.newest, s.Point().Term())
 	m.noteRival(now, s)
 	m.noteDemoted(now, s)
 	if s.Role() == group.RolePrimary && s.Confirms(s.Point().Term()) && s.Point().Term() > m.term {
@@ -161,12 +167,21 @@
 	return m.advance(now)
 }
 
+// maxRivals bounds the attempts that are remembered; beyond it all count as new again.
+const maxRivals = 64
+
 // noteRival remembers since when another attempt holds a promise without having made a primary.
+//
+// Each attempt counts once: members that hold different ones would make them new
+// for ever.
 func (m *Machine) noteRival(now time.Time, s group.Status) {
-	if s.Promised() <= m.term || s.Attempt() == m.attempt.id || s.Attempt() == m.rival {
+	if s.Promised() <= max(m.term, s.Point().Term()) || s.Attempt() == m.attempt.id || m.rivals[s.Attempt()] {
 		return
 	}
-	m.rival = s.Attempt()
+	if len(m.rivals) >= maxRivals {
+		clear(m.rivals)
+	}
+	m.rivals[s.Attempt()] = true
 	m.rivalSeen = now
 }
 
@@ -188,6 +203,8 @@
 	m.primary = s.Endpoint()
 	m.rivalSeen = time.Time{}
 	m.demotedSeen = time.Time{}
+	clear(m.rivals)
+	clear(m.fruitless)
 	m.suspended = false
 	m.lostSince = time.Time{}
 	own := m.phase == phasePromoting && s.Attempt() == m.attempt.id
--- a/failover/promote.go
+++ b/failover/promote.go
@@ -109,11 +109,21 @@
 }
 
 // choose returns the fenced member with the longest log, preferring one that is not leaving, then the configured order.
+//
+// One whose promotion had no effect before is left to the last: it may be the
+// demoted primary, which an instance that has just started cannot know.
 func (m *Machine) choose() string {
+	if best := m.chooseBut(m.fruitless); best != "" {
+		return best
+	}
+	return m.chooseBut(nil)
+}
+
+func (m *Machine) chooseBut(excluded map[string]bool) string {
 	best := ""
 	for _, name := range m.cfg.Members {
 		s, ok := m.attempt.fenced[name]
-		if !ok || m.cfg.KeepDemoted && name == m.attempt.old {
+		if !ok || excluded[name] || m.cfg.KeepDemoted && name == m.attempt.old {
 			continue
 		}
 		if best == "" || m.better(name, s, best) {
@@ -153,6 +163,7 @@
 func (m *Machine) awaitPromotion(now time.Time) []Action {
 	if now.Sub(m.since) >= m.cfg.TakeOverAfter {
 		m.rivalSeen = time.Time{}
+		m.fruitless[m.attempt.chosen] = true
 		return m.abandon(now, m.attempt.chosen+" did not report that it leads")
 	}
 	if now.Sub(m.stepAt) < m.cfg.StepTimeout {
--- a/failover/successor_test.go
+++ b/failover/successor_test.go
@@ -180,3 +180,65 @@
 		t.Fatalf("claimed %+v, %v; want the next term", claim, ok)
 	}
 }
+
+// probedIn tells the status of a member in a term.
+func (s *successor) probedIn(term group.Term, name string, role group.Role, promised group.Term, attempt string) []failover.Action {
+	return s.step(failover.Probed{Status: group.NewStatus(group.StatusConfig{
+		Endpoint: name, Role: role, Point: group.NewPoint(term, 20), Promised: promised, Attempt: attempt,
+	})})
+}
+
+// The pattern: all instances are killed while one of them replaces a leaving primary. The old primary is demoted, the
+// others are held, and none of the instances that start again has ever seen a primary.
+func TestAPromotionThatDiedWithAllInstancesIsTakenUp(t *testing.T) {
+	s := newSuccessor()
+	left := map[string]string{"a": "held-0", "b": "held-3", "c": "held-3"}
+	until := func(want string, ok func([]failover.Action) bool) {
+		t.Helper()
+		for waited := time.Duration(0); waited < 15*time.Second; waited += 50 * time.Millisecond {
+			for _, name := range []string{"a", "b", "c"} {
+				promised := group.Term(2)
+				if left[name] != "held-0" {
+					promised = 3
+				}
+				if ok(s.probedIn(2, name, group.RoleReplica, promised, left[name])) {
+					return
+				}
+			}
+			if ok(s.pass(50 * time.Millisecond)) {
+				return
+			}
+		}
+		t.Fatalf("no %s within 15s", want)
+	}
+	attempt := func() string {
+		t.Helper()
+		var claim failover.Claim
+		until("claim", func(as []failover.Action) (ok bool) {
+			claim, ok = find[failover.Claim](as)
+			return ok
+		})
+		if claim.Term != 3 {
+			t.Fatalf("went for term %d, want the one after the members'", claim.Term)
+		}
+		s.step(failover.ClaimResult{Attempt: claim.Attempt, Outcome: failover.ClaimWon, Term: 3})
+		var revoke failover.Revoke
+		for _, name := range []string{"a", "b", "c"} {
+			if r, ok := find[failover.Revoke](s.probedIn(2, name, group.RoleReplica, 3, claim.Attempt)); ok {
+				revoke = r
+			}
+		}
+		if revoke.Term != 2 {
+			t.Fatalf("revoked the leases of term %d, want 2", revoke.Term)
+		}
+		promote, ok := find[failover.Promote](s.step(failover.Revoked{Attempt: claim.Attempt}))
+		if !ok {
+			t.Fatal("did not promote though no lease is left")
+		}
+		return promote.Endpoint
+	}
+	first := attempt()
+	if second := attempt(); second == first {
+		t.Errorf("promoted %s again though that had no effect", first)
+	}
+}
--- a/soak/run_test.go
+++ b/soak/run_test.go
@@ -13,11 +13,14 @@
 var regressions = []struct {
 	seed        uint64
 	connections int
+	instances   int
+	length      time.Duration
 	cause       string
 }{
-	{1, 40, "none: all instances hold connections"},
-	{2, 8, "none: sessions are passed on to one home"},
-	{26, 40, "the promoter was killed once it had demoted the leaving primary, and nobody took over"},
+	{1, 40, 4, 6 * time.Second, "none: all instances hold connections"},
+	{2, 8, 4, 6 * time.Second, "none: sessions are passed on to one home"},
+	{26, 40, 4, 6 * time.Second, "the promoter was killed once it had demoted the leaving primary, and nobody took over"},
+	{142, 10, 7, 8 * time.Second, "all were killed during a promotion, and none of those that started again knew a primary"},
 }
 
 // The real program runs as separate processes under faults; the long runs are those of cmd/monsoonsoak.
@@ -32,7 +35,7 @@
 		t.Run(one.cause, func(t *testing.T) {
 			t.Parallel()
 			r, err := soak.Run(t.Context(), soak.Config{
-				Seed: one.seed, Length: 6 * time.Second, Instances: 4, Clients: 16, Connections: one.connections,
+				Seed: one.seed, Length: one.length, Instances: one.instances, Clients: 16, Connections: one.connections,
 				Network: 100 + i, Binary: binary, Directory: t.TempDir(), Output: t.Output(),
 			})
 			if err != nil {
