--- a/soak/run.go
+++ b/soak/run.go
@@ -78,6 +78,9 @@
 	}
 	s.play(ctx, ledger)
 	late := s.recovered(ctx, ledger)
+	if ctx.Err() != nil {
+		return report, errors.New("the run was stopped; what it saw tells nothing")
+	}
 	for _, p := range s.instances {
 		if err := p.Ended(); err != nil {
 			late = append(late, "exit: "+err.Error())
