--- a/soak/process.go
+++ b/soak/process.go
@@ -95,14 +95,18 @@
 
 // Stop ends the program, by force after the grace, and waits for its end.
 func (p *Process) Stop(s os.Signal) {
+	p.mu.Lock()
+	// Another fault may start the program again before this one has seen its end.
+	exited := p.exited
+	p.mu.Unlock()
 	p.Signal(s)
 	select {
-	case err := <-p.exited:
-		p.exited <- err
+	case err := <-exited:
+		exited <- err
 	case <-time.After(grace):
 		p.Signal(syscall.SIGKILL)
-		err := <-p.exited
-		p.exited <- err
+		err := <-exited
+		exited <- err
 	}
 }
 
