--- a/engine/turns_test.go
+++ b/engine/turns_test.go
@@ -100,12 +100,14 @@
 		return n
 	}
 	// Each dial is further from the one before: the last of these waits for several tenths of a second.
+	tick := time.NewTicker(5 * time.Millisecond)
+	defer tick.Stop()
 	for refused() < 8 {
 		if err := conns.Resume(t.Context(), held, clock.Now().Add(120*time.Millisecond)); err != nil {
 			t.Fatalf("the transaction did not go on while another request waited to dial: %v", err)
 		}
 		conns.Rest(held)
-		time.Sleep(5 * time.Millisecond)
+		<-tick.C
 	}
 	cancel()
 	if err := <-ended; err == nil {
--- a/peer/exchange_test.go
+++ b/peer/exchange_test.go
@@ -66,6 +66,8 @@
 	one.Hold(item("long", long))
 	one.Hold(item("short", short))
 	deadline := time.Now().Add(20 * time.Second)
+	tick := time.NewTicker(time.Millisecond)
+	defer tick.Stop()
 	for {
 		a, gotLong := two.Item("long")
 		_, gotShort := two.Item("short")
@@ -78,7 +80,7 @@
 		if time.Now().After(deadline) {
 			t.Fatal("the items did not arrive")
 		}
-		time.Sleep(time.Millisecond)
+		<-tick.C
 	}
 	third := newNode(t, "three")
 	third.Hold(item("long", long))
