Read as a newcomer: one way to ask for a turn, one model of a pool in tests, no fault that nothing plays

No behaviour changes: Connections keeps its line only, not a second word that it is ordered; a free turn is taken without a waiter for it; servesOn locks once; the counters' host is that of readiness; the two overload models share how requests start and end; the soak ends on a fault of its list that nothing makes happen, which would have passed every run.

--- a/cmd/monsoontiller/node.go
+++ b/cmd/monsoontiller/node.go
@@ -95,7 +95,7 @@
 
 // metricsAddress returns where the counters are served besides, or "".
 func (c *nodeCommand) metricsAddress(n platform.Node) string {
-	host, _, err := net.SplitHostPort(n.TunnelAddress)
+	host, _, err := net.SplitHostPort(n.ReadinessAddress)
 	if err != nil || c.MetricsPort == 0 {
 		return ""
 	}
--- a/engine/connections.go
+++ b/engine/connections.go
@@ -34,7 +34,6 @@
 	quarantine time.Duration
 	mu         sync.Mutex
 	pool       *pool.Pool[L, *waiter[L]]
-	ordered    bool
 	// limit is what SetLimit asked for, and capped says that the endpoint takes no more for the moment.
 	limit      int
 	capped     bool
@@ -65,7 +64,6 @@
 		dial:       cfg.Dial,
 		terminator: cfg.Terminator,
 		quarantine: cfg.Quarantine,
-		ordered:    cfg.Ordered,
 		limit:      cfg.Limit,
 		pool:       pool.New[L](line),
 		inUse:      map[L]use{},
--- a/engine/queue.go
+++ b/engine/queue.go
@@ -53,7 +53,7 @@
 	if usual := c.turnOf[r.Customer]; usual > 0 {
 		r.Service = usual
 	}
-	if c.ordered {
+	if c.line != nil {
 		r.Deadline = pool.LatestStart(now, r.Target, r.Deadline, r.Service)
 	}
 	ask := pool.Ask[*waiter[L]]{
@@ -86,10 +86,9 @@
 //
 // Where the turns are what is short, it may be others that are refused instead.
 func (c *Connections[L]) crowded(now time.Time, ask pool.Ask[*waiter[L]]) (wait time.Duration, refused bool) {
-	turns, taken := c.pool.Turns()
+	turns, _ := c.pool.Turns()
 	hasLink := c.pool.Idle() > 0 || c.pool.Open() < c.pool.Limit()
-	hasTurn := turns == 0 || taken < turns
-	if c.line == nil || c.pool.Waiting() == 0 && hasLink && hasTurn {
+	if c.line == nil || c.pool.Waiting() == 0 && hasLink && c.pool.HasTurn() {
 		return 0, false
 	}
 	if !hasLink || turns == 0 {
@@ -188,7 +187,10 @@
 // takeTurn waits for a turn, before all who have no link, and reports whether it came.
 func (c *Connections[L]) takeTurn(ctx context.Context, deadline time.Time) bool {
 	c.mu.Lock()
-	w := &waiter[L]{grant: make(chan pool.Grant[L], 1)}
+	var w *waiter[L]
+	if !c.pool.HasTurn() {
+		w = &waiter[L]{grant: make(chan pool.Grant[L], 1)}
+	}
 	g := c.pool.Resume(w)
 	c.mu.Unlock()
 	return g.Action != pool.ActionWait || c.granted(ctx, w, deadline)
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -128,13 +128,10 @@
 
 // servesOn reports whether sessions of a group are still served here though this instance is no home of it.
 func (m *members[L]) servesOn(group string, now time.Time) bool {
-	w := m.find(group)
-	if w == nil {
-		return false
-	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.instance.stopping.Load() || w.leftAt.IsZero() || now.Sub(w.leftAt) < homeStay
+	w := m.groups[group]
+	return w != nil && (m.instance.stopping.Load() || w.leftAt.IsZero() || now.Sub(w.leftAt) < homeStay)
 }
 
 // Version returns the newest version of any entry.
--- a/pool/overload_test.go
+++ b/pool/overload_test.go
@@ -47,40 +47,50 @@
 	return last
 }
 
+// clerk starts requests on the connections that a pool grants.
+type clerk struct {
+	now      time.Time
+	arrivals []arrival
+	ends     finishes
+	conns    int
+}
+
+// start puts a request to work.
+func (c *clerk) start(i int, g pool.Grant[int]) {
+	conn := g.Conn
+	if g.Action == pool.ActionOpen {
+		c.conns++
+		conn = c.conns
+	}
+	c.arrivals[i].served = c.now.Add(c.arrivals[i].service)
+	heap.Push(&c.ends, finish{at: c.arrivals[i].served, conn: conn})
+}
+
+// release ends what is done by a time, and starts what that lets go on.
+func (c *clerk) release(p *pool.Pool[int, int], until time.Time) {
+	for len(c.ends) > 0 && !c.ends[0].at.After(until) {
+		end := heap.Pop(&c.ends).(finish)
+		c.now = end.at
+		wakes, _ := p.Release(c.now, end.conn, "")
+		for _, w := range append(wakes, p.Rest(c.now)...) {
+			c.start(w.Waiter, w.Grant)
+		}
+	}
+	c.now = until
+}
+
 // overload plays the pattern on a pool and returns the share of the slots' capacity that was served within the target.
 func overload(line pool.Line[int], refuse bool) float64 {
 	r := rand.New(rand.NewPCG(7, 11))
 	p := pool.New[int](pool.Config[int]{Limit: overloadSlots, Line: line})
-	var requests []arrival
-	var ends finishes
-	conns := 0
-	now := origin
-	start := func(i int, g pool.Grant[int]) {
-		conn := g.Conn
-		if g.Action == pool.ActionOpen {
-			conns++
-			conn = conns
-		}
-		requests[i].served = now.Add(requests[i].service)
-		heap.Push(&ends, finish{at: requests[i].served, conn: conn})
-	}
-	release := func(until time.Time) {
-		for len(ends) > 0 && !ends[0].at.After(until) {
-			end := heap.Pop(&ends).(finish)
-			now = end.at
-			wakes, _ := p.Release(now, end.conn, "")
-			for _, w := range wakes {
-				start(w.Waiter, w.Grant)
-			}
-		}
-	}
+	c := clerk{now: origin}
 	every := float64(overloadService) / overloadSlots / overloadFactor
 	next := origin
 	for i := range overloadRequests {
 		next = next.Add(time.Duration(r.ExpFloat64() * every))
-		release(next)
-		now = next
-		requests = append(requests, arrival{at: now, service: time.Duration(r.ExpFloat64() * float64(overloadService))})
+		c.release(p, next)
+		now := c.now
+		c.arrivals = append(c.arrivals, arrival{at: now, service: time.Duration(r.ExpFloat64() * float64(overloadService))})
 		ask := pool.Ask[int]{
 			Waiter: i, QueueLimit: 1000, Deadline: now.Add(overloadPatience),
 			Target: now.Add(overloadTarget - overloadService),
@@ -94,11 +104,11 @@
 			continue
 		}
 		if g := p.Acquire(ask); g.Action != pool.ActionWait {
-			start(i, g)
+			c.start(i, g)
 		}
 	}
 	inTime := 0
-	for _, one := range requests {
+	for _, one := range c.arrivals {
 		if !one.served.IsZero() && one.served.Sub(one.at) <= overloadTarget {
 			inTime++
 		}
--- a/pool/schedule_test.go
+++ b/pool/schedule_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -151,20 +150,9 @@
 	r := rand.New(rand.NewPCG(3, 5))
 	line := pool.NewOrdered[int](pool.OrderedConfig{})
 	p := pool.New[int](pool.Config[int]{Limit: 100, Turns: slots, Line: line})
-	var ends finishes
-	arrivals := make([]arrival, 0, requests)
+	c := clerk{now: origin}
 	kindOf := make([]kind, 0, requests)
-	conns, late := 0, 0
-	now := origin
-	start := func(i int, g pool.Grant[int]) {
-		conn := g.Conn
-		if g.Action == pool.ActionOpen {
-			conns++
-			conn = conns
-		}
-		arrivals[i].served = now.Add(arrivals[i].service)
-		heap.Push(&ends, finish{at: arrivals[i].served, conn: conn})
-	}
+	late := 0
 	mean := 0.0
 	for _, k := range kinds {
 		mean += k.share * float64(k.service)
@@ -172,17 +160,10 @@
 	next := origin
 	for i := range requests {
 		next = next.Add(time.Duration(r.ExpFloat64() * mean / float64(slots) / factor))
-		for len(ends) > 0 && !ends[0].at.After(next) {
-			end := heap.Pop(&ends).(finish)
-			now = end.at
-			wakes, _ := p.Release(now, end.conn, "")
-			for _, w := range append(wakes, p.Rest(now)...) {
-				start(w.Waiter, w.Grant)
-			}
-		}
-		now = next
+		c.release(p, next)
+		now := c.now
 		k := pick(kinds, r.Float64())
-		arrivals = append(arrivals, arrival{at: now, service: k.service})
+		c.arrivals = append(c.arrivals, arrival{at: now, service: k.service})
 		kindOf = append(kindOf, k)
 		a := pool.Ask[int]{
 			Customer: k.service.String(), Since: now, Waiter: i, QueueLimit: 10_000, Priority: k.priority, Service: k.service,
@@ -198,7 +179,7 @@
 			gone, refused := line.Hopeless(pool.Schedule{Now: now, First: mean / time.Duration(slots), Turns: slots, Service: mean}, a)
 			for _, w := range gone {
 				p.Cancel("", w)
-				if now.Sub(arrivals[w].at) > kindOf[w].target/4 {
+				if now.Sub(c.arrivals[w].at) > kindOf[w].target/4 {
 					late++
 				}
 			}
@@ -207,11 +188,11 @@
 			}
 		}
 		if g := p.Acquire(a); g.Action != pool.ActionWait {
-			start(i, g)
+			c.start(i, g)
 		}
 	}
 	inTime := 0
-	for i, one := range arrivals {
+	for i, one := range c.arrivals {
 		if !one.served.IsZero() && one.served.Sub(one.at) <= kindOf[i].target {
 			inTime++
 		}
--- a/pool/turns.go
+++ b/pool/turns.go
@@ -57,6 +57,9 @@
 	return p.wake(now)
 }
 
+// HasTurn reports whether another connection may be at work.
+func (p *Pool[C, W]) HasTurn() bool { return p.turns.free() }
+
 // Turns returns how many connections may be at work at once, and how many are.
 func (p *Pool[C, W]) Turns() (limit, taken int) { return p.turns.limit, p.turns.taken }
 
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -84,6 +84,9 @@
 		s.group.SetLag(f.For / 2)
 		pause(ctx, f.For)
 		s.group.SetLag(0)
+	default:
+		// A fault of the list that nothing makes happen would pass every run.
+		panic("no such fault: " + f.Kind)
 	}
 }
 
