--- a/experiment/doc.go
+++ b/experiment/doc.go
@@ -4,4 +4,7 @@
 // read. The replication lag of each replica changes at random, with spikes. Every
 // policy gets the same load and is compared with a router that knows the position
 // of every member. Real time has no influence: results depend only on the seed.
+//
+// RunPaired compares two builds of the program: it runs a command for both over the same
+// cases and seeds, and Compare gives the paired differences with their confidence intervals.
 package experiment
