fleet, platform: instances of a restarted fleet take their homes from the registrations

Cause: after a power loss of all machines an instance waited until it knew three quarters of the registered ones before it acted as a home. The homes changed while the others started: four instances took a group that has three homes.

Ruled out: the configuration (0.015 s), the first probes (0.017 s), readiness (callers reach instances that are not ready, since fewer than half of them are).

Change: a registration holds the instance's identity. An instance that finds a registration of an earlier run of its own has crashed, and computes homes and shares over the registered instances until it hears from them or 1.5 s have passed. All instances then agree on the homes from their start on. Rows of the build before have no address and are counted as before.

--- a/cmd/monsoontiller/node.go
+++ b/cmd/monsoontiller/node.go
@@ -74,6 +74,7 @@
 		Address:        n.CallerAddress,
 		ForwardAddress: n.ForwardAddress,
 		Homes:          i.Homes,
+		Starting:       i.Starting,
 		Source:         i,
 		Policy:         route.EarliestAnswer{},
 		Recorder:       i,
--- a/fleet/export_test.go
+++ b/fleet/export_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/monsoontiller/monsoontiller/engine"
 	"github.com/monsoontiller/monsoontiller/group"
+	"github.com/monsoontiller/monsoontiller/membership"
 	"github.com/monsoontiller/monsoontiller/store"
 )
 
@@ -48,6 +49,23 @@
 	return joinComplete(alive, registered, age, stable)
 }
 
+// Registration returns the row that registers an instance.
+func Registration(self membership.Identity) (store.Row, error) { return encodeRegistration(self) }
+
+// RegisteredIdentity returns the identity that a row registers.
+func RegisteredIdentity(row store.Row) (membership.Identity, bool) { return decodeRegistration(row) }
+
+// Presumed returns the instances that an instance presumes alive which expects the given ones until a time and has heard
+// from those of heard.
+func Presumed(now, until time.Time, expected, heard []membership.Identity) []membership.Identity {
+	names := map[string]bool{}
+	for _, identity := range heard {
+		names[identity.Name()] = true
+	}
+	e := expectations{identities: expected, until: until}
+	return append(heard[:len(heard):len(heard)], e.missing(now, func(name string) bool { return names[name] })...)
+}
+
 // MaxJoinWait is the longest time that an instance waits to discover its peers.
 const MaxJoinWait = maxJoinWait
 
--- a/fleet/homes.go
+++ b/fleet/homes.go
@@ -58,8 +58,9 @@
 	if cached, ok := i.homesByGroup[group]; ok && cached.connections == settings.Connections && cached.slots == slots {
 		return cached.homes
 	}
-	count, _ := homeCount(settings.Connections, slots, len(alive))
-	computed := homeSet{connections: settings.Connections, slots: slots, homes: membership.Homes("home/"+group, alive, count)}
+	presumed := i.withMissingLocked(alive)
+	count, _ := homeCount(settings.Connections, slots, len(presumed))
+	computed := homeSet{connections: settings.Connections, slots: slots, homes: membership.Homes("home/"+group, presumed, count)}
 	i.homesByGroup[group] = computed
 	return computed.homes
 }
@@ -71,14 +72,18 @@
 	homes       []membership.Identity
 }
 
-// invalidateHomesLocked drops the cached homes if the set of presences has changed since they were computed.
+// invalidateHomesLocked drops the cached homes if the set of presences has changed since they were computed, or if
+// instances are no longer expected.
 func (i *Instance[L]) invalidateHomesLocked(digest membership.Digest) {
-	if i.homesDigest == digest {
+	now := clock.Now()
+	givenUp := len(i.missing) > 0 && !now.Before(i.expectations.until)
+	if i.homesDigest == digest && i.homesByGroup != nil && !givenUp {
 		return
 	}
 	i.homesByGroup = map[string]homeSet{}
 	i.homesDigest = digest
 	i.updateDeadSinceLocked()
+	i.updateMissingLocked(now)
 }
 
 const (
@@ -139,9 +144,13 @@
 	return alive > 1 && stable >= joinStableTime
 }
 
+// knowsFleet reports whether this instance can compute the homes of a group: it has joined the fleet, or it knows from the
+// registrations which instances to expect.
+func (i *Instance[L]) knowsFleet() bool { return i.joined() || i.expectsFleet.Load() }
+
 // isHome reports whether this instance is a home of a group.
 func (i *Instance[L]) isHome(group string) bool {
-	if !i.joined() {
+	if !i.knowsFleet() {
 		return false
 	}
 	for _, home := range i.homes(group) {
@@ -155,7 +164,8 @@
 // Homes returns the addresses to which a caller of a database is forwarded, or none if this instance accepts the
 // caller or knows no contract of the database.
 //
-// Homes in this data centre come first; the order within each part is random.
+// Homes in this data centre come first, and those that have not been heard from since this instance started come last; the
+// order within each part is random.
 func (i *Instance[L]) Homes(database string) []string {
 	c, ok := i.directory.Contract(database)
 	if !ok {
@@ -165,7 +175,7 @@
 	if i.isHome(group) || i.members.keepsSessions(group, clock.Now()) {
 		return nil
 	}
-	var local, remote []string
+	var local, remote, missing []string
 	homes := i.homes(group)
 	for _, n := range rand.Perm(len(homes)) {
 		home := homes[n]
@@ -177,13 +187,28 @@
 			continue
 		}
 		address := net.JoinHostPort(host, i.cfg.ForwardPort)
-		if home.DataCentre() == i.cfg.DataCentre {
+		switch {
+		case i.isMissing(home.Name()):
+			missing = append(missing, address)
+		case home.DataCentre() == i.cfg.DataCentre:
 			local = append(local, address)
-		} else {
+		default:
 			remote = append(remote, address)
 		}
 	}
-	return append(local, remote...)
+	return append(append(local, remote...), missing...)
+}
+
+// isMissing reports whether an instance is expected and has not been heard from.
+func (i *Instance[L]) isMissing(name string) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for _, identity := range i.missing {
+		if identity.Name() == name {
+			return true
+		}
+	}
+	return false
 }
 
 // GroupRank returns this instance's rank among the homes of a group, from 0, and the number of the other homes that count
--- a/fleet/instance.go
+++ b/fleet/instance.go
@@ -51,6 +51,12 @@
 	aliveChangedAt time.Time
 	// hasJoined reports that this instance knows enough of the fleet to act as a home.
 	hasJoined atomic.Bool
+	// expectsFleet reports that this instance knows the instances that started with it from their registrations.
+	expectsFleet atomic.Bool
+	// expectations are the instances expected to start, and missing those of them that have not been heard from; mu guards
+	// both.
+	expectations expectations
+	missing      []membership.Identity
 }
 
 // New returns an instance that has no configuration and no endpoints until Run.
@@ -99,9 +105,12 @@
 // Ready reports whether this instance accepts callers.
 func (i *Instance[L]) Ready() bool {
 	_, known := i.directory.Version()
-	return known && i.endpointsListed.Load() && i.joined() && !i.stopping.Load() && i.watchesHomeGroups()
+	return known && i.endpointsListed.Load() && i.knowsFleet() && !i.stopping.Load() && i.watchesHomeGroups()
 }
 
+// Starting reports whether this instance started less than maxJoinWait ago; other instances may be starting too.
+func (i *Instance[L]) Starting() bool { return clock.Since(i.startedAt) < maxJoinWait }
+
 // watchesHomeGroups reports whether this instance watches every group that it is a home of and that has endpoints.
 func (i *Instance[L]) watchesHomeGroups() bool {
 	for _, name := range i.directory.GroupNames() {
--- /dev/null
+++ b/fleet/registration.go
@@ -0,0 +1,193 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/monsoontiller/monsoontiller/clock"
+	"github.com/monsoontiller/monsoontiller/engine"
+	"github.com/monsoontiller/monsoontiller/membership"
+	"github.com/monsoontiller/monsoontiller/store"
+)
+
+const (
+	// instanceTable lists the instances that may hold leases. It is read by the coordinator of a promotion, and by an
+	// instance that restarts.
+	instanceTable = "monsoontiller_instances"
+	// registerPause is the wait before a failed registration is tried again.
+	registerPause = 500 * time.Millisecond
+	// leaveTimeout bounds the removal of the registration at shutdown.
+	leaveTimeout = 300 * time.Millisecond
+)
+
+// registeredIdentity is the value of a row of instanceTable.
+type registeredIdentity struct {
+	Incarnation uint64 `json:"incarnation"`
+	PeerAddress string `json:"peer_address"`
+	DataCentre  string `json:"data_centre"`
+	Capacity    uint32 `json:"capacity"`
+}
+
+// encodeRegistration returns the row that registers an instance.
+func encodeRegistration(self membership.Identity) (store.Row, error) {
+	value, err := json.Marshal(registeredIdentity{
+		Incarnation: self.Incarnation(), PeerAddress: self.PeerAddress(), DataCentre: self.DataCentre(), Capacity: self.Capacity(),
+	})
+	if err != nil {
+		return store.Row{}, eris.Wrap(err, "cannot encode the registration of this instance")
+	}
+	return store.Row{Table: instanceTable, Key: self.Name(), Value: value}, nil
+}
+
+// decodeRegistration returns the identity that a row registers; ok is false for a row without an address, as earlier
+// versions wrote it.
+func decodeRegistration(row store.Row) (identity membership.Identity, ok bool) {
+	var r registeredIdentity
+	if json.Unmarshal(row.Value, &r) != nil || r.PeerAddress == "" {
+		return identity, false
+	}
+	return membership.NewIdentity(membership.IdentityConfig{
+		Incarnation: r.Incarnation, Name: row.Key, PeerAddress: r.PeerAddress, DataCentre: r.DataCentre, Capacity: r.Capacity,
+	}), true
+}
+
+// registration registers this instance in the store, and removes the registration at shutdown.
+type registration[L Link[L]] struct {
+	instance *Instance[L]
+}
+
+// Name returns the service's name.
+func (r *registration[L]) Name() string { return "registration" }
+
+// Run registers, retrying until that succeeds, and removes the registration once ctx ends.
+func (r *registration[L]) Run(ctx context.Context) error {
+	row, err := encodeRegistration(r.instance.node.Self())
+	if err != nil {
+		return err
+	}
+	r.expectRegistered(ctx)
+	for ctx.Err() == nil {
+		_, err := r.instance.cfg.Store.Commit(ctx, store.Tx{Upserts: []store.Row{row}})
+		if err == nil {
+			r.countRegistered(ctx)
+			break
+		}
+		if engine.Sleep(ctx, registerPause) != nil {
+			return nil
+		}
+	}
+	<-ctx.Done()
+	removeCtx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancel()
+	if _, err := r.instance.cfg.Store.Commit(removeCtx, store.Tx{Remove: []store.Row{row}}); err != nil {
+		logLine(r.instance.cfg.Logger, "level", "info", "msg", "registration_left", "error", err.Error())
+	}
+	return nil
+}
+
+// expectRegistered makes this instance expect the registered instances, if an earlier run of it is among them.
+//
+// An earlier run that did not remove its registration has crashed, and the other
+// instances may have crashed with it. Only then is the list known to be complete: when
+// the fleet starts for the first time, the instances register one after the other.
+func (r *registration[L]) expectRegistered(ctx context.Context) {
+	s, err := r.instance.cfg.Store.All(ctx, instanceTable)
+	if err != nil {
+		logLine(r.instance.cfg.Logger, "level", "info", "msg", "registrations_unknown", "error", err.Error())
+		return
+	}
+	if _, restarted := s.Row(r.instance.cfg.Name); !restarted {
+		return
+	}
+	var expected []membership.Identity
+	for _, row := range s.Rows {
+		if identity, ok := decodeRegistration(row); ok && row.Key != r.instance.cfg.Name {
+			expected = append(expected, identity)
+		}
+	}
+	r.instance.expect(expected)
+}
+
+// countRegistered reads the number of registered instances; without it, this instance waits longer before it acts as a home.
+func (r *registration[L]) countRegistered(ctx context.Context) {
+	s, err := r.instance.cfg.Store.All(ctx, instanceTable)
+	if err != nil {
+		logLine(r.instance.cfg.Logger, "level", "info", "msg", "registrations_unknown", "error", err.Error())
+		return
+	}
+	r.instance.registered.Store(int64(len(s.Rows)))
+}
+
+// expectations holds the instances that an instance expects to start together with it.
+type expectations struct {
+	// identities are the registered instances, and until is when those that have not been heard from are given up.
+	identities []membership.Identity
+	until      time.Time
+}
+
+// missing returns the expected instances of which known reports false.
+func (e expectations) missing(now time.Time, known func(name string) bool) []membership.Identity {
+	if !now.Before(e.until) {
+		return nil
+	}
+	var out []membership.Identity
+	for _, identity := range e.identities {
+		if !known(identity.Name()) {
+			out = append(out, identity)
+		}
+	}
+	return out
+}
+
+// expect makes this instance compute homes and shares as if the given instances were alive, until it hears from them or
+// maxJoinWait has passed since its start.
+//
+// After a failure of the whole fleet, every instance then computes the same homes from
+// its start on, however few of the others have started.
+func (i *Instance[L]) expect(identities []membership.Identity) {
+	if len(identities) == 0 {
+		return
+	}
+	i.mu.Lock()
+	i.expectations = expectations{identities: identities, until: i.startedAt.Add(maxJoinWait)}
+	i.homesByGroup = nil
+	i.mu.Unlock()
+	addresses := make([]string, 0, len(identities))
+	for _, identity := range identities {
+		addresses = append(addresses, identity.PeerAddress())
+	}
+	i.node.AddSeeds(addresses)
+	i.expectsFleet.Store(true)
+	logLine(i.cfg.Logger, "level", "info", "msg", "fleet_expected", "instances", len(identities),
+		"after_ms", clock.Since(i.startedAt).Milliseconds())
+	i.members.UpdateGroups()
+}
+
+// presumedAlive returns the live instances and those that are expected to start.
+func (i *Instance[L]) presumedAlive() []membership.Identity {
+	alive, digest := i.node.LiveInstances()
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.invalidateHomesLocked(digest)
+	return i.withMissingLocked(alive)
+}
+
+// withMissingLocked appends the expected instances that have not been heard from; it does not change alive.
+func (i *Instance[L]) withMissingLocked(alive []membership.Identity) []membership.Identity {
+	if len(i.missing) == 0 {
+		return alive
+	}
+	return append(alive[:len(alive):len(alive)], i.missing...)
+}
+
+// updateMissingLocked computes which of the expected instances have not been heard from.
+func (i *Instance[L]) updateMissingLocked(now time.Time) {
+	known := map[string]bool{}
+	for _, p := range i.node.Presences() {
+		known[p.Identity().Name()] = true
+	}
+	i.missing = i.expectations.missing(now, func(name string) bool { return known[name] })
+}
--- a/fleet/shares.go
+++ b/fleet/shares.go
@@ -44,8 +44,9 @@
 	if !ok {
 		return engine.MinConnections
 	}
-	alive, recentlyDead := m.instance.counts()
-	_, share := homeCount(settings.Connections, m.slots(name), alive+recentlyDead)
+	_, recentlyDead := m.instance.counts()
+	presumed := len(m.instance.presumedAlive())
+	_, share := homeCount(settings.Connections, m.slots(name), presumed+recentlyDead)
 	return max(engine.MinConnections, share)
 }
 
@@ -55,8 +56,7 @@
 	if !ok {
 		return 1
 	}
-	alive, _ := m.instance.counts()
-	homes, _ := homeCount(settings.Connections, m.slots(name), alive)
+	homes, _ := homeCount(settings.Connections, m.slots(name), len(m.instance.presumedAlive()))
 	return homes
 }
 
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"connectrpc.com/connect"
@@ -76,10 +77,13 @@
 	for _, other := range n.Others() {
 		known[other.PeerAddress()] = true
 	}
+	n.mu.Lock()
+	seeds := slices.Clone(n.seeds)
+	n.mu.Unlock()
 	var unknown []string
-	for range n.cfg.Seeds {
+	for range seeds {
 		n.seedIndex++
-		seed := n.cfg.Seeds[n.seedIndex%len(n.cfg.Seeds)]
+		seed := seeds[n.seedIndex%len(seeds)]
 		if known[seed] {
 			continue
 		}
--- a/peer/node.go
+++ b/peer/node.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -99,6 +100,8 @@
 	freshness *membership.Freshness
 	seats     map[uint32]Seat
 	clients   map[string]peerv1connect.PeerServiceClient
+	// seeds are the addresses of Config.Seeds and AddSeeds.
+	seeds []string
 	// seedIndex, modulo the number of seeds, is the index of the seed checked last; only the exchange loop uses it.
 	seedIndex int
 	// leaveOnce ensures that Leave notifies peers only once.
@@ -125,6 +128,7 @@
 			Bound:     cfg.FreshBound,
 			StartedAt: clock.Now(),
 		}),
+		seeds:   slices.Clone(cfg.Seeds),
 		seats:   map[uint32]Seat{},
 		clients: map[string]peerv1connect.PeerServiceClient{},
 	}
@@ -138,6 +142,17 @@
 	}
 }
 
+// AddSeeds adds peer addresses with which the instance exchanges while it knows no live instance there.
+func (n *Node) AddSeeds(addresses []string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, address := range addresses {
+		if !slices.Contains(n.seeds, address) {
+			n.seeds = append(n.seeds, address)
+		}
+	}
+}
+
 // Name returns the name of the kernel service.
 func (n *Node) Name() string { return "peer" }
 
