engine: requests wait for the first probe of a group

No primary had been seen, but none had failed either.

Change: while no term is known, requests wait for up to the timeout of a probe after the creation of the group.

--- a/engine/expected_wait_test.go
+++ b/engine/expected_wait_test.go
@@ -62,3 +62,21 @@
 		t.Error("lease valid with the confirmation of only one member")
 	}
 }
+
+// After a restart of all instances, callers reconnect before the first probe has been answered. No primary has been seen
+// then, but none has failed either.
+func TestRequestsWaitForFirstProbe(t *testing.T) {
+	now := time.Unix(1000, 0)
+	const probeTimeout = 700 * time.Millisecond
+	g := engine.NewGroup(engine.GroupConfig[*fakeLink]{
+		Name: "orders", Members: []engine.Address{{Endpoint: "a"}}, Lease: time.Second, Outage: 2 * time.Second,
+		PromotionTime: 800 * time.Millisecond, ProbeTimeout: probeTimeout, Clock: func() time.Time { return now },
+	})
+	if err := g.CheckExpectedWait(now.Add(400 * time.Millisecond)); err != nil {
+		t.Errorf("refused before the first probe could be answered: %v", err)
+	}
+	now = now.Add(probeTimeout)
+	if err := g.CheckExpectedWait(now.Add(400 * time.Millisecond)); fault.KindOf(err) != fault.KindNoPrimary {
+		t.Errorf("error %v although no probe was answered in time, want an immediate refusal", err)
+	}
+}
--- a/engine/lease.go
+++ b/engine/lease.go
@@ -47,7 +47,7 @@
 // comes first is refused at once, since it would wait only to be refused later. A
 // primary that was seen recently lacks only a second member's confirmation, which
 // may arrive at any moment; requests wait for it until it has been missing for a
-// whole lease.
+// whole lease. In a group that has just been created, they wait for the first probes.
 func (g *Group[L]) CheckExpectedWait(until time.Time) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -59,6 +59,8 @@
 	since, revoked, replaced := g.tracker.PendingReplacement()
 	var expectedAt time.Time
 	switch {
+	case g.tracker.Term() == 0 && now.Sub(g.unconfirmedSince) < g.cfg.ProbeTimeout:
+		return nil
 	case replaced && revoked:
 		expectedAt = since.Add(g.cfg.PromotionTime)
 	case replaced:
