route, engine: reads of bounded age continue through and after a change of the primary

All reads were routed to the primary and refused with "no primary for ... yet" (146 of 290 refusals in 2 s were reads that accept data of 1.5 s or 2.5 s), although nothing could be committed and every replica held the last position. - After a promotion the first floor was 2/603: the new term at the position that was taken over. The log holds that entry as 1/603; members refuse a floor that names an entry they lack, so that each read was refused by both replicas ("the replica is too far behind, floor 2/603", the replicas at 2/626) and then waited for the primary, until the floor had moved past the first commit of the new term, 1.5 s to 2.5 s later. Replicas without load, 9 to 15 waiting at the primary.

Ruled out: replication lag (9 ms to 33 ms in that second), the sessions' own commits (reads of a kind that never writes were refused as well).

Change: the samples that were taken before the end of a demoted primary's lease, or before its revocation, remain valid floors; until the first commit of a term the floor is the inherited entry with its own term, known from the primary's status. The log names the floor of a refused attempt.

--- a/engine/execution.go
+++ b/engine/execution.go
@@ -103,7 +103,7 @@
 			return h, nil
 		}
 		e.releaseFailed(h, o)
-		e.failures = append(e.failures, h.Endpoint+": "+o.Attempt.Failure.String())
+		e.failures = append(e.failures, describeFailure(h, o))
 		if o.Err != nil {
 			return HeldLink[L]{}, o.Err
 		}
@@ -116,6 +116,15 @@
 	}
 }
 
+// describeFailure describes a failed attempt, for the log.
+func describeFailure[L Link[L]](h HeldLink[L], o Outcome) string {
+	text := h.Endpoint + ": " + o.Attempt.Failure.String()
+	if o.Attempt.Failure == retry.FailureBehind {
+		text += ", floor " + h.Request.Floor.String()
+	}
+	return text
+}
+
 // attempt makes one attempt; an error means that the request did not run and is not retried.
 func (e *Execution[L]) attempt(ctx context.Context, op Operation[L]) (h HeldLink[L], o Outcome, err error) {
 	e.attempts++
--- a/engine/job.go
+++ b/engine/job.go
@@ -40,8 +40,9 @@
 	if !ok {
 		return primary, nil
 	}
-	if floor.Less(j.session.floor) {
-		floor = j.session.floor
+	// A commit of an earlier term is at or below the floor, or a failover has lost it.
+	if own := j.session.floor; own.Term() >= t.Term() && floor.Less(own) {
+		floor = own
 	}
 	return route.Request{Class: route.ClassRead, Floor: floor, FloorAt: at, WaitBudget: reads.ReplicaWait()}, nil
 }
--- a/route/lease.go
+++ b/route/lease.go
@@ -18,7 +18,7 @@
 // confirm records that a member still takes part in the newest term, or that the primary was demoted.
 func (t *Tracker) confirm(sentAt time.Time, s group.Status) {
 	if s.Endpoint() == t.primary && s.Role() != group.RolePrimary {
-		t.primaryConfirmedAt = time.Time{}
+		t.UnconfirmPrimary()
 		if t.demotedAt.IsZero() {
 			t.demotedAt = sentAt
 		}
@@ -74,15 +74,33 @@
 // FloorSince returns the lowest known position of the primary that holds every commit acknowledged by since.
 //
 // Such a position was requested at or after since, at a time when no other primary
-// can have acknowledged a commit; ok is false when there is none.
+// can have acknowledged a commit; ok is false when there is none. The floor names
+// an entry that the log holds: until the newest term's first commit, that is the
+// last entry of an earlier term.
 func (t *Tracker) FloorSince(since time.Time) (floor group.Point, at time.Time, ok bool) {
-	s, ok := t.samples.oldestSince(since, t.LeaseUntil())
-	if !ok || t.ConfirmedAt().IsZero() {
+	s, ok := t.samples.oldestSince(since, t.samplesUntil())
+	if !ok {
 		return group.Point{}, time.Time{}, false
 	}
+	if s.position == t.inherited.Position() && !t.inherited.IsZero() {
+		return t.inherited, s.sentAt, true
+	}
 	return group.NewPoint(t.Term(), s.position), s.sentAt, true
 }
 
+// samplesUntil returns the time before which no other primary can have acknowledged a commit, as far as is known: the end of
+// the lease, or of the lease that the primary had before it was demoted.
+func (t *Tracker) samplesUntil() time.Time {
+	until := t.demotedLeaseUntil
+	if t.Term() <= t.revoked.term && t.revoked.at.Before(until) {
+		until = t.revoked.at
+	}
+	if lease := t.LeaseUntil(); lease.After(until) {
+		return lease
+	}
+	return until
+}
+
 // RevokeLease ends the leases of terms up to term at time at.
 //
 // Only answers to requests sent at or after until confirm such a term again.
@@ -114,8 +132,15 @@
 	return end
 }
 
-// UnconfirmPrimary drops the confirmation of the primary, after it refused a write.
-func (t *Tracker) UnconfirmPrimary() { t.primaryConfirmedAt = time.Time{} }
+// UnconfirmPrimary drops the confirmation of the primary, after it refused a write or was demoted.
+//
+// Its lease no longer allows requests, but until its end no other primary can acknowledge a commit.
+func (t *Tracker) UnconfirmPrimary() {
+	if until := t.LeaseUntil(); until.After(t.demotedLeaseUntil) {
+		t.demotedLeaseUntil = until
+	}
+	t.primaryConfirmedAt = time.Time{}
+}
 
 // PrimaryConfirmedAt returns when the primary of the newest term last confirmed that it is primary, or the zero time.
 func (t *Tracker) PrimaryConfirmedAt() time.Time { return t.primaryConfirmedAt }
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -199,6 +199,34 @@
 	}
 }
 
+// Load: reads of bounded staleness during a planned change of the primary. Once the old primary is demoted and the leases
+// are revoked, nothing can be committed until the promotion; the replicas that hold the last position can serve every read
+// that accepts data of that age.
+func TestFloorsOutlastDemotionUntilRevocation(t *testing.T) {
+	tr := newTracker()
+	sampled := after(50 * time.Millisecond)
+	observe(tr, "a", sampled, 12)
+	demoted := after(100 * time.Millisecond)
+	tr.Observe(demoted, demoted, group.NewStatus(group.StatusConfig{
+		Endpoint: "a", Role: group.RoleReplica, Point: group.NewPoint(1, 12), Promised: 1,
+	}))
+	if floor, _, ok := tr.FloorSince(sampled); !ok || floor.Position() != 12 {
+		t.Errorf("floor %v, %v after the demotion, want the last position of the old primary", floor, ok)
+	}
+	if !tr.LeaseUntil().IsZero() {
+		t.Error("the demoted primary has a lease")
+	}
+	revoked := after(150 * time.Millisecond)
+	tr.RevokeLease(1, revoked, after(time.Minute))
+	if _, _, ok := tr.FloorSince(sampled); !ok {
+		t.Error("no floor after the revocation, although the sample is older")
+	}
+	tr.ObservePoint("a", after(200*time.Millisecond), after(200*time.Millisecond), group.NewPoint(1, 12))
+	if floor, _, ok := tr.FloorSince(after(160 * time.Millisecond)); ok {
+		t.Errorf("floor %v from a sample after the revocation, when another primary may have committed", floor)
+	}
+}
+
 func TestReplacementIsKnownFromDemotionAndRevocation(t *testing.T) {
 	tr := newTracker()
 	if _, _, ok := tr.PendingReplacement(); ok {
@@ -319,3 +347,28 @@
 		t.Errorf("a read went to %q, want the replica that has reached the floor", got.Endpoint())
 	}
 }
+
+// Load: reads of bounded staleness just after a promotion. The log of the new primary ends with an entry of the old term
+// until its first commit; a floor that names the new term at that position names an entry that no log holds, so that every
+// replica refuses it until the floor has moved past it.
+func TestFloorNamesInheritedEntryUntilFirstCommit(t *testing.T) {
+	tr := newTracker()
+	promoted := after(2 * time.Second)
+	observeIn := func(name string, role group.Role, received group.Point) {
+		tr.Observe(promoted, promoted, group.NewStatus(group.StatusConfig{
+			Endpoint: name, Role: role, Point: group.NewPoint(2, received.Position()), Received: received, Promised: 2,
+		}))
+	}
+	inherited := group.NewPoint(1, 10)
+	observeIn("b", group.RolePrimary, inherited)
+	observeIn("c", group.RoleReplica, inherited)
+	floor, _, ok := tr.FloorSince(promoted)
+	if !ok || floor != inherited {
+		t.Errorf("the floor is %v (%v), want the inherited entry %v", floor, ok, inherited)
+	}
+	committed := promoted.Add(300 * time.Millisecond)
+	tr.ObservePoint("b", committed, committed, group.NewPoint(2, 11))
+	if floor, _, ok := tr.FloorSince(committed); !ok || floor != group.NewPoint(2, 11) {
+		t.Errorf("the floor after the first commit is %v (%v), want 2/11", floor, ok)
+	}
+}
--- a/route/tracker.go
+++ b/route/tracker.go
@@ -41,6 +41,9 @@
 	members     map[string]*member
 	order       []string
 	samples     *primarySamples
+	// inherited is the last log entry that the newest term's primary took over, with the term in which it was written, or
+	// zero if it is not known.
+	inherited group.Point
 
 	primaryConfirmedAt time.Time
 	// storeConfirmedAt is the send time of the newest query that found no promotion past the newest term in the store.
@@ -48,6 +51,8 @@
 	revoked          revocation
 	// demotedAt is when the primary of the newest term was first found demoted, or zero.
 	demotedAt time.Time
+	// demotedLeaseUntil is the end of the lease that the primary of the newest term had before it was demoted, or zero.
+	demotedLeaseUntil time.Time
 }
 
 // member is the known state of an endpoint.
@@ -211,9 +216,14 @@
 	}
 	t.primary = s.Endpoint()
 	t.samples.reset()
+	t.inherited = group.Point{}
+	if received := s.Received(); received.Term() < term && received.Position() == s.Point().Position() {
+		t.inherited = received
+	}
 	t.primaryConfirmedAt = time.Time{}
 	t.storeConfirmedAt = time.Time{}
 	t.demotedAt = time.Time{}
+	t.demotedLeaseUntil = time.Time{}
 	for _, m := range t.members {
 		m.confirmedAt = time.Time{}
 		// The lag is relative to the old primary: a replica receives no log while a promotion fences it.
