peer, fleet: a revocation reaches instances that shut down

It was restarting: it had left the fleet, so that it was not called, but was still registered, and still served its callers.

Change: a revocation also calls the instances that have left or are thought dead but are registered. One that does not answer delays the promotion no longer than before, since its lease is waited out anyway.

--- a/fleet/revoke.go
+++ b/fleet/revoke.go
@@ -31,7 +31,7 @@
 		logLine(i.cfg.Logger, "level", "info", "msg", "leases_waited_out", "group", name, "error", err.Error())
 		return false
 	}
-	for _, instance := range append(i.node.Revoke(ctx, name, term), i.cfg.Name) {
+	for _, instance := range append(i.node.Revoke(ctx, name, term, func(name string) bool { return expected[name] }), i.cfg.Name) {
 		delete(expected, instance)
 	}
 	missing := make([]string, 0, len(expected))
--- a/peer/calls.go
+++ b/peer/calls.go
@@ -68,13 +68,23 @@
 // revokeTimeout bounds the revocation of leases; the lease of an instance that takes longer must expire instead.
 const revokeTimeout = 300 * time.Millisecond
 
-// Revoke requests that all other live instances end the lease of a group's primary, up to a term, and returns the
-// names of those that confirmed.
-func (n *Node) Revoke(ctx context.Context, groupName string, term group.Term) []string {
+// Revoke requests that peers end the lease of a group's primary, up to a term, and returns the names of those that
+// confirmed.
+//
+// It calls the live instances and the others for which holds reports true: an instance that shuts down has left the fleet,
+// but serves its callers until they have finished.
+func (n *Node) Revoke(ctx context.Context, groupName string, term group.Term, holds func(name string) bool) []string {
 	ctx, cancel := context.WithTimeout(ctx, revokeTimeout)
 	defer cancel()
+	var peers []membership.Identity
+	for _, p := range n.Presences() {
+		name := p.Identity().Name()
+		if name != n.cfg.Self.Name() && (p.State() == membership.StateAlive || holds(name)) {
+			peers = append(peers, p.Identity())
+		}
+	}
 	req := &peerv1.RevokeRequest{Group: groupName, Term: uint64(term)}
-	results := callAll(ctx, n, n.Others(), func(ctx context.Context, c peerv1connect.PeerServiceClient) (struct{}, error) {
+	results := callAll(ctx, n, peers, func(ctx context.Context, c peerv1connect.PeerServiceClient) (struct{}, error) {
 		_, err := c.Revoke(ctx, connect.NewRequest(req))
 		return struct{}{}, err
 	})
--- a/peer/exchange_test.go
+++ b/peer/exchange_test.go
@@ -96,3 +96,33 @@
 		t.Errorf("%d items were pushed in a heartbeat, want none", n)
 	}
 }
+
+// Load: a planned change of a primary while the instances restart in turn. An instance that shuts down has left the fleet
+// but still serves its callers with its lease; unless it ends the lease on request, the promotion waits until it has lapsed.
+func TestRevocationReachesInstanceThatShutsDown(t *testing.T) {
+	one := startNode(t, "one")
+	two := startNode(t, "two", one.Self().PeerAddress())
+	waitUntil := func(done func() bool) {
+		t.Helper()
+		deadline := time.Now().Add(20 * time.Second)
+		tick := time.NewTicker(time.Millisecond)
+		defer tick.Stop()
+		for !done() {
+			if time.Now().After(deadline) {
+				t.Fatal("the condition is still false after 20s")
+			}
+			<-tick.C
+		}
+	}
+	waitUntil(func() bool { return len(one.Others()) == 1 })
+	two.Leave()
+	waitUntil(func() bool { return len(one.Others()) == 0 })
+	registered := map[string]bool{"one": true, "two": true}
+	got := one.Revoke(context.Background(), "orders", 1, func(name string) bool { return registered[name] })
+	if len(got) != 1 || got[0] != "two" {
+		t.Errorf("the instances %v confirmed, want the one that shuts down", got)
+	}
+	if got := one.Revoke(context.Background(), "orders", 1, func(string) bool { return false }); len(got) != 0 {
+		t.Errorf("the instances %v confirmed after all registrations were removed", got)
+	}
+}
