route: a refused floor keeps only that floor and higher ones away from a replica

Cause: a replica that refused one read as behind got no read at all for as long as its lag, up to 0.5 s.

Ruled out: a lag beyond the accepted age (replica at 1/181; the floor 2.5 s back was lower).

Change: the refused floor is recorded, and only reads of that floor or a higher one avoid the replica.

--- a/engine/execution.go
+++ b/engine/execution.go
@@ -184,7 +184,7 @@
 			t.RecordSuccess(h.Endpoint)
 			t.RecordServiceTime(h.Endpoint, now.Sub(started))
 		case o.Attempt.Failure == retry.FailureBehind:
-			t.RecordBehind(h.Endpoint, now)
+			t.RecordBehind(h.Endpoint, now, h.Request.Floor)
 		case o.Attempt.Failure == retry.FailureLost && o.Err == nil:
 			t.RecordFailure(h.Endpoint, now)
 		}
--- a/route/earliest_answer.go
+++ b/route/earliest_answer.go
@@ -51,7 +51,7 @@
 		leased := now.Before(t.LeaseUntil())
 		return Decision{target: TargetPrimary, endpoint: name}, cost + primaryPenalty, leased && !m.leaving
 	}
-	if !t.usable(m) || now.Before(m.behindUntil) {
+	if !t.usable(m) || m.isBehind(now, r.Floor) {
 		return d, 0, false
 	}
 	if m.ejection.active(now) {
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -70,7 +70,7 @@
 func TestEarliestAnswerSkipsReplicaBehindAndPrimaryWithoutLease(t *testing.T) {
 	tr := newTracker()
 	observe(tr, "a", after(time.Millisecond), 50)
-	tr.RecordBehind("b", after(time.Millisecond))
+	tr.RecordBehind("b", after(time.Millisecond), group.NewPoint(1, 10))
 	observe(tr, "c", after(2*time.Millisecond), 50)
 	if got := (route.EarliestAnswer{}).Decide(after(3*time.Millisecond), tr, read(50)).Endpoint(); got != "c" {
 		t.Errorf("went to %s, want the replica that has reached the floor", got)
@@ -81,6 +81,27 @@
 	}
 }
 
+// Load: replicas a second behind, and sessions that read what they have just written among many that accept old data. A
+// replica that refuses the floor of one such session must keep the reads of lower floors; otherwise these fill the slots
+// of the primary while the replica is idle.
+func TestReplicaBehindOneFloorServesLowerFloors(t *testing.T) {
+	tr := newTracker()
+	observe(tr, "a", after(time.Millisecond), 50)
+	tr.SetDown("c", true)
+	now := after(2 * time.Millisecond)
+	tr.RecordBehind("b", now, group.NewPoint(1, 50))
+	if got := (route.EarliestAnswer{}).Decide(now, tr, read(10)).Endpoint(); got != "b" {
+		t.Errorf("a read of an old floor went to %s, want the replica that has reached it", got)
+	}
+	if got := (route.EarliestAnswer{}).Decide(now, tr, read(50)).Endpoint(); got != "a" {
+		t.Errorf("a read of the refused floor went to %s, want the primary", got)
+	}
+	tr.RecordBehind("b", now, group.NewPoint(1, 8))
+	if got := (route.EarliestAnswer{}).Decide(now, tr, read(10)).Endpoint(); got != "a" {
+		t.Errorf("a read went to %s, which has refused a lower floor", got)
+	}
+}
+
 // An ejected replica still serves where no other member can.
 func TestEarliestAnswerUsesEjectedReplicaLast(t *testing.T) {
 	tr := newTracker()
@@ -334,7 +355,7 @@
 		t.Fatalf("the lag is %v, want most of a second", got)
 	}
 	at := after(time.Second)
-	tr.RecordBehind("c", at)
+	tr.RecordBehind("c", at, group.NewPoint(2, 10))
 	status := func(name string, role group.Role) {
 		tr.Observe(at, at, group.NewStatus(group.StatusConfig{Endpoint: name, Role: role, Point: group.NewPoint(2, 20), Promised: 2}))
 	}
--- a/route/tracker.go
+++ b/route/tracker.go
@@ -64,8 +64,10 @@
 	confirmedAt time.Time
 	// statusAt is when the newest status was requested.
 	statusAt time.Time
-	// behindUntil is the time until which a replica that had not reached a floor gets no reads.
+	// behindUntil is the time until which a replica that had not reached behindFloor gets no reads of that floor or a
+	// higher one.
 	behindUntil    time.Time
+	behindFloor    group.Position
 	lag            time.Duration
 	down           bool
 	leaving        bool
@@ -248,7 +250,7 @@
 	t.estimateLag(m, now)
 }
 
-// Bounds on how long a replica that had not reached a floor gets no reads.
+// Bounds on how long a replica that had not reached a floor gets no reads of that floor or a higher one.
 //
 // The time is the replica's lag within these bounds; with minBehind, a retry is worthwhile.
 const (
@@ -257,10 +259,23 @@
 )
 
 // RecordBehind records that a replica refused a read because its log had not reached the floor.
-func (t *Tracker) RecordBehind(endpoint string, now time.Time) {
-	if m := t.members[endpoint]; m != nil {
-		m.behindUntil = now.Add(min(max(m.lag, minBehind), maxBehind))
+func (t *Tracker) RecordBehind(endpoint string, now time.Time, floor group.Point) {
+	m := t.members[endpoint]
+	if m == nil {
+		return
 	}
+	if !now.Before(m.behindUntil) || floor.Position() < m.behindFloor {
+		m.behindFloor = floor.Position()
+	}
+	m.behindUntil = now.Add(min(max(m.lag, minBehind), maxBehind))
+}
+
+// isBehind reports whether the replica recently refused a read because its log had not reached floor, or a lower one.
+//
+// Reads of lower floors are not affected: the newest commit of one session is far
+// above the floor of reads that accept old data.
+func (m *member) isBehind(now time.Time, floor group.Point) bool {
+	return now.Before(m.behindUntil) && floor.Position() >= m.behindFloor
 }
 
 // maxTransit is the longest time assumed between the request for a position and its reading: more than the mean time
