route: a primary without a lease serves reads whose floor it is known to hold

Proof: a read's floor is sampled while no other primary can have acknowledged a commit, at most the accepted age before the read; any log that holds the floor holds every commit acknowledged before that time.

Change: a primary that answered within the last lease serves such reads like a replica, after all other members.

--- a/route/earliest_answer.go
+++ b/route/earliest_answer.go
@@ -48,8 +48,7 @@
 func (t *Tracker) evaluate(now time.Time, name string, m *member, r Request) (d Decision, cost time.Duration, ok bool) {
 	cost = m.expectedTime()
 	if name == t.primary {
-		leased := now.Before(t.LeaseUntil())
-		return Decision{target: TargetPrimary, endpoint: name}, cost + primaryPenalty, leased && !m.leaving
+		return t.evaluatePrimary(now, name, m, cost+primaryPenalty)
 	}
 	if !t.usable(m) || m.isBehind(now, r.Floor) {
 		return d, 0, false
@@ -64,6 +63,21 @@
 	return Decision{target: TargetReplica, endpoint: name, wait: wait}, cost + wait, true
 }
 
+// unconfirmedPenalty is added for a primary without a lease, so that it is used only where no other member can serve.
+const unconfirmedPenalty = time.Second
+
+// evaluatePrimary returns the decision for the primary, which serves a read like a replica while it answers without a lease.
+//
+// The floor of the read was sampled while no other primary could acknowledge a
+// commit, so the old primary's log holds it, even if another primary leads by now.
+func (t *Tracker) evaluatePrimary(now time.Time, name string, m *member, cost time.Duration) (d Decision, c time.Duration, ok bool) {
+	if now.Before(t.LeaseUntil()) {
+		return Decision{target: TargetPrimary, endpoint: name}, cost, !m.leaving
+	}
+	answers := !m.down && now.Sub(m.sampledAt) < t.lease
+	return Decision{target: TargetReplica, endpoint: name}, cost + unconfirmedPenalty, answers && !m.leaving
+}
+
 // expectedTime returns how long the member is expected to take to answer another request.
 func (m *member) expectedTime() time.Duration {
 	service := m.service
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -81,6 +81,27 @@
 	}
 }
 
+// Load: a partition leaves the primary with most instances and both replicas with the others. Nobody can commit then, so
+// that reads which accept data of some age can still be served by the primary, as by any member that holds their floor.
+func TestReadsOfOldDataUsePrimaryWithoutLease(t *testing.T) {
+	tr := newTracker()
+	lapsed := after(lease + 100*time.Millisecond)
+	tr.SetDown("b", true)
+	tr.SetDown("c", true)
+	tr.ObservePoint("a", lapsed, lapsed, group.NewPoint(1, 10))
+	d := (route.EarliestAnswer{}).Decide(lapsed, tr, read(10))
+	if d.Endpoint() != "a" || d.Target() != route.TargetReplica {
+		t.Errorf("went to %q as %v, want the primary with the check of a replica", d.Endpoint(), d.Target())
+	}
+	if d := (route.EarliestAnswer{}).Decide(lapsed, tr, route.Request{Class: route.ClassWrite}); d.Target() != route.TargetPrimary {
+		t.Errorf("a write went to %q as %v, want the primary, for which it must wait", d.Endpoint(), d.Target())
+	}
+	dark := lapsed.Add(lease)
+	if d := (route.EarliestAnswer{}).Decide(dark, tr, read(10)); d.Target() == route.TargetReplica {
+		t.Errorf("a read went to %q, which has not answered for a lease", d.Endpoint())
+	}
+}
+
 // Load: replicas a second behind, and sessions that read what they have just written among many that accept old data. A
 // replica that refuses the floor of one such session must keep the reads of lower floors; otherwise these fill the slots
 // of the primary while the replica is idle.
