engine, fleet: a status that is relayed again is no new answer

Cause: a dark primary was replaced 2.60 s after its last confirmation, of which 0.70 s passed between the first suspicion and the start of the promotion: the views of the other homes were "not lost", silent for 0.45 s and 0.21 s, though the primary had been dark for 1.1 s and 1.4 s. They had counted relays of its last status as answers: the send time is computed from an age, so that it varies with the network delay, and every later one counted as newer.

Ruled out: probes waiting in the member's queue (it was dark), the stagger of ranks.

Change: a relayed status counts if its send time is more than 20 ms newer. Views are logged with their evidence (view_answered), which is how this was found.

--- a/engine/group.go
+++ b/engine/group.go
@@ -279,11 +279,17 @@
 	}
 }
 
+// relayJitter is the largest difference between the send times that two relays of the same status give: a send time is
+// computed from the age of the status when the relay answers, so that it varies with the network delay.
+const relayJitter = 20 * time.Millisecond
+
 // ObserveRelayed records a status that another instance requested at sentAt, if it is newer than the last one.
+//
+// A status that is relayed again is no new answer of the member.
 func (g *Group[L]) ObserveRelayed(sentAt time.Time, s group.Status) {
 	g.mu.Lock()
 	m := g.members[s.Endpoint()]
-	newer := m != nil && sentAt.After(m.lastStatus.sentAt)
+	newer := m != nil && sentAt.Sub(m.lastStatus.sentAt) > relayJitter
 	g.mu.Unlock()
 	if newer {
 		g.Observe(sentAt, s)
--- a/engine/monitor.go
+++ b/engine/monitor.go
@@ -200,11 +200,15 @@
 	m.mu.Unlock()
 }
 
-// PrimaryLost reports whether this instance has lost contact with the primary of term.
-func (m *Monitor[L]) PrimaryLost(term group.Term) bool {
+// PrimaryLost reports whether this instance has lost contact with the primary of term, with its evidence for logs.
+func (m *Monitor[L]) PrimaryLost(term group.Term) (lost bool, evidence string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.group != nil && m.machine.PrimaryLost(m.group.cfg.Clock(), term)
+	if m.group == nil {
+		return false, "the group is not watched yet"
+	}
+	now := m.group.cfg.Clock()
+	return m.machine.PrimaryLost(now, term), m.machine.LossEvidence(now)
 }
 
 // Phase returns the name of the machine's phase.
--- a/failover/machine.go
+++ b/failover/machine.go
@@ -133,6 +133,9 @@
 	return term >= m.term && m.primaryLost(now)
 }
 
+// LossEvidence describes what this instance knows of the primary's absence, for logs.
+func (m *Machine) LossEvidence(now time.Time) string { return m.lossEvidence(now) }
+
 // SetLeaving sets the members that are to receive no new requests.
 func (m *Machine) SetLeaving(endpoints []string) {
 	for _, s := range m.members {
--- a/fleet/backend.go
+++ b/fleet/backend.go
@@ -19,7 +19,12 @@
 // PrimaryLost reports whether this instance has lost the primary of a group's term.
 func (b *backend[L]) PrimaryLost(name string, term uint64) bool {
 	w := b.instance.members.find(name)
-	return w != nil && w.monitor.PrimaryLost(group.Term(term))
+	if w == nil {
+		return false
+	}
+	lost, evidence := w.monitor.PrimaryLost(group.Term(term))
+	logLine(b.instance.cfg.Logger, "level", "info", "msg", "view_answered", "group", name, "term", term, "lost", lost, "evidence", evidence)
+	return lost
 }
 
 // ItemApplied applies an item that a peer received from the store.
--- a/instance/balancer.go
+++ b/instance/balancer.go
@@ -164,7 +164,11 @@
 // PrimaryLost reports whether this instance has lost contact with the primary of a group's term.
 func (b *backend) PrimaryLost(groupName string, term uint64) bool {
 	w := b.findGroup(groupName)
-	return w != nil && w.monitor.PrimaryLost(termOf(term))
+	if w == nil {
+		return false
+	}
+	lost, _ := w.monitor.PrimaryLost(termOf(term))
+	return lost
 }
 
 func (b *backend) findGroup(groupName string) *watchedGroup {
