failover, fleet: views are queried every 100 ms until a majority has lost the primary

Cause: the instance that probes a group notices the loss of its primary first; the other homes measure the silence from the last relay, up to 0.3 s later, and answered "not lost" to the first query. The next one followed after a whole step of 0.3 s.

Change: views are queried again at ViewInterval within a step. The conditions of an attempt are the same.

--- a/failover/event.go
+++ b/failover/event.go
@@ -174,6 +174,9 @@
 	TakeOverAfter time.Duration
 	// CatchUpTimeout is how long a switchover waits for a replica to hold the whole log of the old primary.
 	CatchUpTimeout time.Duration
+	// ViewInterval is the time after which views are queried again while a majority has not confirmed the loss; with 0, they
+	// are queried again only after StepTimeout.
+	ViewInterval time.Duration
 	// ClaimTimeout bounds the wait for the table; a value below StepTimeout, such as 0, means StepTimeout.
 	ClaimTimeout time.Duration
 	// SequentialTerms makes every attempt claim the term after the present one, for platforms that number the terms
--- a/failover/machine.go
+++ b/failover/machine.go
@@ -73,6 +73,8 @@
 	// suspended reports that DecisionSuspend was already recorded for the present loss of the primary.
 	suspended bool
 	startedAt time.Time
+	// viewsQueriedAt is when the views were last queried.
+	viewsQueriedAt time.Time
 	// notBefore is the earliest start of the next attempt after an abandoned one.
 	notBefore time.Time
 }
--- a/failover/sequential_test.go
+++ b/failover/sequential_test.go
@@ -245,3 +245,36 @@
 		t.Errorf("promoted %s again although the first promotion had no effect", first)
 	}
 }
+
+// Load: a primary goes dark. The instance that probes it notices first, and the others a relay interval later; the attempt
+// must start with the second confirmation rather than with the next step.
+func TestViewsAreQueriedAgainUntilMajorityConfirms(t *testing.T) {
+	s := newSequentialFixture()
+	s.machine = failover.New(failover.Config{
+		Group: "orders", Instance: "i", Members: []string{"a", "b", "c"}, Lease: sequentialLease,
+		SuspectAfter: time.Second, Stagger: time.Second, StepTimeout: 300 * time.Millisecond, ViewInterval: 100 * time.Millisecond,
+		TakeOverAfter: 3 * time.Second, ClaimRequired: true, SequentialTerms: true,
+	})
+	s.step(failover.Fleet{Others: 2})
+	s.reportStatus("a", group.RolePrimary, 20, 1, "")
+	s.now = s.now.Add(900 * time.Millisecond)
+	s.reportStatus("b", group.RoleReplica, 20, 1, "")
+	s.reportStatus("c", group.RoleReplica, 20, 1, "")
+	if _, ok := find[failover.QueryViews](s.advance(100 * time.Millisecond)); !ok {
+		t.Fatal("views are not queried although the primary is silent")
+	}
+	view := func(instance string, lost bool) []failover.Action {
+		return s.step(failover.View{Instance: instance, Term: 1, Lost: lost})
+	}
+	view("j", false)
+	view("k", false)
+	if _, ok := find[failover.QueryViews](s.advance(50 * time.Millisecond)); ok {
+		t.Error("views are queried again after half of the interval")
+	}
+	if _, ok := find[failover.QueryViews](s.advance(50 * time.Millisecond)); !ok {
+		t.Fatal("views are not queried again after the interval")
+	}
+	if _, ok := find[failover.Claim](view("j", true)); !ok {
+		t.Error("no attempt starts although two of three instances have lost the primary")
+	}
+}
--- a/failover/suspect.go
+++ b/failover/suspect.go
@@ -55,6 +55,7 @@
 		return nil
 	}
 	m.views = map[string]bool{}
+	m.viewsQueriedAt = now
 	m.enterPhase(now, phaseQuerying)
 	evidence := fmt.Sprintf("primary %q of term %d: %s", m.primary, m.term, m.lossEvidence(now))
 	actions := []Action{QueryViews{Term: m.term}}
@@ -107,12 +108,22 @@
 		return m.startAttempt(now, false)
 	}
 	if now.Sub(m.phaseSince) < m.cfg.StepTimeout {
-		return nil
+		return m.queryViewsAgain(now)
 	}
 	m.enterPhase(now, phaseWatching)
 	return m.suspend(lost, now)
 }
 
+// queryViewsAgain queries the views again after ViewInterval: an instance that learns of a loss later than this one, because
+// it receives its evidence through others, confirms it then.
+func (m *Machine) queryViewsAgain(now time.Time) []Action {
+	if m.cfg.ViewInterval == 0 || now.Sub(m.viewsQueriedAt) < m.cfg.ViewInterval {
+		return nil
+	}
+	m.viewsQueriedAt = now
+	return []Action{QueryViews{Term: m.term}}
+}
+
 func (m *Machine) suspend(lost int, now time.Time) []Action {
 	if m.suspended {
 		return nil
--- a/fleet/config.go
+++ b/fleet/config.go
@@ -60,6 +60,9 @@
 	refusedAfter = 250 * time.Millisecond
 	// stagger is the additional wait of each rank before a promotion, so that instances do not claim a promotion concurrently.
 	stagger = 300 * time.Millisecond
+	// viewInterval is the interval at which the other homes are asked for their views of a lost primary, which they confirm
+	// up to relayInterval later than the instance that probes it.
+	viewInterval = 100 * time.Millisecond
 	// stepTimeout bounds each step of a promotion.
 	stepTimeout = 300 * time.Millisecond
 	// claimTimeout bounds the claim of the coordinator lease: a read and a write of a store that may be a hundred times slower
--- a/fleet/orders.go
+++ b/fleet/orders.go
@@ -19,6 +19,7 @@
 		RefusedAfter:     refusedAfter,
 		Stagger:          stagger,
 		StepTimeout:      stepTimeout,
+		ViewInterval:     viewInterval,
 		TakeOverAfter:    takeOverAfter,
 		CatchUpTimeout:   catchUpTimeout,
 		ClaimTimeout:     claimTimeout,
