--- a/engine/statement.go
+++ b/engine/statement.go
@@ -25,11 +25,13 @@
 	OpDeallocate
 	// OpReset clears the session values and prepared statements of a link.
 	OpReset
+	// OpStart opens a session.
+	OpStart
 )
 
 // String returns the operation in snake case.
 func (o Op) String() string {
-	names := [...]string{"read", "write", "begin", "begin_read", "commit", "rollback", "set", "prepare", "execute", "deallocate", "reset"}
+	names := [...]string{"read", "write", "begin", "begin_read", "commit", "rollback", "set", "prepare", "execute", "deallocate", "reset", "start"}
 	return names[min(int(o), len(names)-1)]
 }
 
