--- a/cmd/monsoonload/main.go
+++ b/cmd/monsoonload/main.go
@@ -13,7 +13,6 @@
 	"github.com/jessevdk/go-flags"
 
 	"github.com/monsoontiller/monsoontiller/dev"
-	"github.com/monsoontiller/monsoontiller/experiment"
 	"github.com/monsoontiller/monsoontiller/load"
 )
 
@@ -182,32 +181,3 @@
 	}
 	return nil
 }
-
-// policiesCommand compares routing policies in virtual time.
-type policiesCommand struct {
-	Seeds int `long:"seeds" default:"5" description:"Number of seeds"`
-}
-
-// Execute runs the command.
-func (c *policiesCommand) Execute([]string) error {
-	fmt.Printf("%-13s %-24s %8s %8s %12s %8s %8s %10s\n", "load", "policy", "reads", "share", "of possible", "misses", "broken", "mean wait")
-	for _, loadConfig := range []func(uint64) experiment.LoadConfig{experiment.BairdLennox, experiment.Lellu} {
-		for n := range experiment.Variants() {
-			var sum experiment.Result
-			var wait time.Duration
-			for seed := range c.Seeds {
-				r := experiment.Run(loadConfig(uint64(seed+1)), experiment.Variants()[n])
-				sum.Load, sum.Policy = r.Load, r.Policy
-				sum.Reads += r.Reads
-				sum.OnReplica += r.OnReplica
-				sum.Possible += r.Possible
-				sum.Misses += r.Misses
-				sum.Stale += r.Stale
-				wait += r.MeanWait
-			}
-			fmt.Printf("%-13s %-24s %8d %7.1f%% %11.1f%% %8d %8d %10v\n", sum.Load, sum.Policy, sum.Reads,
-				100*sum.ReplicaShare(), 100*sum.ShareOfPossible(), sum.Misses, sum.Stale, (wait / time.Duration(c.Seeds)).Round(time.Microsecond))
-		}
-	}
-	return nil
-}
--- a/experiment/doc.go
+++ b/experiment/doc.go
@@ -5,6 +5,9 @@
 // policy gets the same load and is compared with a router that knows the position
 // of every member. Real time has no influence: results depend only on the seed.
 //
+// RunGroup drives the router, the pools and the queues of one instance with a simulated group
+// of few slots under load, while replicas are behind, the primary changes or a partition lasts.
+//
 // RunPaired compares two builds of the program: it runs a command for both over the same
 // cases and seeds, and Compare gives the paired differences with their confidence intervals.
 package experiment
