--- a/cmd/monsoonsoak/main.go
+++ b/cmd/monsoonsoak/main.go
@@ -25,6 +25,7 @@
 	Instances   int           `long:"instances" default:"4" description:"processes of the program for each seed"`
 	Clients     int           `long:"clients" default:"24" description:"callers for each seed"`
 	Connections int           `long:"connections" default:"40" description:"connections that each endpoint takes; few make instances pass sessions on"`
+	PowerLosses int           `long:"power-losses" description:"times that all instances lose power, besides the other faults, while the endpoints keep their connections"`
 	Binary      string        `long:"binary" default:"target/monsoontiller" description:"the program"`
 	Directory   string        `long:"directory" default:"target/soak" description:"takes the settings and output of the processes of each seed"`
 }
@@ -87,7 +88,7 @@
 	}
 	defer faults.Close()
 	report, err := soak.Run(ctx, soak.Config{
-		Seed: seed, Length: o.Length, Instances: o.Instances, Clients: o.Clients, Connections: o.Connections,
+		Seed: seed, Length: o.Length, Instances: o.Instances, Clients: o.Clients, Connections: o.Connections, PowerLosses: o.PowerLosses,
 		Network: 1 + int(seed%networkCount), Binary: o.Binary, Directory: directory, Output: io.Writer(faults),
 	})
 	if err != nil {
--- a/soak/fixture.go
+++ b/soak/fixture.go
@@ -61,6 +61,7 @@
 	if f.group, err = platformtest.NewGroup(groupName, 3); err != nil {
 		return nil, err
 	}
+	f.group.SetConnectionLimit(cfg.Connections)
 	f.members = f.group.Members()
 	f.group.Observe(oracle.RecordRun)
 	promoter, err := net.Listen("tcp", "127.0.0.1:0")
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -19,13 +19,12 @@
 	case "terminate":
 		f.restart(ctx, fault, instance, syscall.SIGTERM)
 	case "kill_all":
-		for _, p := range f.instances {
-			p.Stop(syscall.SIGKILL)
-		}
-		pause(ctx, fault.Duration/4)
-		for _, p := range f.instances {
-			f.start(p)
+		f.killAll(ctx, fault)
+	case kindPowerLoss:
+		for _, p := range f.endpointProxies {
+			p.Linger(deadPeerTime)
 		}
+		f.killAll(ctx, fault)
 	case "freeze":
 		instance.Signal(syscall.SIGSTOP)
 		pause(ctx, fault.Duration)
@@ -39,6 +38,20 @@
 	}
 }
 
+// deadPeerTime is how long an endpoint keeps the connections of a machine without power.
+const deadPeerTime = 3 * time.Second
+
+// killAll kills all instances, and starts them again after a part of the fault's duration.
+func (f *fixture) killAll(ctx context.Context, fault Fault) {
+	for _, p := range f.instances {
+		p.Stop(syscall.SIGKILL)
+	}
+	pause(ctx, fault.Duration/4)
+	for _, p := range f.instances {
+		f.start(p)
+	}
+}
+
 // injectEnvironment injects the faults of the platform and of the endpoints.
 func (f *fixture) injectEnvironment(ctx context.Context, fault Fault) {
 	index := fault.Target % len(f.instances)
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -42,7 +42,9 @@
 	mu       sync.Mutex
 	mode     Mode
 	conns    map[net.Conn]struct{}
-	wait     sync.WaitGroup
+	// lingering holds the connections of callers whose end the target learns only at the given time.
+	lingering map[net.Conn]time.Time
+	wait      sync.WaitGroup
 }
 
 // NewProxy listens on a free loopback port; it returns the listener's error.
@@ -51,7 +53,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Proxy{name: name, listener: l, target: target, conns: map[net.Conn]struct{}{}}, nil
+	return &Proxy{name: name, listener: l, target: target, conns: map[net.Conn]struct{}{}, lingering: map[net.Conn]time.Time{}}, nil
 }
 
 // Name returns the name given to NewProxy, which identifies the target.
@@ -73,6 +75,26 @@
 	}
 }
 
+// Linger keeps the target's side of the connections that are open now for d, even if their other side closes before, as
+// after a power loss of the callers' machines.
+func (p *Proxy) Linger(d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	until := time.Now().Add(d)
+	for nc := range p.conns {
+		p.lingering[nc] = until
+	}
+}
+
+// awaitLinger waits until the target may learn of the end of a connection.
+func (p *Proxy) awaitLinger(ctx context.Context, nc net.Conn) {
+	p.mu.Lock()
+	until := p.lingering[nc]
+	delete(p.lingering, nc)
+	p.mu.Unlock()
+	pause(ctx, time.Until(until))
+}
+
 func (p *Proxy) current() Mode {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -128,6 +150,7 @@
 	done := make(chan struct{}, 2)
 	go func() {
 		p.copy(ctx, out, in, ModeSilent)
+		p.awaitLinger(ctx, in)
 		done <- struct{}{}
 	}()
 	go func() {
@@ -141,6 +164,7 @@
 	p.mu.Lock()
 	delete(p.conns, in)
 	delete(p.conns, out)
+	delete(p.lingering, out)
 	p.mu.Unlock()
 }
 
--- a/soak/run.go
+++ b/soak/run.go
@@ -1,10 +1,12 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -18,8 +20,10 @@
 	Length    time.Duration
 	Instances int
 	Clients   int
-	// Connections is the connection limit of a member in the configuration.
+	// Connections is the connection limit of a member.
 	Connections int
+	// PowerLosses is the number of times that all instances lose power, in addition to the faults of the schedule.
+	PowerLosses int
 	// Network is the second octet of the instances' loopback addresses; concurrent runs need different values.
 	Network int
 	// Binary is the path of the program; Directory receives the settings and output files of its processes.
@@ -122,7 +126,9 @@
 		}()
 	}
 	started := time.Now()
-	for _, fault := range Schedule(f.cfg.Seed, f.cfg.Length) {
+	faults := append(Schedule(f.cfg.Seed, f.cfg.Length), PowerLosses(f.cfg.Seed, f.cfg.Length, f.cfg.PowerLosses)...)
+	slices.SortStableFunc(faults, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
+	for _, fault := range faults {
 		pause(ctx, fault.At-time.Since(started))
 		if _, err := fmt.Fprintln(f.cfg.Output, fault); err != nil {
 			return
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -57,5 +57,21 @@
 	return out
 }
 
-// Kinds returns all kinds of faults.
+// kindPowerLoss kills all instances while the endpoints keep their connections. It is drawn separately, so that the
+// schedules of the other kinds stay the same.
+const kindPowerLoss = "power_loss"
+
+// PowerLosses returns n power losses of all instances at random times in the first half of a run of the given length.
+func PowerLosses(seed uint64, length time.Duration, n int) []Fault {
+	r := rand.New(rand.NewPCG(seed, 0x9055))
+	var out []Fault
+	for range n {
+		out = append(out, Fault{
+			At: time.Duration(r.Int64N(int64(length / 2))), Duration: time.Second + time.Duration(r.Int64N(int64(maxRandomDuration))), Kind: kindPowerLoss,
+		})
+	}
+	return out
+}
+
+// Kinds returns all kinds of faults that Schedule draws from.
 func Kinds() []string { return append([]string(nil), kinds...) }
