fleet: instances that do not follow the store check it now and then

Ruled out: silent connections (keep-alive ends those within 3 s; the dials of the followers timed out), the spread between instances (1.1 s for the next versions).

Change: the instances that do not follow the store read it at random, four of them a second in all, whatever the size of the fleet; heartbeats spread what they find. Fleets of up to 16 instances, which all follow it, are not affected.

The test bounds the rate of calls and the chance of no check within 3 s.

--- a/fleet/export_test.go
+++ b/fleet/export_test.go
@@ -66,6 +66,15 @@
 	return append(heard[:len(heard):len(heard)], e.missing(now, func(name string) bool { return names[name] })...)
 }
 
+// StoreCheckChance returns the chance that one of n instances checks the store at a tick.
+func StoreCheckChance(n int) float64 { return storeCheckChance(n) }
+
+// Times of the checks of the store.
+const (
+	StoreCheckInterval = storeCheckInterval
+	StoreCheckTick     = storeCheckTick
+)
+
 // MaxJoinWait is the longest time that an instance waits to discover its peers.
 const MaxJoinWait = maxJoinWait
 
--- a/fleet/instance.go
+++ b/fleet/instance.go
@@ -138,6 +138,7 @@
 		&watchLog[L]{instance: i},
 		&witness[L]{instance: i},
 		&registration[L]{instance: i},
+		&storeCheck[L]{instance: i},
 		&follower{
 			store: i.cfg.Store, table: i.cfg.Adapter.ConfigurationTable, logger: i.cfg.Logger, active: i.followsStore,
 			applyAll: i.applyConfiguration, applyChanges: i.applyConfiguration,
--- /dev/null
+++ b/fleet/store_check.go
@@ -0,0 +1,66 @@
+package fleet
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/monsoontiller/monsoontiller/engine"
+)
+
+const (
+	// storeCheckInterval is the mean time between two checks of the store by any of the instances that do not follow it:
+	// several fit into the shortest bound on how late a configuration may come into force, even if the store turns some
+	// instances away.
+	storeCheckInterval = 250 * time.Millisecond
+	// storeCheckTick is the mean time between two draws of one instance.
+	storeCheckTick = time.Second
+)
+
+// storeCheck reads the store now and then on an instance that does not follow it.
+//
+// In a large fleet a few instances follow the store for all. If the store, or a partition,
+// turns away just these, the others would learn of no change, although they could read
+// it. The checks of all instances together have a constant rate; what one of them
+// finds spreads with the heartbeats.
+type storeCheck[L Link[L]] struct {
+	instance *Instance[L]
+}
+
+// Name returns the service's name.
+func (c *storeCheck[L]) Name() string { return "store_check" }
+
+// Run checks the store at random until ctx ends.
+func (c *storeCheck[L]) Run(ctx context.Context) error {
+	for {
+		if engine.Sleep(ctx, storeCheckTick/2+rand.N(storeCheckTick)) != nil {
+			return nil
+		}
+		alive, _ := c.instance.counts()
+		if !c.instance.followsStore() && rand.Float64() < storeCheckChance(alive) {
+			c.check(ctx)
+		}
+	}
+}
+
+// storeCheckChance returns the chance that one of n instances checks the store at a tick.
+func storeCheckChance(n int) float64 {
+	return min(1, storeCheckTick.Seconds()/(storeCheckInterval.Seconds()*float64(max(1, n))))
+}
+
+// check reads the configuration and the list of endpoints, and applies what is newer than the known state.
+func (c *storeCheck[L]) check(ctx context.Context) {
+	i := c.instance
+	configuration, err := i.cfg.Store.All(ctx, i.cfg.Adapter.ConfigurationTable)
+	if err != nil {
+		logLine(i.cfg.Logger, "level", "info", "msg", "store_check_failed", "error", err.Error())
+		return
+	}
+	i.applyConfiguration(configuration)
+	endpoints, err := i.cfg.Store.All(ctx, i.cfg.Adapter.EndpointTable)
+	if err != nil {
+		logLine(i.cfg.Logger, "level", "info", "msg", "store_check_failed", "error", err.Error())
+		return
+	}
+	i.replaceEndpoints(endpoints)
+}
--- /dev/null
+++ b/fleet/store_check_test.go
@@ -0,0 +1,41 @@
+package fleet_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/monsoontiller/monsoontiller/fleet"
+)
+
+// Load: the store turns away a third of a large fleet, among them all instances that follow it. A new configuration must be
+// found by another instance early enough to spread within five seconds, and the calls of all instances together must not
+// grow with the fleet.
+func TestStoreChecksFindChangesThatFollowersMiss(t *testing.T) {
+	const (
+		turnedAway = 0.35
+		bound      = 3 * time.Second
+		trials     = 2000
+	)
+	for _, n := range []int{17, 74, 300, 3500} {
+		perSecond := float64(n) * fleet.StoreCheckChance(n) / fleet.StoreCheckTick.Seconds()
+		if want := 1 / fleet.StoreCheckInterval.Seconds(); perSecond > want+0.01 {
+			t.Errorf("%d instances check the store %.2f times a second, want at most %.2f", n, perSecond, want)
+		}
+		r := rand.New(rand.NewPCG(uint64(n), 1))
+		late := 0
+		for range trials {
+			ticks := int(bound / fleet.StoreCheckTick)
+			found := false
+			for range ticks * int(float64(n)*(1-turnedAway)) {
+				found = found || r.Float64() < fleet.StoreCheckChance(n)
+			}
+			if !found {
+				late++
+			}
+		}
+		if share := float64(late) / trials; share > 0.002 {
+			t.Errorf("%d instances: no check within %v in %.2f%% of the trials", n, bound, 100*share)
+		}
+	}
+}
