failover: a suspended promotion queries views once a step

The quick repetition of queries helps within the first step, in which the other homes notice the loss; in a partition that lasts it made ten queries and log lines a second and home for nothing.

--- a/failover/sequential_test.go
+++ b/failover/sequential_test.go
@@ -278,3 +278,27 @@
 		t.Error("no attempt starts although two of three instances have lost the primary")
 	}
 }
+
+// Load: a partition that lasts. An instance without a majority must not query the others ever more often.
+func TestSuspendedPromotionQueriesViewsOncePerStep(t *testing.T) {
+	const step = 300 * time.Millisecond
+	s := newSequentialFixture()
+	s.machine = failover.New(failover.Config{
+		Group: "orders", Instance: "i", Members: []string{"a", "b", "c"}, Lease: sequentialLease,
+		SuspectAfter: time.Second, Stagger: time.Second, StepTimeout: step, ViewInterval: 100 * time.Millisecond,
+		TakeOverAfter: 3 * time.Second, ClaimRequired: true, SequentialTerms: true,
+	})
+	s.step(failover.Fleet{Others: 2})
+	s.reportStatus("a", group.RolePrimary, 20, 1, "")
+	s.now = s.now.Add(sequentialLease)
+	queries := 0
+	for range 60 {
+		if _, ok := find[failover.QueryViews](s.advance(50 * time.Millisecond)); ok {
+			queries++
+		}
+	}
+	// Three seconds hold at most nine steps and one tick between two of them; the first step has two queries more.
+	if limit := 11; queries > limit {
+		t.Errorf("%d queries in three seconds without a majority, want at most %d", queries, limit)
+	}
+}
--- a/failover/suspect.go
+++ b/failover/suspect.go
@@ -116,8 +116,10 @@
 
 // queryViewsAgain queries the views again after ViewInterval: an instance that learns of a loss later than this one, because
 // it receives its evidence through others, confirms it then.
+//
+// Once the promotion is suspended, as in a partition, the views are queried once a step.
 func (m *Machine) queryViewsAgain(now time.Time) []Action {
-	if m.cfg.ViewInterval == 0 || now.Sub(m.viewsQueriedAt) < m.cfg.ViewInterval {
+	if m.suspended || m.cfg.ViewInterval == 0 || now.Sub(m.viewsQueriedAt) < m.cfg.ViewInterval {
 		return nil
 	}
 	m.viewsQueriedAt = now
