fleet: an instance whose source of evidence fails checks the store

A partition had separated it from its source of evidence and from all its heartbeat targets, but not from the store; the targets were declared dead 3 s later, and its own turn to check comes every 18 s.

--- a/fleet/instance.go
+++ b/fleet/instance.go
@@ -42,8 +42,9 @@
 	homesDigest  membership.Digest
 	// deadSince is when this instance first saw each dead instance as dead.
 	deadSince map[string]time.Time
-	// lostSources are the instances that last failed to return evidence.
+	// lostSources are the instances that last failed to return evidence, and sourceLost receives a value when one fails.
 	lostSources map[string]bool
+	sourceLost  chan struct{}
 	// registered is the number of instances that the store listed when this one registered, or 0 if it is not known.
 	registered atomic.Int64
 	// lastAlive is the number of live instances at the last check, and aliveChangedAt when it last changed; mu guards both.
@@ -61,7 +62,7 @@
 
 // New returns an instance that has no configuration and no endpoints until Run.
 func New[L Link[L]](cfg Config[L]) *Instance[L] {
-	i := &Instance[L]{cfg: cfg, startedAt: clock.Now(), homesByGroup: map[string]homeSet{}, deadSince: map[string]time.Time{}, lostSources: map[string]bool{}}
+	i := &Instance[L]{cfg: cfg, startedAt: clock.Now(), homesByGroup: map[string]homeSet{}, deadSince: map[string]time.Time{}, lostSources: map[string]bool{}, sourceLost: make(chan struct{}, 1)}
 	i.events = event.NewLog(event.LogConfig{Instance: cfg.Name, OnAdd: i.logEvent})
 	i.coordinator = newCoordinatorLease(coordinatorLeaseConfig{Store: cfg.Store, Name: cfg.Name})
 	i.recorder = newRecorder(cfg.Logger, cfg.Scope)
--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -77,6 +77,10 @@
 	evidence, err := r.instance.node.Evidence(ctx, instance, source.groups)
 	r.instance.logSourceState(instance.Name(), err)
 	if err != nil {
+		select {
+		case r.instance.sourceLost <- struct{}{}:
+		default:
+		}
 		return
 	}
 	version, _ := r.instance.directory.Version()
--- a/fleet/store_check.go
+++ b/fleet/store_check.go
@@ -5,7 +5,7 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/monsoontiller/monsoontiller/engine"
+	"github.com/monsoontiller/monsoontiller/clock"
 )
 
 const (
@@ -22,27 +22,47 @@
 // In a large fleet a few instances follow the store for all. If the store, or a partition,
 // turns away just these, the others would learn of no change, although they could read
 // it. The checks of all instances together have a constant rate; what one of them
-// finds spreads with the heartbeats.
+// finds spreads with the heartbeats. An instance whose source of evidence does not
+// answer may be separated from the others, and checks the store at every tick.
 type storeCheck[L Link[L]] struct {
 	instance *Instance[L]
+	// checkedAt is when this instance last checked the store.
+	checkedAt time.Time
 }
 
 // Name returns the service's name.
 func (c *storeCheck[L]) Name() string { return "store_check" }
 
-// Run checks the store at random until ctx ends.
+// Run checks the store until ctx ends.
 func (c *storeCheck[L]) Run(ctx context.Context) error {
 	for {
-		if engine.Sleep(ctx, storeCheckTick/2+rand.N(storeCheckTick)) != nil {
+		sourceLost := false
+		select {
+		case <-time.After(storeCheckTick/2 + rand.N(storeCheckTick)):
+		case <-c.instance.sourceLost:
+			sourceLost = true
+		case <-ctx.Done():
 			return nil
 		}
 		alive, _ := c.instance.counts()
-		if !c.instance.followsStore() && rand.Float64() < storeCheckChance(alive) {
-			c.check(ctx)
+		now := clock.Now()
+		if c.instance.followsStore() || !storeCheckDue(now.Sub(c.checkedAt), sourceLost, alive, rand.Float64()) {
+			continue
 		}
+		c.checkedAt = now
+		c.check(ctx)
 	}
 }
 
+// storeCheckDue reports whether one of n instances checks the store, given the time since its last check, whether its source
+// of evidence has just failed, and a random number below 1.
+func storeCheckDue(sinceLast time.Duration, sourceLost bool, n int, random float64) bool {
+	if sourceLost {
+		return sinceLast >= storeCheckTick
+	}
+	return random < storeCheckChance(n)
+}
+
 // storeCheckChance returns the chance that one of n instances checks the store at a tick.
 func storeCheckChance(n int) float64 {
 	return min(1, storeCheckTick.Seconds()/(storeCheckInterval.Seconds()*float64(max(1, n))))
--- a/fleet/store_check_test.go
+++ b/fleet/store_check_test.go
@@ -39,3 +39,24 @@
 		}
 	}
 }
+
+// Load: a partition separates an instance from its source of evidence and from the instances that it exchanges heartbeats
+// with, but not from the store. It must not wait for its turn among hundreds, nor check more than once a tick.
+func TestInstanceWithoutSourceChecksTheStore(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		sinceLast  time.Duration
+		sourceLost bool
+		random     float64
+		want       bool
+	}{
+		{"its source failed", time.Minute, true, 0.99, true},
+		{"its source failed again within a tick", fleet.StoreCheckTick / 2, true, 0, false},
+		{"its source answers", time.Minute, false, 0.99, false},
+		{"its turn", time.Minute, false, 0, true},
+	} {
+		if got := fleet.StoreCheckDue(c.sinceLast, c.sourceLost, 300, c.random); got != c.want {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		}
+	}
+}
