--- a/experiment/group_run.go
+++ b/experiment/group_run.go
@@ -171,7 +171,7 @@
 	heap.Push(&s.events, event{at: s.now.Add(d), seq: s.seq, run: run})
 }
 
-// schedule adds the arrivals, the probes and the disturbances of the scenario.
+// schedule adds the arrivals, the probes and the faults of the scenario.
 func (s *groupSimulation) schedule() {
 	for _, kind := range s.scenario.Kinds {
 		at := time.Duration(0)
