--- a/experiment/group_plot.go
+++ b/experiment/group_plot.go
@@ -1,6 +1,9 @@
 package experiment
 
 import (
+	"os"
+	"path/filepath"
+
 	"github.com/rotisserie/eris"
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
@@ -9,9 +12,6 @@
 	"gonum.org/v1/plot/vg/draw"
 	"gonum.org/v1/plot/vg/vgimg"
 	"gonum.org/v1/plot/vg/vgsvg"
-
-	"os"
-	"path/filepath"
 )
 
 const (
