--- a/cmd/monsoonload/policies.go
+++ b/cmd/monsoonload/policies.go
@@ -50,12 +50,7 @@
 				if seed == 0 {
 					results = append(results, r)
 				}
-				w := r.Total()
-				total.Asked += w.Asked
-				total.InTime += w.InTime
-				total.Late += w.Late
-				total.Refused += w.Refused
-				total.Stale += w.Stale
+				total.Add(r.Total())
 				worst += r.Worst() / float64(c.Seeds)
 			}
 			fmt.Printf("%-16s %-26s %8d %8.1f%% %8d %8d %8d %12.1f%%\n", scenario.Name, variant.Name, total.Asked,
--- a/experiment/group_member.go
+++ b/experiment/group_member.go
@@ -38,7 +38,7 @@
 	return p.Term() == m.term
 }
 
-// occupy runs work in a slot as soon as one is free; work returns how long it takes, and then calls its continuation.
+// occupy holds a slot of the member for the service time, as soon as one is free, and then calls done.
 func (s *groupSimulation) occupy(m *simMember, service time.Duration, done func()) {
 	start := func() {
 		m.running++
--- a/experiment/group_request.go
+++ b/experiment/group_request.go
@@ -35,14 +35,14 @@
 	if q.writes || q.kind.MaxStaleness == 0 || demoted {
 		return primary
 	}
-	floor, at, ok := s.tracker.FloorSince(q.receivedAt.Add(staleAllowed - q.kind.MaxStaleness))
+	floor, at, ok := s.tracker.FloorSince(q.receivedAt.Add(staleMargin - q.kind.MaxStaleness))
 	if !ok {
 		return primary
 	}
 	if own := s.floors[q.session]; q.kind.OwnWrites && own.Term() >= s.tracker.Term() && floor.Less(own) {
 		floor = own
 	}
-	return route.Request{Class: route.ClassRead, Floor: floor, FloorAt: at, WaitBudget: 25 * time.Millisecond}
+	return route.Request{Class: route.ClassRead, Floor: floor, FloorAt: at, WaitBudget: replicaWait}
 }
 
 // acquire waits for a connection and a permit, or refuses the request if it would start too late.
--- a/experiment/group_run.go
+++ b/experiment/group_run.go
@@ -10,14 +10,21 @@
 	"github.com/monsoontiller/monsoontiller/route"
 )
 
-// Timing of the simulated instance.
+// Settings of the simulated instance and of its callers.
 const (
-	groupLease    = 1200 * time.Millisecond
-	groupWindow   = 2 * time.Second
-	maxRetries    = 2
-	retryPause    = 50 * time.Millisecond
-	permitsFactor = 2
-	staleAllowed  = 20 * time.Millisecond
+	// groupLease is how long a primary may be used after it was confirmed.
+	groupLease = 1200 * time.Millisecond
+	// groupWindow is the length of the windows in which requests are counted.
+	groupWindow = 2 * time.Second
+	// maxRetries is how often a caller tries again after a refusal, and retryPause its wait before that.
+	maxRetries = 2
+	retryPause = 50 * time.Millisecond
+	// permitsPerSlot is the number of requests sent to a member at the same time for each of its slots.
+	permitsPerSlot = 2
+	// staleMargin is subtracted from the accepted age of a read to allow for the network delay.
+	staleMargin = 20 * time.Millisecond
+	// replicaWait is the longest time that a read waits for a replica to catch up.
+	replicaWait = 25 * time.Millisecond
 )
 
 // WindowCounts counts the requests that first arrived in one window.
@@ -33,6 +40,15 @@
 // Share returns the share of the requests that were answered in time.
 func (w WindowCounts) Share() float64 { return float64(w.InTime) / float64(max(1, w.Asked)) }
 
+// Add adds the counts of another window.
+func (w *WindowCounts) Add(other WindowCounts) {
+	w.Asked += other.Asked
+	w.InTime += other.InTime
+	w.Late += other.Late
+	w.Refused += other.Refused
+	w.Stale += other.Stale
+}
+
 // GroupResult holds the counts of one variant on one scenario, in windows of two seconds.
 type GroupResult struct {
 	Scenario string
@@ -44,11 +60,7 @@
 func (r GroupResult) Total() WindowCounts {
 	var sum WindowCounts
 	for _, w := range r.Windows {
-		sum.Asked += w.Asked
-		sum.InTime += w.InTime
-		sum.Late += w.Late
-		sum.Refused += w.Refused
-		sum.Stale += w.Stale
+		sum.Add(w)
 	}
 	return sum
 }
@@ -69,6 +81,7 @@
 	run func()
 }
 
+// eventHeap is a heap of events, the earliest first.
 type eventHeap []event
 
 func (h eventHeap) Len() int { return len(h) }
@@ -112,6 +125,7 @@
 	result       GroupResult
 }
 
+// sampleAt is a position and the time at which it was acknowledged.
 type sampleAt struct {
 	at       time.Time
 	position group.Position
@@ -154,7 +168,7 @@
 		s.members = append(s.members, &simMember{name: name, term: 1, primary: i == 0})
 		queue := pool.NewPriorityQueue[*simRequest](pool.PriorityQueueConfig{})
 		s.links[name] = &simLinks{queue: queue, mean: 15 * time.Millisecond, pool: pool.New[int](pool.Config[*simRequest]{
-			Limit: scenario.Connections, Permits: permitsFactor * scenario.Slots, Queue: queue,
+			Limit: scenario.Connections, Permits: permitsPerSlot * scenario.Slots, Queue: queue,
 		})}
 	}
 	s.schedule()
@@ -166,6 +180,7 @@
 	return s.result
 }
 
+// after schedules run in d from now.
 func (s *groupSimulation) after(d time.Duration, run func()) {
 	s.seq++
 	heap.Push(&s.events, event{at: s.now.Add(d), seq: s.seq, run: run})
--- a/experiment/group_test.go
+++ b/experiment/group_test.go
@@ -22,12 +22,7 @@
 	const seeds = 3
 	for seed := range uint64(seeds) {
 		r := experiment.RunGroup(s, v, seed+1)
-		w := r.Total()
-		total.Asked += w.Asked
-		total.InTime += w.InTime
-		total.Late += w.Late
-		total.Refused += w.Refused
-		total.Stale += w.Stale
+		total.Add(r.Total())
 		worst += r.Worst() / seeds
 	}
 	return total, worst
