--- a/fleet/follow.go
+++ b/fleet/follow.go
@@ -1,11 +1,13 @@
 package fleet
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/monsoontiller/monsoontiller/engine"
 	"github.com/monsoontiller/monsoontiller/fault"
@@ -25,6 +27,9 @@
 	// version is the version of the table up to which its rows were applied; it counts only while loaded is set.
 	version uint64
 	loaded  bool
+	// readReason is why the whole table is read next, for log lines.
+	readReason string
+	tablesRead tally.Counter
 	// lost reports that the last request to the store failed.
 	lost bool
 }
@@ -68,13 +73,16 @@
 			return err
 		}
 		f.applyAll(s)
+		f.logRead(s)
 		f.version = s.Version
 		f.loaded = true
 		return nil
 	}
 	s, err := f.store.Changes(ctx, f.table, f.version)
 	if err != nil {
-		f.loaded = fault.KindOf(err) != fault.KindStale
+		if fault.KindOf(err) == fault.KindStale {
+			f.loaded, f.readReason = false, "history_dropped"
+		}
 		return err
 	}
 	f.version = max(f.version, s.Version)
@@ -84,6 +92,13 @@
 	return nil
 }
 
+// logRead counts and logs a read of the whole table.
+func (f *follower) logRead(s store.Snapshot) {
+	f.tablesRead.Inc(1)
+	f.log("level", "info", "msg", "table_read", "table", f.table, "position", s.Position().String(), "before", f.version,
+		"rows", len(s.Rows), "reason", cmp.Or(f.readReason, "start"))
+}
+
 // logState logs when the store stops answering, and when it answers again.
 func (f *follower) logState(err error) {
 	switch {
--- a/fleet/instance.go
+++ b/fleet/instance.go
@@ -32,6 +32,8 @@
 	dialer      *endpointDialer[L]
 	coordinator *coordinatorLease
 	recorder    *recorder
+	meters      meters
+	era         *storeEra
 	stopping    atomic.Bool
 	startedAt   time.Time
 	// endpointsListed reports that a complete list of the endpoints is known.
@@ -63,8 +65,11 @@
 // New returns an instance that has no configuration and no endpoints until Run.
 func New[L Link[L]](cfg Config[L]) *Instance[L] {
 	i := &Instance[L]{cfg: cfg, startedAt: clock.Now(), homesByGroup: map[string]homeSet{}, deadSince: map[string]time.Time{}, lostSources: map[string]bool{}, sourceLost: make(chan struct{}, 1)}
+	i.meters = newMeters(cfg.Scope)
+	i.era = newStoreEra()
+	i.cfg.Store = trackedStore{Store: cfg.Store, observe: func(era uint64) { i.observeEra(era, "store") }}
 	i.events = event.NewLog(event.LogConfig{Instance: cfg.Name, OnAdd: i.logEvent})
-	i.coordinator = newCoordinatorLease(coordinatorLeaseConfig{Store: cfg.Store, Name: cfg.Name})
+	i.coordinator = newCoordinatorLease(coordinatorLeaseConfig{Store: i.cfg.Store, Name: cfg.Name})
 	i.recorder = newRecorder(cfg.Logger, cfg.Scope)
 	i.directory = &directory[L]{group: func(name string) *engine.Group[L] { return i.members.group(name) }}
 	i.members = newMembers(i)
@@ -141,11 +146,11 @@
 		&registration[L]{instance: i},
 		&storeCheck[L]{instance: i},
 		&follower{
-			store: i.cfg.Store, table: i.cfg.Adapter.ConfigurationTable, logger: i.cfg.Logger, active: i.followsStore,
+			store: i.cfg.Store, table: i.cfg.Adapter.ConfigurationTable, logger: i.cfg.Logger, active: i.followsStore, tablesRead: i.meters.tablesRead,
 			applyAll: i.applyConfiguration, applyChanges: i.applyConfiguration,
 		},
 		&follower{
-			store: i.cfg.Store, table: i.cfg.Adapter.EndpointTable, logger: i.cfg.Logger, active: i.followsStore,
+			store: i.cfg.Store, table: i.cfg.Adapter.EndpointTable, logger: i.cfg.Logger, active: i.followsStore, tablesRead: i.meters.tablesRead,
 			applyAll: i.replaceEndpoints, applyChanges: i.applyEndpointChanges,
 		},
 	}
@@ -188,6 +193,7 @@
 	if !i.directory.Apply(d) {
 		return 0, false
 	}
+	i.meters.configuration.Update(float64(d.Version))
 	logLine(i.cfg.Logger, "level", "info", "msg", "configuration_applied", "version", d.Version, "before", before,
 		"source", source, "contracts", len(d.Contracts), "groups", len(d.Groups))
 	i.members.UpdateGroups()
--- /dev/null
+++ b/fleet/meters.go
@@ -0,0 +1,25 @@
+package fleet
+
+import "github.com/uber-go/tally/v4"
+
+// meters are the metrics of what this instance takes over from the store and from its peers.
+type meters struct {
+	// era is the store's era, and configuration the version in force.
+	era           tally.Gauge
+	configuration tally.Gauge
+	// restored counts how often the store was seen to have returned from an older copy, tablesRead the reads of whole
+	// tables by followers, and older the entries that were not taken over because a later one was known.
+	restored   tally.Counter
+	tablesRead tally.Counter
+	older      tally.Counter
+}
+
+func newMeters(scope tally.Scope) meters {
+	return meters{
+		era:           scope.Gauge("store_era"),
+		configuration: scope.Gauge("configuration_version"),
+		restored:      scope.Counter("store_restored_total"),
+		tablesRead:    scope.Counter("tables_read_total"),
+		older:         scope.Counter("older_entries_total"),
+	}
+}
--- a/fleet/shares.go
+++ b/fleet/shares.go
@@ -13,6 +13,7 @@
 	m.version = max(m.version, version)
 	current := m.entries[e.Endpoint]
 	if current != nil && current.version >= version {
+		m.logOlderLocked(current, e, version)
 		return
 	}
 	m.entries[e.Endpoint] = &listedEndpoint{entry: e, version: version}
@@ -25,6 +26,15 @@
 	}
 }
 
+// logOlderLocked counts and logs an entry that differs from the known one and is not taken over, because it is older.
+func (m *members[L]) logOlderLocked(known *listedEndpoint, e Entry, version uint64) {
+	if known.entry == e {
+		return
+	}
+	m.instance.meters.older.Inc(1)
+	m.logLocked("older_entry_left_out", e, version)
+}
+
 func (m *members[L]) recordSlots(e Entry) {
 	m.slotsMu.Lock()
 	defer m.slotsMu.Unlock()
--- a/store/store.go
+++ b/store/store.go
@@ -20,10 +20,16 @@
 type Snapshot struct {
 	Rows    []Row
 	Version uint64
+	// Era is the store's era, which rises by one each time that the store returns from an older copy of its rows. It is 0
+	// if the store reports none, and where no answer arrived; it is set beside an error that the store answered with.
+	Era uint64
 	// Now is the reading of the store's monotonic clock, whose origin is arbitrary.
 	Now time.Duration
 }
 
+// Position returns the position of the snapshot.
+func (s Snapshot) Position() Position { return NewPosition(s.Era, s.Version) }
+
 // Row returns the row of key; ok is false when the snapshot has no such row or only its removal.
 func (s Snapshot) Row(key string) (row Row, ok bool) {
 	for _, r := range s.Rows {
--- a/store/storetest/store.go
+++ b/store/storetest/store.go
@@ -24,6 +24,7 @@
 	answersToLose    int
 	beforeCommit     func()
 	calls            int
+	era              uint64
 }
 
 // New returns an empty store.
@@ -38,11 +39,18 @@
 	s.now += d
 }
 
-// SetDown begins or ends an outage, in which every call fails with KindUnavailable.
+// SetDown begins or ends an outage, in which every call fails with KindUnavailable, also those that wait for a change.
 func (s *Store) SetDown(down bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.down = down
+	s.wakeLocked()
+}
+
+// wakeLocked wakes the calls that wait for a change.
+func (s *Store) wakeLocked() {
+	close(s.changed)
+	s.changed = make(chan struct{})
 }
 
 // LoseAnswers makes the next n commits fail with KindOutcomeUnknown after they were applied.
@@ -98,7 +106,7 @@
 	if s.down {
 		return store.Snapshot{}, errDown
 	}
-	out := store.Snapshot{Version: s.version, Now: s.now}
+	out := s.emptyLocked()
 	for _, r := range s.rows[table] {
 		out.Rows = append(out.Rows, r)
 	}
@@ -111,8 +119,8 @@
 	for {
 		s.mu.Lock()
 		s.calls++
-		out := store.Snapshot{Version: s.version, Now: s.now}
-		down, stale, changed := s.down, version < s.compactedVersion, s.changed
+		out := s.emptyLocked()
+		down, stale, changed := s.down, version < s.compactedVersion || version > s.version, s.changed
 		for _, r := range s.changes {
 			if r.Table == table && r.Version > version {
 				out.Rows = append(out.Rows, r)
@@ -123,7 +131,7 @@
 		case down:
 			return store.Snapshot{}, errDown
 		case stale:
-			return store.Snapshot{}, fault.New(fault.Config{Kind: fault.KindStale, Message: "the history after this version was dropped", Remedy: "read the whole table again"})
+			return store.Snapshot{Era: out.Era}, fault.New(fault.Config{Kind: fault.KindStale, Message: "the store does not hold the history after this version", Remedy: "read the whole table again"})
 		case len(out.Rows) > 0:
 			return out, nil
 		}
@@ -152,7 +160,7 @@
 	}
 	for _, condition := range tx.Expect {
 		if s.rows[condition.Table][condition.Key].Version != condition.Version {
-			return store.Snapshot{}, fault.New(fault.Config{Kind: fault.KindConflict, Message: "a row is not at the expected version", Remedy: "read it again"})
+			return store.Snapshot{Era: s.era}, fault.New(fault.Config{Kind: fault.KindConflict, Message: "a row is not at the expected version", Remedy: "read it again"})
 		}
 	}
 	s.apply(tx)
@@ -160,7 +168,12 @@
 		s.answersToLose--
 		return store.Snapshot{}, fault.New(fault.Config{Kind: fault.KindOutcomeUnknown, Message: "the answer was lost", Remedy: "read again"})
 	}
-	return store.Snapshot{Version: s.version, Now: s.now}, nil
+	return s.emptyLocked(), nil
+}
+
+// emptyLocked returns a snapshot without rows.
+func (s *Store) emptyLocked() store.Snapshot {
+	return store.Snapshot{Version: s.version, Era: s.era, Now: s.now}
 }
 
 func (s *Store) apply(tx store.Tx) {
@@ -177,6 +190,5 @@
 		delete(s.rows[r.Table], r.Key)
 		s.changes = append(s.changes, store.Row{Table: r.Table, Key: r.Key, Version: s.version, Deleted: true})
 	}
-	close(s.changed)
-	s.changed = make(chan struct{})
+	s.wakeLocked()
 }
