--- /dev/null
+++ b/fleet/restore_test.go
@@ -0,0 +1,109 @@
+package fleet_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/monsoontiller/monsoontiller/fleet"
+	"github.com/monsoontiller/monsoontiller/store/storetest"
+	"pgregory.net/rapid"
+)
+
+// restoredSimulation is a simulation whose store reports eras, and a copy of which is taken every second.
+type restoredSimulation struct {
+	*simulation
+	copies []*storetest.Copy
+}
+
+func newRestoredSimulation() *restoredSimulation {
+	sim := &restoredSimulation{simulation: newSimulation()}
+	sim.store.SetEra(1)
+	return sim
+}
+
+// pass advances the clocks, and takes a copy of the store each second.
+func (sim *restoredSimulation) pass(d time.Duration) {
+	for ; d > 0; d -= time.Second {
+		sim.copies = append(sim.copies, sim.store.Copy())
+		sim.advance(min(d, time.Second))
+	}
+}
+
+// restore makes the store return from a copy that is the given number of seconds old.
+func (sim *restoredSimulation) restore(seconds int) {
+	if n := len(sim.copies) - seconds; n >= 0 && n < len(sim.copies) {
+		sim.store.Restore(sim.copies[n])
+		sim.copies = sim.copies[:n+1]
+	}
+}
+
+// Guards against two holders of the coordinator lease, and against a fencing token that decreases or is given out twice,
+// after the store has returned from a copy that lacks the newest claims.
+func TestCoordinatorLeaseAcrossRestoredStore(t *testing.T) {
+	claims := 0
+	rapid.Check(t, func(t *rapid.T) {
+		sim := newRestoredSimulation()
+		names := []string{"one", "two", "three"}
+		leases := map[string]*fleet.CoordinatorLease{}
+		for _, name := range names {
+			leases[name] = sim.lease(name)
+		}
+		highest, holder := uint64(0), ""
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			name := rapid.SampledFrom(names).Draw(t, "instance")
+			switch rapid.IntRange(0, 6).Draw(t, "step") {
+			case 0, 1:
+				sim.pass(time.Duration(rapid.IntRange(1, 4000).Draw(t, "ms")) * time.Millisecond)
+			case 2:
+				sim.store.LoseAnswers(rapid.IntRange(0, 3).Draw(t, "lost"))
+			case 3:
+				sim.restore(rapid.IntRange(1, 8).Draw(t, "seconds"))
+			case 4:
+				leases[name] = sim.lease(name)
+			default:
+				if leases[name].Claim(context.Background(), "orders", 2) == nil {
+					claims++
+				}
+			}
+			held := 0
+			for _, instance := range names {
+				token, ok := leases[instance].Held()
+				if !ok {
+					continue
+				}
+				held++
+				if token < highest || token == highest && holder != "" && holder != instance {
+					t.Fatalf("%s holds token %d after %s held %d", instance, token, holder, highest)
+				}
+				highest, holder = token, instance
+			}
+			if held > 1 {
+				t.Fatalf("%d instances hold the lease at once", held)
+			}
+		}
+	})
+	if claims == 0 {
+		t.Error("no claim succeeded")
+	}
+}
+
+// Guards against a store that confirms the term of a replaced primary, because the record of the promotion was lost with
+// its history.
+func TestLostIntentDoesNotConfirmTerm(t *testing.T) {
+	sim := newRestoredSimulation()
+	sim.pass(20 * time.Second)
+	older := sim.store.Copy()
+	lease := sim.lease("one")
+	for claim(t, lease) != nil {
+		sim.pass(time.Second)
+	}
+	sim.store.Restore(older)
+	s, err := sim.store.All(context.Background(), fleet.CoordinatorTable)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !fleet.PromotionInProgress(s, "orders", 1) {
+		t.Error("the store confirms term 1 although a promotion to term 2 may be in progress")
+	}
+}
