fleet: followers read the whole table again in each era of the store

What callers saw: a database that had been added was refused, seconds after its configuration was confirmed, on every instance that follows the store, until the next change (CONFIG).

Cause: a follower resumes its feed after the version of the last change that it applied. A store that returns from an older copy assigns the lost versions again. If it has reached the follower's version by the time that the follower connects again, it cannot tell that the follower means a version of the lost history; it sends what came later, and the configuration written in between is missed without an error.

The fix: positions are ordered by era, then version. A follower whose position is of an earlier era reads the whole table; a waiting call ends when any answer shows a newer era; answers of earlier eras that arrive late are dropped for all users of the store.

--- a/fleet/era.go
+++ b/fleet/era.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/monsoontiller/monsoontiller/clock"
+	"github.com/monsoontiller/monsoontiller/fault"
 	"github.com/monsoontiller/monsoontiller/store"
 )
 
@@ -15,11 +16,16 @@
 	current uint64
 	// raisedAt is when this instance saw the era rise, or zero while it has seen one era only.
 	raisedAt time.Time
-	// raised is closed and replaced when the era rises.
-	raised chan struct{}
+	// lasting is cancelled and replaced by end when the era rises.
+	lasting context.Context
+	end     context.CancelFunc
 }
 
-func newStoreEra() *storeEra { return &storeEra{raised: make(chan struct{})} }
+func newStoreEra() *storeEra {
+	e := &storeEra{}
+	e.lasting, e.end = context.WithCancel(context.Background())
+	return e
+}
 
 // Observe records an era, and reports whether it is above the last one.
 func (e *storeEra) Observe(era uint64) (before uint64, raised bool) {
@@ -33,42 +39,82 @@
 	if before > 0 {
 		e.raisedAt = clock.Now()
 	}
-	close(e.raised)
-	e.raised = make(chan struct{})
+	e.end()
+	e.lasting, e.end = context.WithCancel(context.Background())
 	return before, true
 }
 
-// Current returns the newest era, or 0 if the store reports none.
-func (e *storeEra) Current() uint64 {
+// Current returns the newest era, or 0 if the store reports none, and a context that ends when the era rises.
+func (e *storeEra) Current() (era uint64, lasting context.Context) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.current, e.lasting
+}
+
+// RaisedAt returns when this instance saw the era rise, or the zero time if it has seen one era only.
+func (e *storeEra) RaisedAt() time.Time {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.current
+	return e.raisedAt
 }
 
-// trackedStore passes the era of each of the store's answers to observe.
+// trackedStore is a store whose answers of earlier eras are dropped.
+//
+// Such an answer describes rows that the store may have lost since. Observe receives the era of each answer.
 type trackedStore struct {
 	store.Store
+	era     *storeEra
 	observe func(era uint64)
 }
 
-func (s trackedStore) track(snapshot store.Snapshot, err error) (store.Snapshot, error) {
+// All returns every row of a table; an answer of an earlier era fails with KindUnavailable.
+func (s trackedStore) All(ctx context.Context, table string) (store.Snapshot, error) {
+	snapshot, err := s.Store.All(ctx, table)
+	if s.outdated(snapshot) {
+		return store.Snapshot{}, restoredError(fault.KindUnavailable, nil)
+	}
+	return snapshot, err
+}
+
+// Changes waits until a table changes after version, and returns the changed rows; it fails with KindStale once the era
+// has risen since the call.
+func (s trackedStore) Changes(ctx context.Context, table string, version uint64) (store.Snapshot, error) {
+	before, lasting := s.era.Current()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := context.AfterFunc(lasting, cancel)
+	defer stop()
+	snapshot, err := s.Store.Changes(ctx, table, version)
 	s.observe(snapshot.Era)
+	if now, _ := s.era.Current(); now != before {
+		return store.Snapshot{}, restoredError(fault.KindStale, err)
+	}
 	return snapshot, err
 }
 
-// All returns every row of a table.
-func (s trackedStore) All(ctx context.Context, table string) (store.Snapshot, error) {
-	return s.track(s.Store.All(ctx, table))
+// Commit applies a transaction; an answer of an earlier era fails with KindOutcomeUnknown.
+func (s trackedStore) Commit(ctx context.Context, tx store.Tx) (store.Snapshot, error) {
+	snapshot, err := s.Store.Commit(ctx, tx)
+	if s.outdated(snapshot) {
+		return store.Snapshot{}, restoredError(fault.KindOutcomeUnknown, err)
+	}
+	return snapshot, err
 }
 
-// Changes waits until a table changes after version, and returns the changed rows.
-func (s trackedStore) Changes(ctx context.Context, table string, version uint64) (store.Snapshot, error) {
-	return s.track(s.Store.Changes(ctx, table, version))
+// outdated records the era of a snapshot, and reports whether it is an earlier one; an answer without an era never is.
+func (s trackedStore) outdated(snapshot store.Snapshot) bool {
+	s.observe(snapshot.Era)
+	current, _ := s.era.Current()
+	return snapshot.Era != 0 && snapshot.Era < current
 }
 
-// Commit applies a transaction.
-func (s trackedStore) Commit(ctx context.Context, tx store.Tx) (store.Snapshot, error) {
-	return s.track(s.Store.Commit(ctx, tx))
+func restoredError(kind fault.Kind, cause error) error {
+	return fault.New(fault.Config{
+		Kind:    kind,
+		Message: "the store has returned from an older copy since",
+		Remedy:  "no action needed; the rows are read again",
+		Cause:   cause,
+	})
 }
 
 // observeEra records an era that the store or a peer reported.
--- a/fleet/follow.go
+++ b/fleet/follow.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"cmp"
 	"context"
 	"math/rand/v2"
 	"time"
@@ -24,11 +23,10 @@
 	// applyAll receives all rows of the table, and applyChanges those that changed since.
 	applyAll     func(s store.Snapshot)
 	applyChanges func(s store.Snapshot)
-	// version is the version of the table up to which its rows were applied; it counts only while loaded is set.
-	version uint64
-	loaded  bool
-	// readReason is why the whole table is read next, for log lines.
-	readReason string
+	era          *storeEra
+	// position is the position of the table up to which its rows were applied; it counts only while loaded is set.
+	position store.Position
+	loaded   bool
 	tablesRead tally.Counter
 	// lost reports that the last request to the store failed.
 	lost bool
@@ -66,7 +64,12 @@
 }
 
 // step reads the table once, or waits for its next change.
+//
+// Versions are comparable within one era of the store only, so the whole table is read again in each era.
 func (f *follower) step(ctx context.Context) error {
+	if era, _ := f.era.Current(); era != f.position.Era() {
+		f.loaded = false
+	}
 	if !f.loaded {
 		s, err := f.store.All(ctx, f.table)
 		if err != nil {
@@ -74,18 +77,18 @@
 		}
 		f.applyAll(s)
 		f.logRead(s)
-		f.version = s.Version
+		f.position = s.Position()
 		f.loaded = true
 		return nil
 	}
-	s, err := f.store.Changes(ctx, f.table, f.version)
+	s, err := f.store.Changes(ctx, f.table, f.position.Version())
 	if err != nil {
 		if fault.KindOf(err) == fault.KindStale {
-			f.loaded, f.readReason = false, "history_dropped"
+			f.loaded = false
 		}
 		return err
 	}
-	f.version = max(f.version, s.Version)
+	f.position = store.NewPosition(f.position.Era(), max(f.position.Version(), s.Version))
 	if len(s.Rows) > 0 {
 		f.applyChanges(s)
 	}
@@ -95,8 +98,15 @@
 // logRead counts and logs a read of the whole table.
 func (f *follower) logRead(s store.Snapshot) {
 	f.tablesRead.Inc(1)
-	f.log("level", "info", "msg", "table_read", "table", f.table, "position", s.Position().String(), "before", f.version,
-		"rows", len(s.Rows), "reason", cmp.Or(f.readReason, "start"))
+	reason := "history_dropped"
+	switch {
+	case f.position == store.Position{}:
+		reason = "start"
+	case f.position.Era() != s.Era:
+		reason = "store_restored"
+	}
+	f.log("level", "info", "msg", "table_read", "table", f.table, "position", s.Position().String(), "before", f.position.String(),
+		"rows", len(s.Rows), "reason", reason)
 }
 
 // logState logs when the store stops answering, and when it answers again.
@@ -104,10 +114,10 @@
 	switch {
 	case err != nil && !f.lost:
 		f.lost = true
-		f.log("level", "warn", "msg", "store_lost", "table", f.table, "version", f.version, "error", err.Error())
+		f.log("level", "warn", "msg", "store_lost", "table", f.table, "position", f.position.String(), "error", err.Error())
 	case err == nil && f.lost:
 		f.lost = false
-		f.log("level", "info", "msg", "store_regained", "table", f.table, "version", f.version)
+		f.log("level", "info", "msg", "store_regained", "table", f.table, "position", f.position.String())
 	}
 }
 
--- a/fleet/instance.go
+++ b/fleet/instance.go
@@ -67,7 +67,7 @@
 	i := &Instance[L]{cfg: cfg, startedAt: clock.Now(), homesByGroup: map[string]homeSet{}, deadSince: map[string]time.Time{}, lostSources: map[string]bool{}, sourceLost: make(chan struct{}, 1)}
 	i.meters = newMeters(cfg.Scope)
 	i.era = newStoreEra()
-	i.cfg.Store = trackedStore{Store: cfg.Store, observe: func(era uint64) { i.observeEra(era, "store") }}
+	i.cfg.Store = trackedStore{Store: cfg.Store, era: i.era, observe: func(era uint64) { i.observeEra(era, "store") }}
 	i.events = event.NewLog(event.LogConfig{Instance: cfg.Name, OnAdd: i.logEvent})
 	i.coordinator = newCoordinatorLease(coordinatorLeaseConfig{Store: i.cfg.Store, Name: cfg.Name})
 	i.recorder = newRecorder(cfg.Logger, cfg.Scope)
@@ -146,11 +146,11 @@
 		&registration[L]{instance: i},
 		&storeCheck[L]{instance: i},
 		&follower{
-			store: i.cfg.Store, table: i.cfg.Adapter.ConfigurationTable, logger: i.cfg.Logger, active: i.followsStore, tablesRead: i.meters.tablesRead,
+			store: i.cfg.Store, table: i.cfg.Adapter.ConfigurationTable, logger: i.cfg.Logger, active: i.followsStore, era: i.era, tablesRead: i.meters.tablesRead,
 			applyAll: i.applyConfiguration, applyChanges: i.applyConfiguration,
 		},
 		&follower{
-			store: i.cfg.Store, table: i.cfg.Adapter.EndpointTable, logger: i.cfg.Logger, active: i.followsStore, tablesRead: i.meters.tablesRead,
+			store: i.cfg.Store, table: i.cfg.Adapter.EndpointTable, logger: i.cfg.Logger, active: i.followsStore, era: i.era, tablesRead: i.meters.tablesRead,
 			applyAll: i.replaceEndpoints, applyChanges: i.applyEndpointChanges,
 		},
 	}
