--- a/fleet/follow.go
+++ b/fleet/follow.go
@@ -25,8 +25,8 @@
 	applyChanges func(s store.Snapshot)
 	era          *storeEra
 	// position is the position of the table up to which its rows were applied; it counts only while loaded is set.
-	position store.Position
-	loaded   bool
+	position   store.Position
+	loaded     bool
 	tablesRead tally.Counter
 	// lost reports that the last request to the store failed.
 	lost bool
