fleet, membership, peer: entries of endpoints are ordered by the store's era, then its version

What callers saw: after the store had returned from an older copy, requests went on to endpoints that had reported to leave, and a leaving primary was not replaced, until the versions had passed those known before.

Cause: instances order the entries of endpoints by the version of their rows, and so do the items that they exchange and the version by which an instance sees that its source knows more. After the store's return, newer entries have lower versions; every instance left them out, and no peer was told.

The fix: positions (era, version) order entries, items carry the era as their epoch, and evidence carries the newest era with the position of the endpoints, so that instances that do not follow the store learn of it within a pull. Items of epoch 0 keep their digests; builds that know no epoch ignore it.

--- a/fleet/backend.go
+++ b/fleet/backend.go
@@ -33,7 +33,8 @@
 // Evidence returns this instance's lease evidence of the given groups, without those whose lease is revoked.
 func (b *backend[L]) Evidence(groups []string) peer.LeaseEvidence {
 	version, _ := b.instance.directory.Version()
-	out := peer.LeaseEvidence{Configuration: version, Endpoints: b.instance.members.Version()}
+	era, _ := b.instance.era.Current()
+	out := peer.LeaseEvidence{Configuration: version, Endpoints: b.instance.members.Position(), StoreEra: era}
 	for _, name := range groups {
 		g := b.instance.members.group(name)
 		if g == nil {
--- a/fleet/instance.go
+++ b/fleet/instance.go
@@ -204,12 +204,12 @@
 func (i *Instance[L]) replaceEndpoints(s store.Snapshot) {
 	listed := map[string]bool{}
 	for _, row := range s.Rows {
-		if i.applyEndpoint(row) {
+		if i.applyEndpoint(row, s.Era) {
 			listed[row.Key] = true
 		}
 	}
-	for _, removed := range i.members.Retain(listed, s.Version) {
-		i.node.ApplyWithoutDelta(newItem(endpointItem+removed, s.Version, ""))
+	for _, removed := range i.members.Retain(listed, s.Position()) {
+		i.node.ApplyWithoutDelta(newEndpointItem(removed, s.Position(), ""))
 	}
 	i.endpointsListed.Store(true)
 	i.node.ApplyWithoutDelta(newItem(listedItem, 1, ""))
@@ -217,29 +217,30 @@
 
 func (i *Instance[L]) applyEndpointChanges(s store.Snapshot) {
 	for _, row := range s.Rows {
-		if !i.applyEndpoint(row) {
-			i.members.Remove(row.Key, row.Version)
+		if !i.applyEndpoint(row, s.Era) {
+			i.members.Remove(row.Key, store.NewPosition(s.Era, row.Version))
 		}
 	}
 }
 
-// applyEndpoint applies one row and reports whether it names a usable endpoint.
-func (i *Instance[L]) applyEndpoint(row store.Row) bool {
+// applyEndpoint applies one row of an era, and reports whether it names a usable endpoint.
+func (i *Instance[L]) applyEndpoint(row store.Row, era uint64) bool {
+	at := store.NewPosition(era, row.Version)
 	text := string(row.Value)
 	if row.Deleted {
 		text = ""
 	}
-	i.node.ApplyWithoutDelta(newItem(endpointItem+row.Key, row.Version, text))
-	return !row.Deleted && i.putEntry(row.Key, row.Value, row.Version)
+	i.node.ApplyWithoutDelta(newEndpointItem(row.Key, at, text))
+	return !row.Deleted && i.putEntry(row.Key, row.Value, at)
 }
 
-func (i *Instance[L]) putEntry(key string, value []byte, version uint64) bool {
+func (i *Instance[L]) putEntry(key string, value []byte, at store.Position) bool {
 	e, err := i.cfg.Adapter.ParseEntry(key, value)
 	if err != nil {
-		logLine(i.cfg.Logger, "level", "warn", "msg", "endpoint_entry_left_out", "endpoint", key, "version", version, "error", err.Error())
+		logLine(i.cfg.Logger, "level", "warn", "msg", "endpoint_entry_left_out", "endpoint", key, "position", at.String(), "error", err.Error())
 		return false
 	}
-	i.members.Put(e, version)
+	i.members.Put(e, at)
 	return true
 }
 
@@ -255,8 +256,15 @@
 	return membership.NewItem(key, membership.Revision(version), membership.NewEntry(membership.EntryConfig{Text: text}))
 }
 
+// newEndpointItem returns the item of an endpoint's entry as of a position in the store.
+func newEndpointItem(endpoint string, at store.Position, text string) peer.ConfigItem {
+	return newItem(endpointItem+endpoint, at.Version(), text).InEpoch(membership.Epoch(at.Era()))
+}
+
 // itemApplied applies an item that a peer received from the store.
 func (i *Instance[L]) itemApplied(item peer.ConfigItem) {
+	at := store.NewPosition(uint64(item.Epoch()), uint64(item.Revision()))
+	i.observeEra(at.Era(), "peer")
 	text := item.Value().Text()
 	name, isEndpoint := strings.CutPrefix(item.Key(), endpointItem)
 	switch {
@@ -265,9 +273,9 @@
 	case item.Key() == listedItem:
 		i.endpointsListed.Store(true)
 	case isEndpoint && text == "":
-		i.members.Remove(name, uint64(item.Revision()))
-	case isEndpoint && !i.putEntry(name, []byte(text), uint64(item.Revision())):
-		i.members.Remove(name, uint64(item.Revision()))
+		i.members.Remove(name, at)
+	case isEndpoint && !i.putEntry(name, []byte(text), at):
+		i.members.Remove(name, at)
 	}
 }
 
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -11,6 +11,7 @@
 	"github.com/monsoontiller/monsoontiller/clock"
 	"github.com/monsoontiller/monsoontiller/engine"
 	"github.com/monsoontiller/monsoontiller/route"
+	"github.com/monsoontiller/monsoontiller/store"
 )
 
 // homeWatchGrace is how long a group is still watched after this instance has ceased to be a home, so that its callers can
@@ -33,8 +34,8 @@
 
 // listedEndpoint holds an endpoint's newest entry.
 type listedEndpoint struct {
-	entry   Entry
-	version uint64
+	entry    Entry
+	position store.Position
 	// removedAt is when the entry was found missing, or zero while it exists.
 	removedAt time.Time
 }
@@ -46,10 +47,10 @@
 	mu       sync.Mutex
 	entries  map[string]*listedEndpoint
 	groups   map[string]*watchedGroup[L]
-	// version is the newest version of any entry, removals included.
-	version uint64
-	ctx     context.Context
-	loops   sync.WaitGroup
+	// position is the newest position in the store of any entry, removals included.
+	position store.Position
+	ctx      context.Context
+	loops    sync.WaitGroup
 	// slotsByGroup is the largest number of slots that a member of each group has reported. It has a lock of its own,
 	// because the homes, which are also computed while mu is held, depend on it.
 	slotsMu      sync.Mutex
@@ -135,29 +136,36 @@
 	return w != nil && (m.instance.stopping.Load() || w.notHomeSince.IsZero() || now.Sub(w.notHomeSince) < homeSessionGrace)
 }
 
-// Version returns the newest version of any entry.
-func (m *members[L]) Version() uint64 {
+// Position returns the newest position in the store of any entry.
+func (m *members[L]) Position() store.Position {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.version
+	return m.position
 }
 
-// Remove records that an endpoint has no entry as of a version of the store.
-func (m *members[L]) Remove(endpoint string, version uint64) {
+// advanceLocked raises the newest position.
+func (m *members[L]) advanceLocked(p store.Position) {
+	if p.After(m.position) {
+		m.position = p
+	}
+}
+
+// Remove records that an endpoint has no entry as of a position in the store.
+func (m *members[L]) Remove(endpoint string, at store.Position) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.version = max(m.version, version)
+	m.advanceLocked(at)
 	current := m.entries[endpoint]
-	if current == nil || current.version >= version || !current.removedAt.IsZero() {
+	if current == nil || !at.After(current.position) || !current.removedAt.IsZero() {
 		return
 	}
-	current.version = version
+	current.position = at
 	current.removedAt = clock.Now()
-	m.logLocked("endpoint_entry_gone", current.entry, version)
+	m.logLocked("endpoint_entry_gone", current.entry, at)
 }
 
 // Retain removes the endpoints that a complete list of the store does not contain, and returns their names.
-func (m *members[L]) Retain(listed map[string]bool, version uint64) (removed []string) {
+func (m *members[L]) Retain(listed map[string]bool, at store.Position) (removed []string) {
 	m.mu.Lock()
 	for name := range m.entries {
 		if !listed[name] {
@@ -167,14 +175,14 @@
 	m.mu.Unlock()
 	sort.Strings(removed)
 	for _, name := range removed {
-		m.Remove(name, version)
+		m.Remove(name, at)
 	}
 	return removed
 }
 
-func (m *members[L]) logLocked(message string, e Entry, version uint64) {
+func (m *members[L]) logLocked(message string, e Entry, at store.Position) {
 	logLine(m.logger, "level", "info", "msg", message, "endpoint", e.Endpoint, "group", e.Group,
-		"address", e.Address, "data_centre", e.DataCentre, "leaving", e.Leaving, "version", version)
+		"address", e.Address, "data_centre", e.DataCentre, "leaving", e.Leaving, "position", at.String())
 }
 
 // dropRemoved drops endpoints whose entry has been missing for removalGrace.
@@ -186,7 +194,7 @@
 			continue
 		}
 		delete(m.entries, name)
-		m.logLocked("endpoint_dropped", ep.entry, ep.version)
+		m.logLocked("endpoint_dropped", ep.entry, ep.position)
 		m.updateGroupLocked(ep.entry.Group)
 	}
 }
--- a/fleet/shares.go
+++ b/fleet/shares.go
@@ -2,23 +2,24 @@
 
 import (
 	"github.com/monsoontiller/monsoontiller/engine"
+	"github.com/monsoontiller/monsoontiller/store"
 )
 
-// Put records an endpoint's entry as of a version of the store; of an entry that is not newer than the known one it records
+// Put records an endpoint's entry as of a position in the store; of an entry that is not newer than the known one it records
 // only the slots.
-func (m *members[L]) Put(e Entry, version uint64) {
+func (m *members[L]) Put(e Entry, at store.Position) {
 	m.recordSlots(e)
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.version = max(m.version, version)
+	m.advanceLocked(at)
 	current := m.entries[e.Endpoint]
-	if current != nil && current.version >= version {
-		m.logOlderLocked(current, e, version)
+	if current != nil && !at.After(current.position) {
+		m.logOlderLocked(current, e, at)
 		return
 	}
-	m.entries[e.Endpoint] = &listedEndpoint{entry: e, version: version}
+	m.entries[e.Endpoint] = &listedEndpoint{entry: e, position: at}
 	if current == nil || current.entry != e || !current.removedAt.IsZero() {
-		m.logLocked("endpoint_listed", e, version)
+		m.logLocked("endpoint_listed", e, at)
 		m.updateGroupLocked(e.Group)
 	}
 	if current != nil && current.entry.Group != e.Group {
@@ -27,12 +28,12 @@
 }
 
 // logOlderLocked counts and logs an entry that differs from the known one and is not taken over, because it is older.
-func (m *members[L]) logOlderLocked(known *listedEndpoint, e Entry, version uint64) {
+func (m *members[L]) logOlderLocked(known *listedEndpoint, e Entry, at store.Position) {
 	if known.entry == e {
 		return
 	}
 	m.instance.meters.older.Inc(1)
-	m.logLocked("older_entry_left_out", e, version)
+	m.logLocked("older_entry_left_out", e, at)
 }
 
 func (m *members[L]) recordSlots(e Entry) {
--- a/membership/items.go
+++ b/membership/items.go
@@ -11,21 +11,42 @@
 // Buckets is the number of buckets of keys, each of which has a digest for repair.
 const Buckets = 256
 
-// Revision orders the values of one key.
+// Revision orders the values of one key within one epoch.
 type Revision uint64
 
-// Item is one key's value at one revision.
+// Epoch counts how often the source of the revisions has assigned earlier ones again; values of a later epoch are newer.
+type Epoch uint64
+
+// Item is one key's value at one revision of an epoch.
 type Item[V any] struct {
 	key      string
+	epoch    Epoch
 	revision Revision
 	value    V
 }
 
-// NewItem returns the item of key at revision.
+// NewItem returns the item of key at revision, in epoch 0.
 func NewItem[V any](key string, revision Revision, value V) Item[V] {
 	return Item[V]{key: key, revision: revision, value: value}
 }
 
+// InEpoch returns the item in another epoch.
+func (i Item[V]) InEpoch(epoch Epoch) Item[V] {
+	i.epoch = epoch
+	return i
+}
+
+// Epoch returns the item's epoch.
+func (i Item[V]) Epoch() Epoch { return i.epoch }
+
+// supersedes reports whether an item is newer than another one of the same key.
+func (i Item[V]) supersedes(other Item[V]) bool {
+	if i.epoch != other.epoch {
+		return i.epoch > other.epoch
+	}
+	return i.revision > other.revision
+}
+
 // Key returns the item's key.
 func (i Item[V]) Key() string { return i.key }
 
@@ -35,7 +56,7 @@
 // Value returns the item's value.
 func (i Item[V]) Value() V { return i.value }
 
-// Digest is a hash over all keys and revisions of an Items.
+// Digest is a hash over all keys, epochs and revisions of an Items.
 type Digest uint64
 
 // pendingItem is a changed item that is still sent with deltas, and how often it was sent.
@@ -44,7 +65,7 @@
 	sent int
 }
 
-// Items holds the highest known revision of each key; it is not safe for concurrent use.
+// Items holds the newest known value of each key; it is not safe for concurrent use.
 type Items[V any] struct {
 	items   map[string]Item[V]
 	buckets [Buckets]uint64
@@ -57,10 +78,10 @@
 	return &Items[V]{items: map[string]Item[V]{}}
 }
 
-// Apply stores an item whose revision is higher than the one held, adds it to the deltas, and reports whether it did.
+// Apply stores an item that is newer than the one held, adds it to the deltas, and reports whether it did.
 func (s *Items[V]) Apply(item Item[V]) bool {
 	current, ok := s.items[item.key]
-	if ok && current.revision >= item.revision {
+	if ok && !item.supersedes(current) {
 		return false
 	}
 	if ok {
@@ -84,18 +105,18 @@
 
 // toggle adds an item to the digests, or removes it.
 func (s *Items[V]) toggle(item Item[V]) {
-	h := hashOf(item.key, item.revision)
+	h := hashOf(item.key, item.epoch, item.revision)
 	s.digest ^= h
 	s.buckets[bucketOf(item.key)] ^= h
 }
 
-func hashOf(key string, revision Revision) uint64 {
-	d := xxhash.New()
-	_, _ = d.WriteString(key)
-	var raw [8]byte
-	binary.BigEndian.PutUint64(raw[:], uint64(revision))
-	_, _ = d.Write(raw[:])
-	return d.Sum64()
+// hashOf returns the hash of a key at a revision. In epoch 0 it is the hash of builds that know no epochs.
+func hashOf(key string, epoch Epoch, revision Revision) uint64 {
+	raw := binary.BigEndian.AppendUint64([]byte(key), uint64(revision))
+	if epoch > 0 {
+		raw = binary.BigEndian.AppendUint64(raw, uint64(epoch))
+	}
+	return xxhash.Sum64(raw)
 }
 
 func bucketOf(key string) int { return int(xxhash.Sum64String(key) % Buckets) }
@@ -129,7 +150,7 @@
 	return out
 }
 
-// Digest returns the hash over all keys and revisions.
+// Digest returns the hash over all keys, epochs and revisions.
 func (s *Items[V]) Digest() Digest { return Digest(s.digest) }
 
 // BucketDigests returns the digest of each bucket.
--- a/peer/evidence.go
+++ b/peer/evidence.go
@@ -10,6 +10,7 @@
 	"github.com/monsoontiller/monsoontiller/group"
 	"github.com/monsoontiller/monsoontiller/membership"
 	"github.com/monsoontiller/monsoontiller/peer/peerv1"
+	"github.com/monsoontiller/monsoontiller/store"
 )
 
 // MemberEvidence is a member's status and the time at which an instance sent the query for it.
@@ -30,9 +31,12 @@
 type LeaseEvidence struct {
 	Members []MemberEvidence
 	Stores  []StoreEvidence
-	// Configuration and Endpoints are the instance's newest versions of the configuration and of the list of endpoints.
+	// Configuration is the version of the configuration in force on the instance, and Endpoints the position in the store of
+	// the newest change of an endpoint that it knows.
 	Configuration uint64
-	Endpoints     uint64
+	Endpoints     store.Position
+	// StoreEra is the newest era of the store that the instance knows.
+	StoreEra uint64
 }
 
 // evidenceTimeout bounds a call for evidence; evidence as old as a lease is worthless.
@@ -50,7 +54,11 @@
 	if err != nil {
 		return LeaseEvidence{}, err
 	}
-	evidence := LeaseEvidence{Configuration: resp.Msg.GetConfiguration(), Endpoints: resp.Msg.GetEndpoints()}
+	evidence := LeaseEvidence{
+		Configuration: resp.Msg.GetConfiguration(),
+		Endpoints:     store.NewPosition(resp.Msg.GetEndpointsEra(), resp.Msg.GetEndpoints()),
+		StoreEra:      resp.Msg.GetStoreEra(),
+	}
 	for _, m := range resp.Msg.GetMembers() {
 		evidence.Members = append(evidence.Members, evidenceOf(m, requestedAt))
 	}
@@ -90,7 +98,8 @@
 func (h *handler) Evidence(_ context.Context, req *connect.Request[peerv1.EvidenceRequest]) (*connect.Response[peerv1.EvidenceResponse], error) {
 	resp := &peerv1.EvidenceResponse{}
 	all := h.node.cfg.Backend.Evidence(req.Msg.GetGroups())
-	resp.Configuration, resp.Endpoints = all.Configuration, all.Endpoints
+	resp.Configuration, resp.StoreEra = all.Configuration, all.StoreEra
+	resp.Endpoints, resp.EndpointsEra = all.Endpoints.Version(), all.Endpoints.Era()
 	now := clock.Now()
 	for _, s := range all.Stores {
 		resp.Stores = append(resp.Stores, &peerv1.StoreEvidence{Group: s.Group, Term: uint64(s.Term), AgeUs: ageMicros(now, s.SentAt)})
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -321,6 +321,7 @@
 		Author:       v.Author(),
 		RequestId:    v.RequestID(),
 		AcceptedUnix: v.AcceptedAt().Unix(),
+		Epoch:        uint64(item.Epoch()),
 	}
 }
 
@@ -330,5 +331,5 @@
 		Author:     m.GetAuthor(),
 		RequestID:  m.GetRequestId(),
 		AcceptedAt: time.Unix(m.GetAcceptedUnix(), 0),
-	}))
+	})).InEpoch(membership.Epoch(m.GetEpoch()))
 }
