fleet: the coordinator lease and the intents of promotions outlast a store that loses them

Cause: a claim and the intent of its promotion were taken as lasting once the store had confirmed them. After the return the row shows an earlier holder or none: that holder renews at once with its old token, or another one takes the lease while its holder goes on; and the store, without a record of the promotion, confirms the old term as a witness.

The fix: rows carry the era in which they were written. In a new era nobody claims and the store confirms no term until every lost claim and intent has ended (6.5 s on the store's clock, counted from a row that the followers write), except that the instance that holds the lease on its own clock writes it and the intents again, with its token. There is only one such instance. Tokens of a new holder begin above the era's lowest, so that they increase whatever was lost. Rows of builds that know no era count as before.

--- a/fleet/coordinator.go
+++ b/fleet/coordinator.go
@@ -4,6 +4,9 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -13,46 +16,8 @@
 	"github.com/monsoontiller/monsoontiller/store"
 )
 
-// Rows of the store that record the promotion coordinator and the promotions in progress.
-const (
-	coordinatorTable = "monsoontiller"
-	coordinatorKey   = "duty/promotion"
-	// intentKeyPrefix starts the keys of the intent rows, one for each group.
-	intentKeyPrefix = "intent/"
-)
-
-// intentRow is a write-ahead record: a promotion of a group to Term may be in progress.
-type intentRow struct {
-	Term uint64 `json:"term"`
-	// UntilMs is when the promotion can no longer be ordered, on the store's clock.
-	UntilMs int64 `json:"until_ms"`
-}
-
-// intentSlack is how long after the end of an intent its promotion order may still take effect.
-const intentSlack = 1500 * time.Millisecond
-
-// promotionInProgress reports whether a promotion of a group to a term above term may be in progress, given a snapshot of
-// coordinatorTable.
-func promotionInProgress(s store.Snapshot, name string, term group.Term) bool {
-	row, ok := s.Row(intentKeyPrefix + name)
-	if !ok {
-		return false
-	}
-	var intent intentRow
-	if err := json.Unmarshal(row.Value, &intent); err != nil {
-		// An intent that cannot be decoded may belong to a promotion in progress.
-		return true
-	}
-	return group.Term(intent.Term) > term && s.Now < time.Duration(intent.UntilMs)*time.Millisecond+intentSlack
-}
-
-// coordinatorRow records which instance holds the coordinator lease.
-type coordinatorRow struct {
-	Holder string `json:"holder"`
-	Token  uint64 `json:"token"`
-	// UntilMs is when the lease ends, on the store's clock.
-	UntilMs int64 `json:"until_ms"`
-}
+// maxTransactionRows is the most rows that one transaction of the store may write, with its conditions.
+const maxTransactionRows = 90
 
 // coordinatorLeaseConfig describes one instance's access to the coordinator lease.
 type coordinatorLeaseConfig struct {
@@ -73,6 +38,14 @@
 	mu        sync.Mutex
 	token     uint64
 	heldUntil time.Time
+	// intents holds, by group, the intents that the store held at the last claim, which are written again if it loses them.
+	intents map[string]heldIntent
+}
+
+// heldIntent is an intent with its end on this instance's clock.
+type heldIntent struct {
+	term  uint64
+	until time.Time
 }
 
 func newCoordinatorLease(cfg coordinatorLeaseConfig) *coordinatorLease {
@@ -116,63 +89,155 @@
 	return errors.As(err, &conflict)
 }
 
-// claim reads the row, and writes it if no other instance holds the lease.
+// claim reads the record, and writes it if no other instance holds the lease.
 func (l *coordinatorLease) claim(ctx context.Context, name string, term group.Term) error {
 	sentAt := l.cfg.Clock()
 	s, err := l.cfg.Store.All(ctx, coordinatorTable)
 	if err != nil {
 		return err
 	}
-	row, found := s.Row(coordinatorKey)
-	var current coordinatorRow
-	if found {
-		if err := json.Unmarshal(row.Value, &current); err != nil {
-			return fault.New(fault.Config{
-				Kind:    fault.KindUnavailable,
-				Message: "the row of the promotion coordinator cannot be decoded",
-				Remedy:  "remove the row " + coordinatorKey + " of the table " + coordinatorTable,
-				Cause:   err,
-			})
-		}
+	record, err := decodeCoordinator(s)
+	if err != nil {
+		return err
 	}
-	next := coordinatorRow{Holder: l.cfg.Name, Token: current.Token, UntilMs: (s.Now + coordinatorLeaseDuration).Milliseconds()}
+	_, held := l.Held()
 	switch {
-	case current.Holder == l.cfg.Name:
-	case found && s.Now.Milliseconds() < current.UntilMs:
+	case !record.settled() && !held:
+		if err := l.recordEra(ctx, record); err != nil {
+			return err
+		}
+		return fault.New(fault.Config{
+			Kind:    fault.KindConflict,
+			Message: "the store has returned from an older copy, and another instance may hold the lease of the promotion coordinator",
+			Remedy:  "no action needed; it is claimed once every lost claim has ended, which takes seconds",
+		})
+	case record.heldByOther(l.cfg.Name):
 		return fault.New(fault.Config{
 			Kind:    fault.KindConflict,
-			Message: current.Holder + " holds the lease of the promotion coordinator",
+			Message: record.current.Holder + " holds the lease of the promotion coordinator",
 			Remedy:  "no action needed; it orders the promotion, or its lease ends within seconds",
 		})
-	default:
-		next.Token++
 	}
-	intent := intentRow{Term: uint64(term), UntilMs: next.UntilMs}
-	return l.write(ctx, sentAt, row, next, store.Row{Table: coordinatorTable, Key: intentKeyPrefix + name}, intent)
+	intents := l.liveIntents(sentAt, record)
+	intents[name] = heldIntent{term: uint64(term), until: sentAt.Add(coordinatorLeaseDuration)}
+	return l.write(ctx, sentAt, record, intents, name)
 }
 
-// write commits the coordinator row and the intent in one transaction, and then updates the lease that this instance holds.
-func (l *coordinatorLease) write(ctx context.Context, sentAt time.Time, row store.Row, next coordinatorRow, intentRecord store.Row, intent intentRow) error {
-	value, err := json.Marshal(next)
+// Restore writes the lease and the intents again if this instance holds the lease and the store has lost them, and records
+// the beginning of the store's era.
+//
+// It fails with the errors of Claim.
+func (l *coordinatorLease) Restore(ctx context.Context) error {
+	l.claimMu.Lock()
+	defer l.claimMu.Unlock()
+	sentAt := l.cfg.Clock()
+	s, err := l.cfg.Store.All(ctx, coordinatorTable)
+	if err != nil {
+		return err
+	}
+	record, err := decodeCoordinator(s)
 	if err != nil {
 		return err
 	}
-	if intentRecord.Value, err = json.Marshal(intent); err != nil {
+	if _, held := l.Held(); held && s.Era > 0 && record.current.Era != s.Era && !record.heldByOther(l.cfg.Name) {
+		return l.write(ctx, sentAt, record, l.liveIntents(sentAt, record))
+	}
+	return l.recordEra(ctx, record)
+}
+
+// recordEra records the store's era, from which on lost claims are waited out, unless an instance has done so.
+func (l *coordinatorLease) recordEra(ctx context.Context, record coordinatorRecord) error {
+	row, missing, err := record.newEraRow()
+	if err != nil || !missing {
 		return err
 	}
-	_, err = l.cfg.Store.Commit(ctx, store.Tx{
-		Expect:  []store.Row{{Table: coordinatorTable, Key: coordinatorKey, Version: row.Version}},
-		Upserts: []store.Row{{Table: coordinatorTable, Key: coordinatorKey, Value: value}, intentRecord},
-	})
+	_, err = l.cfg.Store.Commit(ctx, store.Tx{Expect: record.expectations(), Upserts: []store.Row{row}})
 	if fault.KindOf(err) == fault.KindConflict {
 		return concurrentWriteError{err}
 	}
+	return err
+}
+
+// liveIntents returns the intents that have not ended: those of the record, and those of the last claim that the store lost.
+func (l *coordinatorLease) liveIntents(now time.Time, record coordinatorRecord) map[string]heldIntent {
+	intents := map[string]heldIntent{}
+	for _, row := range record.snapshot.Rows {
+		name, isIntent := strings.CutPrefix(row.Key, intentKeyPrefix)
+		var intent intentRow
+		if !isIntent || json.Unmarshal(row.Value, &intent) != nil {
+			continue
+		}
+		remaining := time.Duration(intent.UntilMs)*time.Millisecond - record.snapshot.Now
+		if remaining > -intentSlack {
+			intents[name] = heldIntent{term: intent.Term, until: now.Add(remaining)}
+		}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for name, lost := range l.intents {
+		if known, ok := intents[name]; now.Before(lost.until.Add(intentSlack)) && (!ok || known.term < lost.term) {
+			intents[name] = lost
+		}
+	}
+	return intents
+}
+
+// write commits the lease with the intents of the named groups, or with all of them if the store has lost some, and then
+// updates the lease that this instance holds.
+func (l *coordinatorLease) write(ctx context.Context, sentAt time.Time, record coordinatorRecord, intents map[string]heldIntent, groups ...string) error {
+	token, held := l.Held()
+	if !held {
+		token = record.nextToken(l.cfg.Name)
+	}
+	now := record.snapshot.Now
+	rows := make([]store.Row, 0, len(intents)+2)
+	add := func(key string, value any) error {
+		text, err := json.Marshal(value)
+		rows = append(rows, store.Row{Table: coordinatorTable, Key: key, Value: text})
+		return err
+	}
+	if err := add(coordinatorKey, coordinatorRow{
+		Holder: l.cfg.Name, Token: token, UntilMs: (now + coordinatorLeaseDuration).Milliseconds(), Era: record.snapshot.Era,
+	}); err != nil {
+		return err
+	}
+	if record.current.Era != record.snapshot.Era {
+		groups = slices.Collect(maps.Keys(intents))
+	}
+	for _, name := range groups {
+		intent := intents[name]
+		if err := add(intentKeyPrefix+name, intentRow{Term: intent.term, UntilMs: (now + intent.until.Sub(sentAt)).Milliseconds()}); err != nil {
+			return err
+		}
+	}
+	eraRow, missing, err := record.newEraRow()
 	if err != nil {
 		return err
 	}
+	if missing {
+		rows = append(rows, eraRow)
+	}
+	if len(rows) > maxTransactionRows {
+		return fault.New(fault.Config{
+			Kind:    fault.KindUnavailable,
+			Message: "too many promotions are in progress to be written again in one transaction",
+			Remedy:  "no action needed; the lease is claimed once they have ended",
+		})
+	}
+	committed, err := l.cfg.Store.Commit(ctx, store.Tx{Expect: record.expectations(), Upserts: rows})
+	if fault.KindOf(err) == fault.KindConflict {
+		return concurrentWriteError{err}
+	}
+	if err != nil {
+		return err
+	}
+	if committed.Era != record.snapshot.Era {
+		return restoredError(fault.KindOutcomeUnknown, nil)
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.token = next.Token
+	l.token = token
 	l.heldUntil = sentAt.Add(coordinatorLeaseDuration - coordinatorLeaseMargin)
+	l.intents = intents
 	return nil
 }
--- /dev/null
+++ b/fleet/coordinator_record.go
@@ -0,0 +1,156 @@
+package fleet
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/monsoontiller/monsoontiller/fault"
+	"github.com/monsoontiller/monsoontiller/group"
+	"github.com/monsoontiller/monsoontiller/store"
+)
+
+// Rows of the store that record the promotion coordinator and the promotions in progress.
+const (
+	coordinatorTable = "monsoontiller"
+	coordinatorKey   = "duty/promotion"
+	// intentKeyPrefix starts the keys of the intent rows, one for each group.
+	intentKeyPrefix = "intent/"
+	// eraKey is the key of the row that records the beginning of the store's era.
+	eraKey = "store_era"
+)
+
+// intentRow is a write-ahead record: a promotion of a group to Term may be in progress.
+type intentRow struct {
+	Term uint64 `json:"term"`
+	// UntilMs is when the promotion can no longer be ordered, on the store's clock.
+	UntilMs int64 `json:"until_ms"`
+}
+
+// intentSlack is how long after the end of an intent its promotion order may still take effect.
+const intentSlack = 1500 * time.Millisecond
+
+// coordinatorRow records which instance holds the coordinator lease.
+type coordinatorRow struct {
+	Holder string `json:"holder"`
+	Token  uint64 `json:"token"`
+	// UntilMs is when the lease ends, on the store's clock.
+	UntilMs int64 `json:"until_ms"`
+	// Era is the era of the store in which the row was written, or 0 if the store reported none.
+	Era uint64 `json:"era,omitempty"`
+}
+
+// eraRow records that an instance saw the store in an era.
+type eraRow struct {
+	Era uint64 `json:"era"`
+	// SinceMs is when the row was written, on the store's clock.
+	SinceMs int64 `json:"since_ms"`
+}
+
+// settlingTime is how long after the beginning of an era claims and intents that the store has lost may still be in force.
+const settlingTime = coordinatorLeaseDuration + intentSlack
+
+// tokenEraBits is the number of low bits of a fencing token that count the holders within an era. The era in the bits above
+// keeps the tokens increasing when the store has lost the newest ones.
+const tokenEraBits = 32
+
+// coordinatorRecord is the decoded content of coordinatorTable.
+type coordinatorRecord struct {
+	snapshot store.Snapshot
+	// row and eraRow hold the versions of the rows; they are zero for rows that do not exist.
+	row, eraRow store.Row
+	current     coordinatorRow
+	era         eraRow
+}
+
+// decodeCoordinator decodes a snapshot of coordinatorTable; it fails with KindUnavailable if a row cannot be decoded.
+func decodeCoordinator(s store.Snapshot) (coordinatorRecord, error) {
+	r := coordinatorRecord{snapshot: s}
+	for _, part := range []struct {
+		key   string
+		row   *store.Row
+		value any
+	}{
+		{coordinatorKey, &r.row, &r.current},
+		{eraKey, &r.eraRow, &r.era},
+	} {
+		row, found := s.Row(part.key)
+		if !found {
+			continue
+		}
+		*part.row = row
+		if err := json.Unmarshal(row.Value, part.value); err != nil {
+			return r, fault.New(fault.Config{
+				Kind:    fault.KindUnavailable,
+				Message: "a row of the promotion coordinator cannot be decoded",
+				Remedy:  "remove the row " + part.key + " of the table " + coordinatorTable,
+				Cause:   err,
+			})
+		}
+	}
+	return r, nil
+}
+
+// settled reports whether no claim or intent that the store has lost can be in force.
+//
+// That is so once the era has lasted for settlingTime, and once the holder of the
+// lease at the store's return has written it and the intents again.
+func (r coordinatorRecord) settled() bool {
+	era := r.snapshot.Era
+	if era == 0 || r.current.Era == era {
+		return true
+	}
+	since := time.Duration(r.era.SinceMs) * time.Millisecond
+	return r.era.Era == era && r.snapshot.Now-since >= settlingTime
+}
+
+// heldByOther reports whether the lease of an instance other than name has not ended. Rows without an era are
+// written by builds that know none.
+func (r coordinatorRecord) heldByOther(name string) bool {
+	sameEra := r.current.Era == r.snapshot.Era || r.current.Era == 0
+	return r.current.Holder != "" && r.current.Holder != name && sameEra && r.snapshot.Now.Milliseconds() < r.current.UntilMs
+}
+
+// nextToken returns the fencing token of a claim by name, which does not hold the lease now.
+func (r coordinatorRecord) nextToken(name string) uint64 {
+	if r.current.Holder == name && r.current.Era == r.snapshot.Era {
+		return r.current.Token
+	}
+	return max(r.snapshot.Era<<tokenEraBits, r.current.Token) + 1
+}
+
+// newEraRow returns the row that records the snapshot's era; ok is false if it is recorded already, or the store reports none.
+func (r coordinatorRecord) newEraRow() (row store.Row, ok bool, err error) {
+	if r.era.Era == r.snapshot.Era {
+		return store.Row{}, false, nil
+	}
+	value, err := json.Marshal(eraRow{Era: r.snapshot.Era, SinceMs: r.snapshot.Now.Milliseconds()})
+	return store.Row{Table: coordinatorTable, Key: eraKey, Value: value}, true, err
+}
+
+// expectations returns the conditions under which the record is still current.
+func (r coordinatorRecord) expectations() []store.Row {
+	expect := []store.Row{{Table: coordinatorTable, Key: coordinatorKey, Version: r.row.Version}}
+	if r.snapshot.Era > 0 {
+		expect = append(expect, store.Row{Table: coordinatorTable, Key: eraKey, Version: r.eraRow.Version})
+	}
+	return expect
+}
+
+// promotionInProgress reports whether a promotion of a group to a term above term may be in progress, given a snapshot of
+// coordinatorTable.
+func promotionInProgress(s store.Snapshot, name string, term group.Term) bool {
+	if record, err := decodeCoordinator(s); err != nil || !record.settled() {
+		// The record of a promotion in progress may be lost.
+		return true
+	}
+	row, ok := s.Row(intentKeyPrefix + name)
+	if !ok {
+		return false
+	}
+	var intent intentRow
+	if err := json.Unmarshal(row.Value, &intent); err != nil {
+		// An intent that cannot be decoded may belong to a promotion in progress.
+		return true
+	}
+	return group.Term(intent.Term) > term && s.Now < time.Duration(intent.UntilMs)*time.Millisecond+intentSlack
+}
--- a/fleet/export_test.go
+++ b/fleet/export_test.go
@@ -23,6 +23,9 @@
 	return l.lease.Claim(ctx, name, term)
 }
 
+// Restore writes the lease again if the store has lost it.
+func (l *CoordinatorLease) Restore(ctx context.Context) error { return l.lease.Restore(ctx) }
+
 // Held returns the fencing token, and reports whether the lease is held.
 func (l *CoordinatorLease) Held() (uint64, bool) { return l.lease.Held() }
 
--- a/fleet/instance.go
+++ b/fleet/instance.go
@@ -144,6 +144,7 @@
 		&watchLog[L]{instance: i},
 		&witness[L]{instance: i},
 		&registration[L]{instance: i},
+		&leaseRestorer[L]{instance: i},
 		&storeCheck[L]{instance: i},
 		&follower{
 			store: i.cfg.Store, table: i.cfg.Adapter.ConfigurationTable, logger: i.cfg.Logger, active: i.followsStore, era: i.era, tablesRead: i.meters.tablesRead,
--- a/fleet/restore_test.go
+++ b/fleet/restore_test.go
@@ -41,7 +41,7 @@
 // Guards against two holders of the coordinator lease, and against a fencing token that decreases or is given out twice,
 // after the store has returned from a copy that lacks the newest claims.
 func TestCoordinatorLeaseAcrossRestoredStore(t *testing.T) {
-	claims := 0
+	claims, rewrites := 0, 0
 	rapid.Check(t, func(t *rapid.T) {
 		sim := newRestoredSimulation()
 		names := []string{"one", "two", "three"}
@@ -52,7 +52,7 @@
 		highest, holder := uint64(0), ""
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			name := rapid.SampledFrom(names).Draw(t, "instance")
-			switch rapid.IntRange(0, 6).Draw(t, "step") {
+			switch rapid.IntRange(0, 7).Draw(t, "step") {
 			case 0, 1:
 				sim.pass(time.Duration(rapid.IntRange(1, 4000).Draw(t, "ms")) * time.Millisecond)
 			case 2:
@@ -61,6 +61,10 @@
 				sim.restore(rapid.IntRange(1, 8).Draw(t, "seconds"))
 			case 4:
 				leases[name] = sim.lease(name)
+			case 5:
+				if err := leases[name].Restore(context.Background()); err == nil {
+					rewrites++
+				}
 			default:
 				if leases[name].Claim(context.Background(), "orders", 2) == nil {
 					claims++
@@ -83,8 +87,46 @@
 			}
 		}
 	})
-	if claims == 0 {
-		t.Error("no claim succeeded")
+	if claims == 0 || rewrites == 0 {
+		t.Errorf("%d claims and %d rewrites succeeded", claims, rewrites)
+	}
+}
+
+// Guards against promotions that wait for lost claims although their holder goes on: it writes its lease again, and keeps
+// its token.
+func TestHolderKeepsLeaseAcrossRestoredStore(t *testing.T) {
+	sim := newRestoredSimulation()
+	sim.pass(20 * time.Second)
+	one, two := sim.lease("one"), sim.lease("two")
+	for claim(t, one) != nil {
+		sim.pass(time.Second)
+	}
+	token, _ := one.Held()
+	older := sim.copies[len(sim.copies)-1]
+	sim.pass(2 * time.Second)
+	sim.store.Restore(older)
+	if err := one.Restore(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	if again, held := one.Held(); !held || again != token {
+		t.Errorf("the holder has token %d, held %v, want %d", again, held, token)
+	}
+	if claim(t, two) == nil {
+		t.Error("another instance holds the lease too")
+	}
+	s, err := sim.store.All(context.Background(), fleet.CoordinatorTable)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !fleet.PromotionInProgress(s, "orders", 1) {
+		t.Error("the intent of the promotion was not written again")
+	}
+	sim.pass(fleet.CoordinatorLeaseDuration)
+	if err := claim(t, two); err != nil {
+		t.Errorf("the lease has ended, and cannot be claimed: %v", err)
+	}
+	if next, _ := two.Held(); next <= token {
+		t.Errorf("token %d after %d with another holder", next, token)
 	}
 }
 
