fleet: an instance registers again when the store has lost its registration

What callers could have seen: a promotion that does not wait for an instance which still holds a lease, because its registration, written up to some seconds before the store's return, was lost.

Cause: an instance registered once, and took the confirmation as lasting.

--- a/fleet/registration.go
+++ b/fleet/registration.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -61,24 +62,26 @@
 // Name returns the service's name.
 func (r *registration[L]) Name() string { return "registration" }
 
-// Run registers, retrying until that succeeds, and removes the registration once ctx ends.
+// Run registers in each era of the store, retrying until that succeeds, and removes the registration once ctx ends.
 func (r *registration[L]) Run(ctx context.Context) error {
 	row, err := encodeRegistration(r.instance.node.Self())
 	if err != nil {
 		return err
 	}
 	r.expectRegistered(ctx)
+	lasting := r.register(ctx, row)
+	if ctx.Err() == nil {
+		r.countRegistered(ctx)
+	}
 	for ctx.Err() == nil {
-		_, err := r.instance.cfg.Store.Commit(ctx, store.Tx{Upserts: []store.Row{row}})
-		if err == nil {
-			r.countRegistered(ctx)
-			break
-		}
-		if engine.Sleep(ctx, registerPause) != nil {
-			return nil
+		select {
+		case <-lasting.Done():
+			if engine.Sleep(ctx, rand.N(rewriteSpread)) == nil {
+				lasting = r.register(ctx, row)
+			}
+		case <-ctx.Done():
 		}
 	}
-	<-ctx.Done()
 	removeCtx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancel()
 	if _, err := r.instance.cfg.Store.Commit(removeCtx, store.Tx{Remove: []store.Row{row}}); err != nil {
@@ -87,6 +90,22 @@
 	return nil
 }
 
+// register writes the row until that succeeds or ctx ends, and returns a context that ends with the store's era in which the
+// row was written.
+func (r *registration[L]) register(ctx context.Context, row store.Row) (lasting context.Context) {
+	for {
+		committed, err := r.instance.cfg.Store.Commit(ctx, store.Tx{Upserts: []store.Row{row}})
+		era, lasting := r.instance.era.Current()
+		if err == nil && committed.Era == era {
+			logLine(r.instance.cfg.Logger, "level", "info", "msg", "registered", "position", committed.Position().String())
+			return lasting
+		}
+		if engine.Sleep(ctx, registerPause) != nil {
+			return lasting
+		}
+	}
+}
+
 // expectRegistered makes this instance expect the registered instances, if an earlier run of it is among them.
 //
 // An earlier run that did not remove its registration has crashed, and the other
