fleet: an endpoint that has reported to leave counts as leaving until it can report again

Cause: with positions ordered by era, the older entry of the copy takes precedence over the report.

Evidence: TestEndpointLeavesAcrossRestoredStore; two of its cases fail without the rule.

The fix: an entry of a newer era does not take back that the endpoint leaves, for as long as an endpoint may take to write its entry again; a report of the same era, and a restart of the endpoint, do.

--- a/fleet/era.go
+++ b/fleet/era.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"sync"
-	"time"
 
-	"github.com/monsoontiller/monsoontiller/clock"
 	"github.com/monsoontiller/monsoontiller/fault"
 	"github.com/monsoontiller/monsoontiller/store"
 )
@@ -14,8 +12,6 @@
 type storeEra struct {
 	mu      sync.Mutex
 	current uint64
-	// raisedAt is when this instance saw the era rise, or zero while it has seen one era only.
-	raisedAt time.Time
 	// lasting is cancelled and replaced by end when the era rises.
 	lasting context.Context
 	end     context.CancelFunc
@@ -36,9 +32,6 @@
 		return before, false
 	}
 	e.current = era
-	if before > 0 {
-		e.raisedAt = clock.Now()
-	}
 	e.end()
 	e.lasting, e.end = context.WithCancel(context.Background())
 	return before, true
@@ -51,13 +44,6 @@
 	return e.current, e.lasting
 }
 
-// RaisedAt returns when this instance saw the era rise, or the zero time if it has seen one era only.
-func (e *storeEra) RaisedAt() time.Time {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.raisedAt
-}
-
 // trackedStore is a store whose answers of earlier eras are dropped.
 //
 // Such an answer describes rows that the store may have lost since. Observe receives the era of each answer.
--- a/fleet/export_test.go
+++ b/fleet/export_test.go
@@ -119,3 +119,17 @@
 	_, err := d.directory.ContractTerms(database)
 	return err
 }
+
+// ListedEndpoint gives tests access to an endpoint's newest entry.
+type ListedEndpoint struct{ listed *listedEndpoint }
+
+// ReplacedBy returns the endpoint with a newer entry, read at now.
+func (l ListedEndpoint) ReplacedBy(e Entry, at store.Position, now time.Time) ListedEndpoint {
+	return ListedEndpoint{listed: l.listed.replacedBy(e, at, now)}
+}
+
+// Leaving reports whether the endpoint is about to stop.
+func (l ListedEndpoint) Leaving(now time.Time) bool { return l.listed.leaving(now) }
+
+// RemovalGrace is how long an endpoint without an entry is kept.
+const RemovalGrace = removalGrace
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -32,14 +32,6 @@
 	orders       *orders[L]
 }
 
-// listedEndpoint holds an endpoint's newest entry.
-type listedEndpoint struct {
-	entry    Entry
-	position store.Position
-	// removedAt is when the entry was found missing, or zero while it exists.
-	removedAt time.Time
-}
-
 // members holds the endpoints that the store lists, and the groups that this instance watches; it is safe for concurrent use.
 type members[L Link[L]] struct {
 	instance *Instance[L]
@@ -80,7 +72,7 @@
 	for {
 		select {
 		case <-ticker.C:
-			m.dropRemoved(clock.Now())
+			m.expireEntries(clock.Now())
 			m.UpdateGroups()
 			m.stopFormerHomes(clock.Now())
 		case <-ctx.Done():
@@ -185,11 +177,15 @@
 		"address", e.Address, "data_centre", e.DataCentre, "leaving", e.Leaving, "position", at.String())
 }
 
-// dropRemoved drops endpoints whose entry has been missing for removalGrace.
-func (m *members[L]) dropRemoved(now time.Time) {
+// expireEntries drops endpoints whose entry has been missing for removalGrace, and ends what is kept of lost entries.
+func (m *members[L]) expireEntries(now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for name, ep := range m.entries {
+		if !ep.leavingUntil.IsZero() && !now.Before(ep.leavingUntil) {
+			ep.leavingUntil = time.Time{}
+			m.updateGroupLocked(ep.entry.Group)
+		}
 		if ep.removedAt.IsZero() || now.Sub(ep.removedAt) < removalGrace {
 			continue
 		}
@@ -221,13 +217,14 @@
 func (m *members[L]) updateGroupLocked(name string) {
 	var addresses []engine.Address
 	var names, leaving []string
+	now := clock.Now()
 	for _, ep := range m.entries {
 		if ep.entry.Group != name {
 			continue
 		}
 		addresses = append(addresses, m.address(ep.entry))
 		names = append(names, ep.entry.Endpoint)
-		if ep.entry.Leaving {
+		if ep.leaving(now) {
 			leaving = append(leaving, ep.entry.Endpoint)
 		}
 	}
@@ -250,7 +247,7 @@
 	w.group.View(func(t *route.Tracker) {
 		for _, ep := range m.entries {
 			if ep.entry.Group == name {
-				t.SetLeaving(ep.entry.Endpoint, ep.entry.Leaving)
+				t.SetLeaving(ep.entry.Endpoint, ep.leaving(now))
 			}
 		}
 	})
--- a/fleet/restore_test.go
+++ b/fleet/restore_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/monsoontiller/monsoontiller/fleet"
+	"github.com/monsoontiller/monsoontiller/store"
 	"github.com/monsoontiller/monsoontiller/store/storetest"
 	"pgregory.net/rapid"
 )
@@ -149,3 +150,34 @@
 		t.Error("the store confirms term 1 although a promotion to term 2 may be in progress")
 	}
 }
+
+// Guards against requests to an endpoint that has reported to leave, after the store has returned from a copy that is older
+// than the report and before the endpoint has written it again.
+func TestEndpointLeavesAcrossRestoredStore(t *testing.T) {
+	now := time.Unix(5000, 0)
+	ready, leaving := fleet.Entry{Endpoint: "a"}, fleet.Entry{Endpoint: "a", Leaving: true}
+	restarted := fleet.Entry{Endpoint: "a", Incarnation: 1}
+	reported := fleet.ListedEndpoint{}.ReplacedBy(leaving, store.NewPosition(1, 90), now)
+	lost := reported.ReplacedBy(ready, store.NewPosition(2, 40), now)
+	beat := lost.ReplacedBy(ready, store.NewPosition(2, 45), now)
+	later := now.Add(fleet.RemovalGrace)
+	for _, tc := range []struct {
+		name     string
+		endpoint fleet.ListedEndpoint
+		at       time.Time
+		want     bool
+	}{
+		{"reported", reported, later, true},
+		{"report lost", lost, later.Add(-1), true},
+		{"report lost and not made again", lost, later, false},
+		{"report lost, entry written", beat, later.Add(-1), true},
+		{"report lost, entry written, not made again", beat, later, false},
+		{"report made again", lost.ReplacedBy(leaving, store.NewPosition(2, 46), now), later, true},
+		{"taken back in the same era", reported.ReplacedBy(ready, store.NewPosition(1, 91), now), now, false},
+		{"restarted", reported.ReplacedBy(restarted, store.NewPosition(2, 46), now), now, false},
+	} {
+		if got := tc.endpoint.Leaving(tc.at); got != tc.want {
+			t.Errorf("%s: leaving %v, want %v", tc.name, got, tc.want)
+		}
+	}
+}
--- a/fleet/shares.go
+++ b/fleet/shares.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"github.com/monsoontiller/monsoontiller/clock"
 	"github.com/monsoontiller/monsoontiller/engine"
 	"github.com/monsoontiller/monsoontiller/store"
 )
@@ -17,7 +18,7 @@
 		m.logOlderLocked(current, e, at)
 		return
 	}
-	m.entries[e.Endpoint] = &listedEndpoint{entry: e, position: at}
+	m.entries[e.Endpoint] = current.replacedBy(e, at, clock.Now())
 	if current == nil || current.entry != e || !current.removedAt.IsZero() {
 		m.logLocked("endpoint_listed", e, at)
 		m.updateGroupLocked(e.Group)
