soak: the store returns from an older copy, and the newest configuration must be in force at the end

The fault: the store is away for up to 3 s and returns from a copy that is 5 s old; the operator and the members write what was lost again, within 2 s or before any instance reaches the store. In the latter case a configuration is lost that the instances know, another one follows, and heartbeats use up the lost versions.

The check is new for all runs: within the time to recover, each instance must serve a database that only the newest configuration has.

--- a/cmd/monsoonsoak/main.go
+++ b/cmd/monsoonsoak/main.go
@@ -18,16 +18,17 @@
 
 // options holds the flags of the command.
 type options struct {
-	Seed        uint64        `long:"seed" default:"1" description:"first seed"`
-	Count       int           `long:"count" default:"1" description:"number of seeds, one after the other from the first"`
-	Jobs        int           `long:"jobs" default:"1" description:"seeds that run at once"`
-	Length      time.Duration `long:"length" default:"20s" description:"how long callers ask while faults come"`
-	Instances   int           `long:"instances" default:"4" description:"processes of the program for each seed"`
-	Clients     int           `long:"clients" default:"24" description:"callers for each seed"`
-	Connections int           `long:"connections" default:"40" description:"connections that each endpoint takes; few make instances pass sessions on"`
-	PowerLosses int           `long:"power-losses" description:"times that all instances lose power, besides the other faults, while the endpoints keep their connections"`
-	Binary      string        `long:"binary" default:"target/monsoontiller" description:"the program"`
-	Directory   string        `long:"directory" default:"target/soak" description:"takes the settings and output of the processes of each seed"`
+	Seed          uint64        `long:"seed" default:"1" description:"first seed"`
+	Count         int           `long:"count" default:"1" description:"number of seeds, one after the other from the first"`
+	Jobs          int           `long:"jobs" default:"1" description:"seeds that run at once"`
+	Length        time.Duration `long:"length" default:"20s" description:"how long callers ask while faults come"`
+	Instances     int           `long:"instances" default:"4" description:"processes of the program for each seed"`
+	Clients       int           `long:"clients" default:"24" description:"callers for each seed"`
+	Connections   int           `long:"connections" default:"40" description:"connections that each endpoint takes; few make instances pass sessions on"`
+	PowerLosses   int           `long:"power-losses" description:"times that all instances lose power, besides the other faults, while the endpoints keep their connections"`
+	StoreRestores int           `long:"store-restores" description:"times that the store returns from an older copy, besides the other faults"`
+	Binary        string        `long:"binary" default:"target/monsoontiller" description:"the program"`
+	Directory     string        `long:"directory" default:"target/soak" description:"takes the settings and output of the processes of each seed"`
 }
 
 func main() {
@@ -88,7 +89,7 @@
 	}
 	defer faults.Close()
 	report, err := soak.Run(ctx, soak.Config{
-		Seed: seed, Length: o.Length, Instances: o.Instances, Clients: o.Clients, Connections: o.Connections, PowerLosses: o.PowerLosses,
+		Seed: seed, Length: o.Length, Instances: o.Instances, Clients: o.Clients, Connections: o.Connections, PowerLosses: o.PowerLosses, StoreRestores: o.StoreRestores,
 		Network: 1 + int(seed%networkCount), Binary: o.Binary, Directory: directory, Output: io.Writer(faults),
 	})
 	if err != nil {
--- a/soak/client.go
+++ b/soak/client.go
@@ -86,6 +86,19 @@
 	return c.servedCount > before
 }
 
+// AwaitDatabase connects to a database until one connection is accepted or ctx ends, and reports whether one was.
+func (c *Client) AwaitDatabase(ctx context.Context, name string) bool {
+	for ctx.Err() == nil {
+		session, err := platformtest.Dial(ctx, platformtest.CallerConfig{Address: c.addresses[0], Database: name, Timeout: answerTimeout})
+		if err == nil {
+			session.Close()
+			return true
+		}
+		pause(ctx, 5*maxClientPause)
+	}
+	return false
+}
+
 func pause(ctx context.Context, d time.Duration) {
 	select {
 	case <-time.After(d):
--- a/soak/fixture.go
+++ b/soak/fixture.go
@@ -29,9 +29,12 @@
 	storeProxies    []*Proxy
 	promoterProxies []*Proxy
 	endpointProxies []*Proxy
-	// mu guards version, which concurrent faults increment.
+	// mu guards the fields below, which concurrent faults change: the newest version of the configuration, the rows that the
+	// operator and the members wrote last, and the copies of the store.
 	mu      sync.Mutex
 	version int
+	written map[rowKey][]byte
+	copies  []storeCopy
 	done    []chan error
 }
 
@@ -53,11 +56,12 @@
 
 // newFixture starts the fake platform and the endpoints, and writes the instances' settings without starting them.
 func newFixture(ctx context.Context, cfg Config, oracle *Oracle) (*fixture, error) {
-	f := &fixture{cfg: cfg}
+	f := &fixture{cfg: cfg, written: map[rowKey][]byte{}}
 	var err error
 	if f.store, err = platformtest.NewStoreServer(); err != nil {
 		return nil, err
 	}
+	f.store.Rows.SetEra(1)
 	if f.group, err = platformtest.NewGroup(groupName, 3); err != nil {
 		return nil, err
 	}
@@ -69,6 +73,10 @@
 		return nil, err
 	}
 	f.background(ctx, f.store.Run)
+	if cfg.StoreRestores > 0 {
+		f.background(ctx, f.copyStore)
+		f.background(ctx, f.heartbeat)
+	}
 	f.background(ctx, f.group.Run)
 	f.background(ctx, func(ctx context.Context) error { return servePromotions(ctx, promoter, f.group) })
 	for _, m := range f.members {
@@ -142,7 +150,9 @@
 
 // writeEntry writes the store's entry of a member.
 func (f *fixture) writeEntry(m *platformtest.Member, state string) {
-	f.store.Rows.Put(platform.TableEndpoints, m.ID, m.Entry("z"+m.ID[len(m.ID)-1:], state))
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.putLocked(platform.TableEndpoints, m.ID, m.Entry("z"+m.ID[len(m.ID)-1:], state))
 }
 
 // writeConfiguration writes the next version of the configuration, with a database that no caller uses.
@@ -150,13 +160,23 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.version += 3
-	all := append([]platformtest.Database{{Name: fmt.Sprintf("extra%d", f.version), Kind: platformtest.KindPrimary}}, databases...)
-	f.store.Rows.Put(platform.TableConfiguration, platform.KeyConfiguration, platformtest.Configuration{
+	all := append([]platformtest.Database{{Name: extraDatabase(f.version), Kind: platformtest.KindPrimary}}, databases...)
+	f.putLocked(platform.TableConfiguration, platform.KeyConfiguration, platformtest.Configuration{
 		Version: f.version, Group: groupName, Connections: f.cfg.Connections, Databases: all,
 		Timeout: requestTimeout, TargetLatency: targetLatency, MaxStaleness: maxStaleness, TransactionIdle: transactionIdle,
 	}.Text())
 }
 
+// extraDatabase returns the name of the database that only one version of the configuration has.
+func extraDatabase(version int) string { return fmt.Sprintf("extra%d", version) }
+
+// newestExtraDatabase returns the name of the database that only the newest version has.
+func (f *fixture) newestExtraDatabase() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return extraDatabase(f.version)
+}
+
 // Limits of the contracts, within the range of the users' contracts.
 const (
 	requestTimeout  = 3 * time.Second
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -6,7 +6,6 @@
 	"syscall"
 	"time"
 
-	"github.com/monsoontiller/monsoontiller/platform"
 	"github.com/monsoontiller/monsoontiller/platform/platformtest"
 )
 
@@ -25,6 +24,8 @@
 			p.Linger(deadPeerTime)
 		}
 		f.killAll(ctx, fault)
+	case kindStoreRestore:
+		f.restoreStore(ctx, fault)
 	case "freeze":
 		instance.Signal(syscall.SIGSTOP)
 		pause(ctx, fault.Duration)
@@ -115,7 +116,7 @@
 	m.SetDown(true)
 	// The platform removes a member's entry after some time without a heartbeat, here after half the duration.
 	pause(ctx, fault.Duration/2)
-	f.store.Rows.Remove(platform.TableEndpoints, m.ID)
+	f.removeEntry(m.ID)
 	pause(ctx, fault.Duration/2)
 	m.Start(time.Now().UnixMilli())
 	f.writeEntry(m, platformtest.StateReady)
--- a/soak/run.go
+++ b/soak/run.go
@@ -24,6 +24,8 @@
 	Connections int
 	// PowerLosses is the number of times that all instances lose power, in addition to the faults of the schedule.
 	PowerLosses int
+	// StoreRestores is the number of times that the store returns from an older copy, in addition to the schedule.
+	StoreRestores int
 	// Network is the second octet of the instances' loopback addresses; concurrent runs need different values.
 	Network int
 	// Binary is the path of the program; Directory receives the settings and output files of its processes.
@@ -83,6 +85,9 @@
 		return report, err
 	}
 	f.runLoad(ctx, oracle)
+	if cfg.StoreRestores > 0 {
+		f.restoreStore(ctx, lastRestore)
+	}
 	failures := f.checkRecovery(ctx, oracle)
 	if ctx.Err() != nil {
 		return report, errors.New("the run was interrupted and its result is incomplete; run the seed again")
@@ -100,6 +105,9 @@
 	return report, nil
 }
 
+// lastRestore is injected after the load, so that nothing that is written later hides a change that an instance has missed.
+var lastRestore = Fault{Kind: kindStoreRestore, Duration: time.Second, Target: 1}
+
 func (f *fixture) awaitReady(ctx context.Context) error {
 	deadline := time.Now().Add(startTime)
 	for _, p := range f.instances {
@@ -126,7 +134,8 @@
 		}()
 	}
 	started := time.Now()
-	faults := append(Schedule(f.cfg.Seed, f.cfg.Length), PowerLosses(f.cfg.Seed, f.cfg.Length, f.cfg.PowerLosses)...)
+	faults := slices.Concat(Schedule(f.cfg.Seed, f.cfg.Length), PowerLosses(f.cfg.Seed, f.cfg.Length, f.cfg.PowerLosses),
+		StoreRestores(f.cfg.Seed, f.cfg.Length, f.cfg.StoreRestores))
 	slices.SortStableFunc(faults, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	for _, fault := range faults {
 		pause(ctx, fault.At-time.Since(started))
@@ -150,7 +159,8 @@
 	return out
 }
 
-// checkRecovery returns a failure for each instance that serves no write within recoveryTime after the last fault.
+// checkRecovery returns a failure for each instance that, within recoveryTime after the last fault, serves no write or no
+// database of the newest configuration.
 func (f *fixture) checkRecovery(ctx context.Context, oracle *Oracle) (failures []string) {
 	ctx, cancel := context.WithTimeout(ctx, recoveryTime)
 	defer cancel()
@@ -164,6 +174,10 @@
 				results <- "recovery: " + p.Name() + " serves no write " + recoveryTime.String() + " after the last fault"
 				return
 			}
+			if database := f.newestExtraDatabase(); !c.AwaitDatabase(ctx, database) {
+				results <- "config: " + p.Name() + " refuses " + database + " of the newest configuration " + recoveryTime.String() + " after the last fault"
+				return
+			}
 			results <- ""
 		}()
 	}
--- a/soak/run_test.go
+++ b/soak/run_test.go
@@ -16,13 +16,15 @@
 	instances   int
 	length      time.Duration
 	powerLosses int
+	restores    int
 	cause       string
 }{
-	{1, 40, 4, 6 * time.Second, 0, "none: all instances hold connections"},
-	{2, 8, 4, 6 * time.Second, 0, "none: sessions are forwarded to one home"},
-	{3, 20, 5, 6 * time.Second, 1, "none: all instances lose power, and the endpoints keep their connections"},
-	{26, 40, 4, 6 * time.Second, 0, "the promotion coordinator was killed after it had demoted the leaving primary, and no instance took over"},
-	{142, 10, 7, 8 * time.Second, 0, "all instances were killed during a promotion, and none knew a primary after the restart"},
+	{1, 40, 4, 6 * time.Second, 0, 0, "none: all instances hold connections"},
+	{2, 8, 4, 6 * time.Second, 0, 0, "none: sessions are forwarded to one home"},
+	{3, 20, 5, 6 * time.Second, 1, 0, "none: all instances lose power, and the endpoints keep their connections"},
+	{26, 40, 4, 6 * time.Second, 0, 0, "the promotion coordinator was killed after it had demoted the leaving primary, and no instance took over"},
+	{142, 10, 7, 8 * time.Second, 0, 0, "all instances were killed during a promotion, and none knew a primary after the restart"},
+	{601, 40, 4, 7 * time.Second, 0, 1, "the store returned from an older copy, and all instances missed a configuration"},
 }
 
 // TestShortSoak runs the real program as separate processes under faults for a few seconds; cmd/monsoonsoak does longer
@@ -38,7 +40,7 @@
 		t.Run(regression.cause, func(t *testing.T) {
 			t.Parallel()
 			r, err := soak.Run(t.Context(), soak.Config{
-				Seed: regression.seed, Length: regression.length, Instances: regression.instances, Clients: 16, Connections: regression.connections, PowerLosses: regression.powerLosses,
+				Seed: regression.seed, Length: regression.length, Instances: regression.instances, Clients: 16, Connections: regression.connections, PowerLosses: regression.powerLosses, StoreRestores: regression.restores,
 				Network: 100 + i, Binary: binary, Directory: t.TempDir(), Output: t.Output(),
 			})
 			if err != nil {
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -57,9 +57,13 @@
 	return out
 }
 
-// kindPowerLoss kills all instances while the endpoints keep their connections. It is drawn separately, so that the
-// schedules of the other kinds stay the same.
-const kindPowerLoss = "power_loss"
+// Kinds of faults that are drawn separately, so that the schedules of the other kinds stay the same.
+const (
+	// kindPowerLoss kills all instances while the endpoints keep their connections.
+	kindPowerLoss = "power_loss"
+	// kindStoreRestore makes the store return from an older copy.
+	kindStoreRestore = "store_restore"
+)
 
 // PowerLosses returns n power losses of all instances at random times in the first half of a run of the given length.
 func PowerLosses(seed uint64, length time.Duration, n int) []Fault {
@@ -73,5 +77,19 @@
 	return out
 }
 
+// StoreRestores returns n returns of the store from an older copy at random times in the first four fifths of a run of the
+// given length.
+func StoreRestores(seed uint64, length time.Duration, n int) []Fault {
+	r := rand.New(rand.NewPCG(seed, 0xe4a5))
+	var out []Fault
+	for range n {
+		out = append(out, Fault{
+			At: time.Duration(r.Int64N(int64(length * 4 / 5))), Duration: 200*time.Millisecond + time.Duration(r.Int64N(int64(maxStoreAbsence))),
+			Kind: kindStoreRestore, Target: r.IntN(1 << 16),
+		})
+	}
+	return out
+}
+
 // Kinds returns all kinds of faults that Schedule draws from.
 func Kinds() []string { return append([]string(nil), kinds...) }
--- a/store/storetest/copy.go
+++ b/store/storetest/copy.go
@@ -42,6 +42,13 @@
 	s.wakeLocked()
 }
 
+// Version returns the newest version.
+func (s *Store) Version() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.version
+}
+
 // Era returns the era that the store reports.
 func (s *Store) Era() uint64 {
 	s.mu.Lock()
