fleet: after the store's return a claim waits for lost claims only, not for lost intents

A claim by an instance other than the last holder waited 6.5 s, until every lost intent had ended. Lost claims end after 5 s, as in a takeover without a return. Rows now say whether the intents are complete: a claim between 5 s and 6.5 s does not make the store a witness again.

--- a/fleet/coordinator.go
+++ b/fleet/coordinator.go
@@ -40,6 +40,8 @@
 	heldUntil time.Time
 	// intents holds, by group, the intents that the store held at the last claim, which are written again if it loses them.
 	intents map[string]heldIntent
+	// complete reports that no other intent was in force at the last claim.
+	complete bool
 }
 
 // heldIntent is an intent with its end on this instance's clock.
@@ -102,7 +104,7 @@
 	}
 	_, held := l.Held()
 	switch {
-	case !record.settled() && !held:
+	case !record.claimsKnown() && !held:
 		if err := l.recordEra(ctx, record); err != nil {
 			return err
 		}
@@ -189,6 +191,8 @@
 	if !held {
 		token = record.nextToken(l.cfg.Name)
 	}
+	carriedOver := held && record.current.Era != record.snapshot.Era
+	complete := record.intentsKnown() || carriedOver && l.completeIntents()
 	now := record.snapshot.Now
 	rows := make([]store.Row, 0, len(intents)+2)
 	add := func(key string, value any) error {
@@ -198,6 +202,7 @@
 	}
 	if err := add(coordinatorKey, coordinatorRow{
 		Holder: l.cfg.Name, Token: token, UntilMs: (now + coordinatorLeaseDuration).Milliseconds(), Era: record.snapshot.Era,
+		Complete: complete,
 	}); err != nil {
 		return err
 	}
@@ -238,6 +243,12 @@
 	defer l.mu.Unlock()
 	l.token = token
 	l.heldUntil = sentAt.Add(coordinatorLeaseDuration - coordinatorLeaseMargin)
-	l.intents = intents
+	l.intents, l.complete = intents, complete
 	return nil
 }
+
+func (l *coordinatorLease) completeIntents() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.complete
+}
--- a/fleet/coordinator_record.go
+++ b/fleet/coordinator_record.go
@@ -37,6 +37,8 @@
 	UntilMs int64 `json:"until_ms"`
 	// Era is the era of the store in which the row was written, or 0 if the store reported none.
 	Era uint64 `json:"era,omitempty"`
+	// Complete reports that no intent of an earlier era is missing from the store.
+	Complete bool `json:"complete,omitempty"`
 }
 
 // eraRow records that an instance saw the store in an era.
@@ -46,9 +48,6 @@
 	SinceMs int64 `json:"since_ms"`
 }
 
-// settlingTime is how long after the beginning of an era claims and intents that the store has lost may still be in force.
-const settlingTime = coordinatorLeaseDuration + intentSlack
-
 // tokenEraBits is the number of low bits of a fencing token that count the holders within an era. The era in the bits above
 // keeps the tokens increasing when the store has lost the newest ones.
 const tokenEraBits = 32
@@ -90,17 +89,22 @@
 	return r, nil
 }
 
-// settled reports whether no claim or intent that the store has lost can be in force.
-//
-// That is so once the era has lasted for settlingTime, and once the holder of the
-// lease at the store's return has written it and the intents again.
-func (r coordinatorRecord) settled() bool {
-	era := r.snapshot.Era
-	if era == 0 || r.current.Era == era {
-		return true
-	}
+// lastsFor reports whether the store's era has certainly lasted for d, or is the only one.
+func (r coordinatorRecord) lastsFor(d time.Duration) bool {
 	since := time.Duration(r.era.SinceMs) * time.Millisecond
-	return r.era.Era == era && r.snapshot.Now-since >= settlingTime
+	return r.snapshot.Era == 0 || r.era.Era == r.snapshot.Era && r.snapshot.Now-since >= d
+}
+
+// claimsKnown reports whether no claim that the store has lost can be in force: the lease was written in this era, or every
+// lease of earlier eras has ended.
+func (r coordinatorRecord) claimsKnown() bool {
+	return r.current.Era == r.snapshot.Era || r.lastsFor(coordinatorLeaseDuration)
+}
+
+// intentsKnown reports whether no intent that the store has lost can be in force: the holder of the lease at the store's
+// return has written them again, or all of them have ended.
+func (r coordinatorRecord) intentsKnown() bool {
+	return r.current.Era == r.snapshot.Era && r.current.Complete || r.lastsFor(coordinatorLeaseDuration+intentSlack)
 }
 
 // heldByOther reports whether the lease of an instance other than name has not ended. Rows without an era are
@@ -139,7 +143,7 @@
 // promotionInProgress reports whether a promotion of a group to a term above term may be in progress, given a snapshot of
 // coordinatorTable.
 func promotionInProgress(s store.Snapshot, name string, term group.Term) bool {
-	if record, err := decodeCoordinator(s); err != nil || !record.settled() {
+	if record, err := decodeCoordinator(s); err != nil || !record.intentsKnown() {
 		// The record of a promotion in progress may be lost.
 		return true
 	}
--- a/fleet/restore_test.go
+++ b/fleet/restore_test.go
@@ -132,22 +132,41 @@
 }
 
 // Guards against a store that confirms the term of a replaced primary, because the record of the promotion was lost with
-// its history.
+// its history: while it may be in force, also after another instance has claimed the lease.
 func TestLostIntentDoesNotConfirmTerm(t *testing.T) {
 	sim := newRestoredSimulation()
 	sim.pass(20 * time.Second)
 	older := sim.store.Copy()
-	lease := sim.lease("one")
-	for claim(t, lease) != nil {
+	for lease := sim.lease("one"); claim(t, lease) != nil; {
 		sim.pass(time.Second)
 	}
 	sim.store.Restore(older)
-	s, err := sim.store.All(context.Background(), fleet.CoordinatorTable)
-	if err != nil {
+	inProgress := func() bool {
+		s, err := sim.store.All(context.Background(), fleet.CoordinatorTable)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return fleet.PromotionInProgress(s, "orders", 1)
+	}
+	if !inProgress() {
+		t.Error("the store confirms term 1 right after its return")
+	}
+	two := sim.lease("two")
+	if err := two.Restore(context.Background()); err != nil {
 		t.Fatal(err)
 	}
-	if !fleet.PromotionInProgress(s, "orders", 1) {
-		t.Error("the store confirms term 1 although a promotion to term 2 may be in progress")
+	sim.pass(fleet.CoordinatorLeaseDuration)
+	for range 2 {
+		if err := two.Claim(context.Background(), "stock", 2); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if !inProgress() {
+		t.Error("the store confirms term 1 after another instance has claimed the lease")
+	}
+	sim.pass(fleet.IntentSlack)
+	if inProgress() {
+		t.Error("the lost intent has ended, and the store does not confirm term 1")
 	}
 }
 
