fleet: followers pause while reads of the whole table are stale

Cause: a follower reads the whole table at once when the store has dropped the history after its version. If such reads are seconds old, the next call fails again, and the follower read again without a pause; such calls are charged, and compete with the reads of other instances.

The fix: only the first read after a successful call comes at once. TestFollowerPausesWhileWholeReadsAreStale: more than 40 calls in 5 s before (the test ends it there), at most 40 now.

--- a/fleet/config.go
+++ b/fleet/config.go
@@ -103,6 +103,8 @@
 	retryPause = 250 * time.Millisecond
 	// maxRetryPause is the longest such wait: outages last for seconds, and each call has a cost.
 	maxRetryPause = time.Second
+	// maxBackoffs bounds how often the wait is doubled.
+	maxBackoffs = 4
 	// maxFleetAllFollow is the largest fleet in which every instance follows the store.
 	maxFleetAllFollow = 16
 	// followCheckInterval is how often an instance that does not follow the store checks whether it has to.
--- a/fleet/export_test.go
+++ b/fleet/export_test.go
@@ -4,6 +4,9 @@
 	"context"
 	"time"
 
+	"github.com/go-kit/log"
+	"github.com/uber-go/tally/v4"
+
 	"github.com/monsoontiller/monsoontiller/engine"
 	"github.com/monsoontiller/monsoontiller/group"
 	"github.com/monsoontiller/monsoontiller/membership"
@@ -133,3 +136,12 @@
 
 // RemovalGrace is how long an endpoint without an entry is kept.
 const RemovalGrace = removalGrace
+
+// Follow follows a table of a store until ctx ends.
+func Follow(ctx context.Context, s store.Store, table string) error {
+	f := &follower{
+		store: s, table: table, logger: log.NewNopLogger(), era: newStoreEra(), tablesRead: tally.NoopScope.Counter("reads"),
+		active: func() bool { return true }, applyAll: func(store.Snapshot) {}, applyChanges: func(store.Snapshot) {},
+	}
+	return f.Run(ctx)
+}
--- a/fleet/follow.go
+++ b/fleet/follow.go
@@ -28,6 +28,10 @@
 	position   store.Position
 	loaded     bool
 	tablesRead tally.Counter
+	// unconfirmed is set from a read of the whole table until the store has returned changes after it.
+	unconfirmed bool
+	// failures counts the calls that failed since the last answer with changes.
+	failures int
 	// lost reports that the last request to the store failed.
 	lost bool
 }
@@ -37,7 +41,6 @@
 
 // Run follows the table until ctx ends.
 func (f *follower) Run(ctx context.Context) error {
-	pause := retryPause
 	for ctx.Err() == nil {
 		if !f.active() {
 			if engine.Sleep(ctx, followCheckInterval) != nil {
@@ -50,15 +53,19 @@
 			return nil
 		}
 		f.logState(err)
-		if err == nil || fault.KindOf(err) == fault.KindStale {
-			pause = retryPause
+		if err == nil {
+			continue
+		}
+		f.failures++
+		// The whole table is read at once when the history is dropped, but not again and again while such reads are stale.
+		if fault.KindOf(err) == fault.KindStale && !f.unconfirmed {
 			continue
 		}
 		// The jitter spreads the requests of all instances to a store that has just recovered.
+		pause := min(retryPause<<min(f.failures-1, maxBackoffs), maxRetryPause)
 		if engine.Sleep(ctx, pause/2+rand.N(pause)) != nil {
 			return nil
 		}
-		pause = min(2*pause, maxRetryPause)
 	}
 	return nil
 }
@@ -78,7 +85,7 @@
 		f.applyAll(s)
 		f.logRead(s)
 		f.position = s.Position()
-		f.loaded = true
+		f.loaded, f.unconfirmed = true, true
 		return nil
 	}
 	s, err := f.store.Changes(ctx, f.table, f.position.Version())
@@ -88,6 +95,7 @@
 		}
 		return err
 	}
+	f.failures, f.unconfirmed = 0, false
 	f.position = store.NewPosition(f.position.Era(), max(f.position.Version(), s.Version))
 	if len(s.Rows) > 0 {
 		f.applyChanges(s)
--- /dev/null
+++ b/fleet/follow_test.go
@@ -0,0 +1,55 @@
+package fleet_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/monsoontiller/monsoontiller/fault"
+	"github.com/monsoontiller/monsoontiller/fleet"
+	"github.com/monsoontiller/monsoontiller/store"
+)
+
+// staleStore answers reads of whole tables from a replica that is behind the history which it has dropped.
+type staleStore struct {
+	store.Store
+	calls int
+	// tooMany is called by each call after maxStaleCalls.
+	tooMany func()
+}
+
+func (s *staleStore) count() {
+	if s.calls++; s.calls > maxStaleCalls {
+		s.tooMany()
+	}
+}
+
+func (s *staleStore) All(context.Context, string) (store.Snapshot, error) {
+	s.count()
+	return store.Snapshot{Version: 10}, nil
+}
+
+func (s *staleStore) Changes(context.Context, string, uint64) (store.Snapshot, error) {
+	s.count()
+	return store.Snapshot{}, fault.New(fault.Config{Kind: fault.KindStale, Message: "the history was dropped", Remedy: "read the table"})
+}
+
+// Load: the store drops its history, and reads of whole tables are seconds old. Each follower must not read the table again
+// and again without a pause.
+func TestFollowerPausesWhileWholeReadsAreStale(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		s := &staleStore{tooMany: cancel}
+		if err := fleet.Follow(ctx, s, "servers"); err != nil {
+			t.Fatal(err)
+		}
+		if s.calls > maxStaleCalls {
+			t.Errorf("%d calls in 5 s, want at most %d", s.calls, maxStaleCalls)
+		}
+	})
+}
+
+// maxStaleCalls is two calls for each of the retries of 5 s.
+const maxStaleCalls = 40
