fleet: only the store's answers raise its era; a peer's report is a hint to ask it

An instance that reported a wrong era, for whatever reason, would have made all others drop the store's answers as outdated, for as long as any of them ran. A report of a peer now ends the waiting calls, so that followers, the registration and the lease ask the store, whose answer decides. TestEraOfPeerIsConfirmedByStore fails where a hint counts as an era; TestLateAnswerOfEarlierEraIsDropped where answers of earlier eras are used.

--- a/fleet/era.go
+++ b/fleet/era.go
@@ -8,11 +8,15 @@
 	"github.com/monsoontiller/monsoontiller/store"
 )
 
-// storeEra tracks the store's era, as reported by the store or by a peer; it is safe for concurrent use.
+// storeEra tracks the store's era; it is safe for concurrent use.
+//
+// Only the store's own answers raise it, so that an instance which reports a wrong era cannot make others drop the
+// store's answers. The report of a peer is a hint to ask the store.
 type storeEra struct {
 	mu      sync.Mutex
 	current uint64
-	// lasting is cancelled and replaced by end when the era rises.
+	hinted  uint64
+	// lasting is cancelled by end, and replaced, when the era rises or may have risen.
 	lasting context.Context
 	end     context.CancelFunc
 }
@@ -23,7 +27,7 @@
 	return e
 }
 
-// Observe records an era, and reports whether it is above the last one.
+// Observe records the era of an answer of the store, and reports whether it is above the last one.
 func (e *storeEra) Observe(era uint64) (before uint64, raised bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -32,12 +36,29 @@
 		return before, false
 	}
 	e.current = era
+	e.endLocked()
+	return before, true
+}
+
+// Hint records the era that a peer reported, and reports whether it is above all that are known.
+func (e *storeEra) Hint(era uint64) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if era <= e.current || era <= e.hinted {
+		return false
+	}
+	e.hinted = era
+	e.endLocked()
+	return true
+}
+
+func (e *storeEra) endLocked() {
 	e.end()
 	e.lasting, e.end = context.WithCancel(context.Background())
-	return before, true
 }
 
-// Current returns the newest era, or 0 if the store reports none, and a context that ends when the era rises.
+// Current returns the newest era, or 0 if the store reports none, and a context that ends when the era rises or
+// may have risen.
 func (e *storeEra) Current() (era uint64, lasting context.Context) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -63,16 +84,16 @@
 }
 
 // Changes waits until a table changes after version, and returns the changed rows; it fails with KindStale once the era
-// has risen since the call.
+// has risen, or may have risen, since the call.
 func (s trackedStore) Changes(ctx context.Context, table string, version uint64) (store.Snapshot, error) {
-	before, lasting := s.era.Current()
+	_, lasting := s.era.Current()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	stop := context.AfterFunc(lasting, cancel)
 	defer stop()
 	snapshot, err := s.Store.Changes(ctx, table, version)
 	s.observe(snapshot.Era)
-	if now, _ := s.era.Current(); now != before {
+	if lasting.Err() != nil {
 		return store.Snapshot{}, restoredError(fault.KindStale, err)
 	}
 	return snapshot, err
@@ -103,8 +124,8 @@
 	})
 }
 
-// observeEra records an era that the store or a peer reported.
-func (i *Instance[L]) observeEra(era uint64, source string) {
+// observeEra records the era of an answer of the store.
+func (i *Instance[L]) observeEra(era uint64) {
 	before, raised := i.era.Observe(era)
 	if !raised {
 		return
@@ -115,5 +136,12 @@
 		message = "store_restored"
 		i.meters.restored.Inc(1)
 	}
-	logLine(i.cfg.Logger, "level", "info", "msg", message, "era", era, "before", before, "source", source)
+	logLine(i.cfg.Logger, "level", "info", "msg", message, "era", era, "before", before)
+}
+
+// hintEra asks the store for its era if a peer reports one that is not known.
+func (i *Instance[L]) hintEra(era uint64, source string) {
+	if i.era.Hint(era) {
+		logLine(i.cfg.Logger, "level", "info", "msg", "store_era_hinted", "era", era, "source", source)
+	}
 }
--- a/fleet/export_test.go
+++ b/fleet/export_test.go
@@ -145,3 +145,21 @@
 	}
 	return f.Run(ctx)
 }
+
+// EraTracker gives tests access to the tracking of the store's era.
+type EraTracker struct{ era *storeEra }
+
+// NewEraTracker returns a tracker, and a store whose answers it tracks.
+func NewEraTracker(s store.Store) (EraTracker, store.Store) {
+	e := newStoreEra()
+	return EraTracker{era: e}, trackedStore{Store: s, era: e, observe: func(era uint64) { e.Observe(era) }}
+}
+
+// Hint records the era that a peer reported.
+func (t EraTracker) Hint(era uint64) { t.era.Hint(era) }
+
+// Current returns the newest era.
+func (t EraTracker) Current() uint64 {
+	era, _ := t.era.Current()
+	return era
+}
--- a/fleet/instance.go
+++ b/fleet/instance.go
@@ -67,7 +67,7 @@
 	i := &Instance[L]{cfg: cfg, startedAt: clock.Now(), homesByGroup: map[string]homeSet{}, deadSince: map[string]time.Time{}, lostSources: map[string]bool{}, sourceLost: make(chan struct{}, 1)}
 	i.meters = newMeters(cfg.Scope)
 	i.era = newStoreEra()
-	i.cfg.Store = trackedStore{Store: cfg.Store, era: i.era, observe: func(era uint64) { i.observeEra(era, "store") }}
+	i.cfg.Store = trackedStore{Store: cfg.Store, era: i.era, observe: i.observeEra}
 	i.events = event.NewLog(event.LogConfig{Instance: cfg.Name, OnAdd: i.logEvent})
 	i.coordinator = newCoordinatorLease(coordinatorLeaseConfig{Store: i.cfg.Store, Name: cfg.Name})
 	i.recorder = newRecorder(cfg.Logger, cfg.Scope)
@@ -265,7 +265,7 @@
 // itemApplied applies an item that a peer received from the store.
 func (i *Instance[L]) itemApplied(item peer.ConfigItem) {
 	at := store.NewPosition(uint64(item.Epoch()), uint64(item.Revision()))
-	i.observeEra(at.Era(), "peer")
+	i.hintEra(at.Era(), "peer")
 	text := item.Value().Text()
 	name, isEndpoint := strings.CutPrefix(item.Key(), endpointItem)
 	switch {
--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -83,7 +83,7 @@
 		}
 		return
 	}
-	r.instance.observeEra(evidence.StoreEra, instance.Name())
+	r.instance.hintEra(evidence.StoreEra, instance.Name())
 	version, _ := r.instance.directory.Version()
 	if evidence.Configuration > version || evidence.Endpoints.After(r.instance.members.Position()) {
 		r.instance.node.Exchange(ctx, instance)
--- a/fleet/restore_test.go
+++ b/fleet/restore_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/monsoontiller/monsoontiller/fault"
 	"github.com/monsoontiller/monsoontiller/fleet"
 	"github.com/monsoontiller/monsoontiller/store"
 	"github.com/monsoontiller/monsoontiller/store/storetest"
@@ -200,3 +201,66 @@
 		}
 	}
 }
+
+// Guards against an instance that reports a wrong era and makes the others drop the answers of the store, and against a
+// follower that waits although a peer knows that the store has returned.
+func TestEraOfPeerIsConfirmedByStore(t *testing.T) {
+	inner := storetest.New()
+	inner.SetEra(1)
+	tracker, tracked := fleet.NewEraTracker(inner)
+	first, err := tracked.All(t.Context(), "servers")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan error, 1)
+	go func() {
+		_, err := tracked.Changes(t.Context(), "servers", first.Version)
+		ended <- err
+	}()
+	var waited error
+	for hint := uint64(7); waited == nil; hint++ {
+		tracker.Hint(hint)
+		select {
+		case waited = <-ended:
+		case <-time.After(time.Millisecond):
+		}
+	}
+	if fault.KindOf(waited) != fault.KindStale {
+		t.Errorf("the call that waited for changes ended with %v, want a stale position", waited)
+	}
+	if _, err := tracked.All(t.Context(), "servers"); err != nil || tracker.Current() != 1 {
+		t.Errorf("after a wrong hint the era is %d, and a read fails with %v", tracker.Current(), err)
+	}
+}
+
+// delayedStore returns one answer of an earlier era late.
+type delayedStore struct {
+	store.Store
+	late *store.Snapshot
+}
+
+func (s *delayedStore) All(ctx context.Context, table string) (store.Snapshot, error) {
+	if late := s.late; late != nil {
+		s.late = nil
+		return *late, nil
+	}
+	return s.Store.All(ctx, table)
+}
+
+// Guards against rows that the store has lost, and that an answer sent before its return brings late.
+func TestLateAnswerOfEarlierEraIsDropped(t *testing.T) {
+	inner := storetest.New()
+	inner.SetEra(2)
+	delayed := &delayedStore{Store: inner}
+	_, tracked := fleet.NewEraTracker(delayed)
+	if _, err := tracked.All(t.Context(), "servers"); err != nil {
+		t.Fatal(err)
+	}
+	delayed.late = &store.Snapshot{Version: 90, Era: 1}
+	if _, err := tracked.All(t.Context(), "servers"); fault.KindOf(err) != fault.KindUnavailable {
+		t.Errorf("a late answer of an earlier era was returned with %v", err)
+	}
+	if s, err := tracked.All(t.Context(), "servers"); err != nil || s.Era != 2 {
+		t.Errorf("era %d, %v after the late answer", s.Era, err)
+	}
+}
