fleet: the store never confirms a term before that of an ordered promotion

What callers could have seen: writes acknowledged at a replaced primary (ONE), by an instance that a partition leaves with that primary and the store.

Cause: the store is a witness of a term unless an intent of a later one is in force. An intent ends after 6.5 s, whether its promotion was given up or took effect, so that a longer partition made the store confirm the old term.

Evidence: TestStoreNeverConfirmsTermBeforeOrderedPromotion: without the new condition the store confirms term 1 after a promotion to term 2, and again after one to term 3 that was given up.

The fix: the intent keeps the newest term that was ordered, for good. A service of its own records it beside the promotion, which it does not delay: one read and one write for each promotion. Until it is written, the intent itself still holds. Left: a coordinator that dies within the 6.5 s and before the record.

--- a/fleet/coordinator.go
+++ b/fleet/coordinator.go
@@ -46,8 +46,9 @@
 
 // heldIntent is an intent with its end on this instance's clock.
 type heldIntent struct {
-	term  uint64
-	until time.Time
+	term    uint64
+	until   time.Time
+	ordered uint64
 }
 
 func newCoordinatorLease(cfg coordinatorLeaseConfig) *coordinatorLease {
@@ -121,7 +122,13 @@
 		})
 	}
 	intents := l.liveIntents(sentAt, record)
-	intents[name] = heldIntent{term: uint64(term), until: sentAt.Add(coordinatorLeaseDuration)}
+	_, before, err := decodeIntent(s, name)
+	if err != nil {
+		return err
+	}
+	intents[name] = heldIntent{
+		term: uint64(term), until: sentAt.Add(coordinatorLeaseDuration), ordered: max(before.Ordered, intents[name].ordered),
+	}
 	return l.write(ctx, sentAt, record, intents, name)
 }
 
@@ -147,6 +154,41 @@
 	return l.recordEra(ctx, record)
 }
 
+// RecordOrder records that the promotion of a group to a term was ordered, in the intent of this promotion.
+//
+// It fails with the errors of Claim.
+func (l *coordinatorLease) RecordOrder(ctx context.Context, name string, term group.Term) error {
+	l.claimMu.Lock()
+	defer l.claimMu.Unlock()
+	s, err := l.cfg.Store.All(ctx, coordinatorTable)
+	if err != nil {
+		return err
+	}
+	row, intent, err := decodeIntent(s, name)
+	if err != nil || group.Term(intent.Ordered) >= term {
+		return err
+	}
+	intent.Ordered = uint64(term)
+	value, err := json.Marshal(intent)
+	if err != nil {
+		return err
+	}
+	key := store.Row{Table: coordinatorTable, Key: intentKeyPrefix + name, Version: row.Version, Value: value}
+	if _, err = l.cfg.Store.Commit(ctx, store.Tx{Expect: []store.Row{key}, Upserts: []store.Row{key}}); err != nil {
+		if fault.KindOf(err) == fault.KindConflict {
+			return concurrentWriteError{err}
+		}
+		return err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if held, ok := l.intents[name]; ok {
+		held.ordered = uint64(term)
+		l.intents[name] = held
+	}
+	return nil
+}
+
 // recordEra records the store's era, from which on lost claims are waited out, unless an instance has done so.
 func (l *coordinatorLease) recordEra(ctx context.Context, record coordinatorRecord) error {
 	row, missing, err := record.newEraRow()
@@ -171,7 +213,7 @@
 		}
 		remaining := time.Duration(intent.UntilMs)*time.Millisecond - record.snapshot.Now
 		if remaining > -intentSlack {
-			intents[name] = heldIntent{term: intent.Term, until: now.Add(remaining)}
+			intents[name] = heldIntent{term: intent.Term, until: now.Add(remaining), ordered: intent.Ordered}
 		}
 	}
 	l.mu.Lock()
@@ -211,7 +253,9 @@
 	}
 	for _, name := range groups {
 		intent := intents[name]
-		if err := add(intentKeyPrefix+name, intentRow{Term: intent.term, UntilMs: (now + intent.until.Sub(sentAt)).Milliseconds()}); err != nil {
+		if err := add(intentKeyPrefix+name, intentRow{
+			Term: intent.term, UntilMs: (now + intent.until.Sub(sentAt)).Milliseconds(), Ordered: intent.ordered,
+		}); err != nil {
 			return err
 		}
 	}
--- a/fleet/coordinator_record.go
+++ b/fleet/coordinator_record.go
@@ -24,6 +24,8 @@
 	Term uint64 `json:"term"`
 	// UntilMs is when the promotion can no longer be ordered, on the store's clock.
 	UntilMs int64 `json:"until_ms"`
+	// Ordered is the newest term to which a promotion was ordered, or 0; the store does not confirm earlier terms again.
+	Ordered uint64 `json:"ordered,omitempty"`
 }
 
 // intentSlack is how long after the end of an intent its promotion order may still take effect.
@@ -78,12 +80,7 @@
 		}
 		*part.row = row
 		if err := json.Unmarshal(row.Value, part.value); err != nil {
-			return r, fault.New(fault.Config{
-				Kind:    fault.KindUnavailable,
-				Message: "a row of the promotion coordinator cannot be decoded",
-				Remedy:  "remove the row " + part.key + " of the table " + coordinatorTable,
-				Cause:   err,
-			})
+			return r, undecodableError(part.key, err)
 		}
 	}
 	return r, nil
@@ -140,21 +137,42 @@
 	return expect
 }
 
-// promotionInProgress reports whether a promotion of a group to a term above term may be in progress, given a snapshot of
-// coordinatorTable.
+// decodeIntent returns the row and the intent of a group, or zero values if there is none; it fails with KindUnavailable if
+// the row cannot be decoded.
+func decodeIntent(s store.Snapshot, name string) (row store.Row, intent intentRow, err error) {
+	row, found := s.Row(intentKeyPrefix + name)
+	if !found {
+		return row, intent, nil
+	}
+	if err := json.Unmarshal(row.Value, &intent); err != nil {
+		return row, intent, undecodableError(intentKeyPrefix+name, err)
+	}
+	return row, intent, nil
+}
+
+func undecodableError(key string, cause error) error {
+	return fault.New(fault.Config{
+		Kind:    fault.KindUnavailable,
+		Message: "a row of the promotion coordinator cannot be decoded",
+		Remedy:  "remove the row " + key + " of the table " + coordinatorTable,
+		Cause:   cause,
+	})
+}
+
+// promotionInProgress reports whether a promotion of a group to a term above term may be in progress or has been ordered,
+// given a snapshot of coordinatorTable.
 func promotionInProgress(s store.Snapshot, name string, term group.Term) bool {
 	if record, err := decodeCoordinator(s); err != nil || !record.intentsKnown() {
 		// The record of a promotion in progress may be lost.
 		return true
 	}
-	row, ok := s.Row(intentKeyPrefix + name)
-	if !ok {
-		return false
-	}
-	var intent intentRow
-	if err := json.Unmarshal(row.Value, &intent); err != nil {
+	_, intent, err := decodeIntent(s, name)
+	if err != nil {
 		// An intent that cannot be decoded may belong to a promotion in progress.
 		return true
 	}
+	if group.Term(intent.Ordered) > term {
+		return true
+	}
 	return group.Term(intent.Term) > term && s.Now < time.Duration(intent.UntilMs)*time.Millisecond+intentSlack
 }
--- a/fleet/coordinator_test.go
+++ b/fleet/coordinator_test.go
@@ -142,6 +142,38 @@
 	}
 }
 
+// Guards against an instance that is cut off with the replaced primary and the store, and that is vouched for by the store
+// once the promotion's intent has ended; also after a later promotion was claimed and given up.
+func TestStoreNeverConfirmsTermBeforeOrderedPromotion(t *testing.T) {
+	sim := newSimulation()
+	lease := sim.lease("one")
+	if err := claim(t, lease); err != nil {
+		t.Fatal(err)
+	}
+	if err := lease.RecordOrder(context.Background(), "orders", 2); err != nil {
+		t.Fatal(err)
+	}
+	confirms := func(term group.Term) bool {
+		s, err := sim.store.All(context.Background(), fleet.CoordinatorTable)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return !fleet.PromotionInProgress(s, "orders", term)
+	}
+	end := fleet.CoordinatorLeaseDuration + fleet.IntentSlack
+	sim.advance(end)
+	if confirms(1) || !confirms(2) {
+		t.Errorf("after the promotion to term 2 the store confirms term 1: %v, term 2: %v", confirms(1), confirms(2))
+	}
+	if err := lease.Claim(context.Background(), "orders", 3); err != nil {
+		t.Fatal(err)
+	}
+	sim.advance(end)
+	if confirms(1) || !confirms(2) {
+		t.Errorf("after a promotion to term 3 that was given up the store confirms term 1: %v, term 2: %v", confirms(1), confirms(2))
+	}
+}
+
 // At no time do two instances hold the lease or does the token decrease, whatever answers are lost or late.
 func TestCoordinatorLeaseProperty(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/fleet/export_test.go
+++ b/fleet/export_test.go
@@ -29,6 +29,11 @@
 // Restore writes the lease again if the store has lost it.
 func (l *CoordinatorLease) Restore(ctx context.Context) error { return l.lease.Restore(ctx) }
 
+// RecordOrder records that a promotion was ordered.
+func (l *CoordinatorLease) RecordOrder(ctx context.Context, name string, term group.Term) error {
+	return l.lease.RecordOrder(ctx, name, term)
+}
+
 // Held returns the fencing token, and reports whether the lease is held.
 func (l *CoordinatorLease) Held() (uint64, bool) { return l.lease.Held() }
 
--- a/fleet/instance.go
+++ b/fleet/instance.go
@@ -31,6 +31,7 @@
 	members     *members[L]
 	dialer      *endpointDialer[L]
 	coordinator *coordinatorLease
+	ordered     *orderRecorder[L]
 	recorder    *recorder
 	meters      meters
 	era         *storeEra
@@ -70,6 +71,7 @@
 	i.cfg.Store = trackedStore{Store: cfg.Store, era: i.era, observe: i.observeEra}
 	i.events = event.NewLog(event.LogConfig{Instance: cfg.Name, OnAdd: i.logEvent})
 	i.coordinator = newCoordinatorLease(coordinatorLeaseConfig{Store: i.cfg.Store, Name: cfg.Name})
+	i.ordered = newOrderRecorder(i)
 	i.recorder = newRecorder(cfg.Logger, cfg.Scope)
 	i.directory = &directory[L]{group: func(name string) *engine.Group[L] { return i.members.group(name) }}
 	i.members = newMembers(i)
@@ -145,6 +147,7 @@
 		&witness[L]{instance: i},
 		&registration[L]{instance: i},
 		&leaseRestorer[L]{instance: i},
+		i.ordered,
 		&storeCheck[L]{instance: i},
 		&follower{
 			store: i.cfg.Store, table: i.cfg.Adapter.ConfigurationTable, logger: i.cfg.Logger, active: i.followsStore, era: i.era, tablesRead: i.meters.tablesRead,
--- a/fleet/orders.go
+++ b/fleet/orders.go
@@ -137,6 +137,7 @@
 			Remedy:  "no action needed; it is claimed again",
 		})
 	}
+	i.ordered.Add(o.name, term)
 	return i.cfg.Adapter.Promote(ctx, Promotion{Group: o.name, Endpoint: endpoint, Holder: i.cfg.Name, Token: token})
 }
 
