--- a/fleet/coordinator.go
+++ b/fleet/coordinator.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"maps"
 	"slices"
 	"strings"
@@ -16,9 +15,6 @@
 	"github.com/monsoontiller/monsoontiller/store"
 )
 
-// maxTransactionRows is the most rows that one transaction of the store may write, with its conditions.
-const maxTransactionRows = 90
-
 // coordinatorLeaseConfig describes one instance's access to the coordinator lease.
 type coordinatorLeaseConfig struct {
 	Store store.Store
@@ -51,6 +47,11 @@
 	ordered uint64
 }
 
+// row returns the row of the intent, given a time on the store's clock and the same time on this instance's clock.
+func (h heldIntent) row(now time.Duration, local time.Time) intentRow {
+	return intentRow{Term: h.term, UntilMs: (now + h.until.Sub(local)).Milliseconds(), Ordered: h.ordered}
+}
+
 func newCoordinatorLease(cfg coordinatorLeaseConfig) *coordinatorLease {
 	if cfg.Clock == nil {
 		cfg.Clock = clock.Now
@@ -84,14 +85,6 @@
 	return err
 }
 
-// concurrentWriteError marks a claim that failed because another instance wrote the row; such a claim is retried.
-type concurrentWriteError struct{ error }
-
-func isConcurrentWrite(err error) bool {
-	var conflict concurrentWriteError
-	return errors.As(err, &conflict)
-}
-
 // claim reads the record, and writes it if no other instance holds the lease.
 func (l *coordinatorLease) claim(ctx context.Context, name string, term group.Term) error {
 	sentAt := l.cfg.Clock()
@@ -154,12 +147,11 @@
 	return l.recordEra(ctx, record)
 }
 
-// RecordOrder records that the promotion of a group to a term was ordered, in the intent of this promotion.
+// RecordOrder records that the promotion of a group to a term was ordered, in the intent of this promotion; it does not
+// block claims.
 //
 // It fails with the errors of Claim.
 func (l *coordinatorLease) RecordOrder(ctx context.Context, name string, term group.Term) error {
-	l.claimMu.Lock()
-	defer l.claimMu.Unlock()
 	s, err := l.cfg.Store.All(ctx, coordinatorTable)
 	if err != nil {
 		return err
@@ -169,15 +161,9 @@
 		return err
 	}
 	intent.Ordered = uint64(term)
-	value, err := json.Marshal(intent)
-	if err != nil {
-		return err
-	}
-	key := store.Row{Table: coordinatorTable, Key: intentKeyPrefix + name, Version: row.Version, Value: value}
-	if _, err = l.cfg.Store.Commit(ctx, store.Tx{Expect: []store.Row{key}, Upserts: []store.Row{key}}); err != nil {
-		if fault.KindOf(err) == fault.KindConflict {
-			return concurrentWriteError{err}
-		}
+	tx := recordTx{tx: store.Tx{Expect: []store.Row{{Table: coordinatorTable, Key: intentKeyPrefix + name, Version: row.Version}}}}
+	tx.upsert(intentKeyPrefix+name, intent)
+	if err := tx.commit(ctx, l.cfg.Store, s.Era); err != nil {
 		return err
 	}
 	l.mu.Lock()
@@ -191,15 +177,12 @@
 
 // recordEra records the store's era, from which on lost claims are waited out, unless an instance has done so.
 func (l *coordinatorLease) recordEra(ctx context.Context, record coordinatorRecord) error {
-	row, missing, err := record.newEraRow()
-	if err != nil || !missing {
-		return err
+	if record.era.Era == record.snapshot.Era {
+		return nil
 	}
-	_, err = l.cfg.Store.Commit(ctx, store.Tx{Expect: record.expectations(), Upserts: []store.Row{row}})
-	if fault.KindOf(err) == fault.KindConflict {
-		return concurrentWriteError{err}
-	}
-	return err
+	tx := recordTx{tx: store.Tx{Expect: record.expectations()}}
+	tx.upsertEra(record)
+	return tx.commit(ctx, l.cfg.Store, record.snapshot.Era)
 }
 
 // liveIntents returns the intents that have not ended: those of the record, and those of the last claim that the store lost.
@@ -233,61 +216,30 @@
 	if !held {
 		token = record.nextToken(l.cfg.Name)
 	}
-	carriedOver := held && record.current.Era != record.snapshot.Era
-	complete := record.intentsKnown() || carriedOver && l.completeIntents()
-	now := record.snapshot.Now
-	rows := make([]store.Row, 0, len(intents)+2)
-	add := func(key string, value any) error {
-		text, err := json.Marshal(value)
-		rows = append(rows, store.Row{Table: coordinatorTable, Key: key, Value: text})
-		return err
+	lost := record.current.Era != record.snapshot.Era
+	if lost {
+		groups = slices.Collect(maps.Keys(intents))
 	}
-	if err := add(coordinatorKey, coordinatorRow{
+	now := record.snapshot.Now
+	row := coordinatorRow{
 		Holder: l.cfg.Name, Token: token, UntilMs: (now + coordinatorLeaseDuration).Milliseconds(), Era: record.snapshot.Era,
-		Complete: complete,
-	}); err != nil {
-		return err
-	}
-	if record.current.Era != record.snapshot.Era {
-		groups = slices.Collect(maps.Keys(intents))
+		Complete: record.intentsKnown() || lost && held && l.completeIntents(),
 	}
+	tx := recordTx{tx: store.Tx{Expect: record.expectations()}}
+	tx.upsert(coordinatorKey, row)
 	for _, name := range groups {
-		intent := intents[name]
-		if err := add(intentKeyPrefix+name, intentRow{
-			Term: intent.term, UntilMs: (now + intent.until.Sub(sentAt)).Milliseconds(), Ordered: intent.ordered,
-		}); err != nil {
-			return err
-		}
+		tx.expect(record.snapshot, intentKeyPrefix+name)
+		tx.upsert(intentKeyPrefix+name, intents[name].row(now, sentAt))
 	}
-	eraRow, missing, err := record.newEraRow()
-	if err != nil {
+	tx.upsertEra(record)
+	if err := tx.commit(ctx, l.cfg.Store, record.snapshot.Era); err != nil {
 		return err
 	}
-	if missing {
-		rows = append(rows, eraRow)
-	}
-	if len(rows) > maxTransactionRows {
-		return fault.New(fault.Config{
-			Kind:    fault.KindUnavailable,
-			Message: "too many promotions are in progress to be written again in one transaction",
-			Remedy:  "no action needed; the lease is claimed once they have ended",
-		})
-	}
-	committed, err := l.cfg.Store.Commit(ctx, store.Tx{Expect: record.expectations(), Upserts: rows})
-	if fault.KindOf(err) == fault.KindConflict {
-		return concurrentWriteError{err}
-	}
-	if err != nil {
-		return err
-	}
-	if committed.Era != record.snapshot.Era {
-		return restoredError(fault.KindOutcomeUnknown, nil)
-	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.token = token
 	l.heldUntil = sentAt.Add(coordinatorLeaseDuration - coordinatorLeaseMargin)
-	l.intents, l.complete = intents, complete
+	l.intents, l.complete = intents, row.Complete
 	return nil
 }
 
--- a/fleet/coordinator_record.go
+++ b/fleet/coordinator_record.go
@@ -119,15 +119,6 @@
 	return max(r.snapshot.Era<<tokenEraBits, r.current.Token) + 1
 }
 
-// newEraRow returns the row that records the snapshot's era; ok is false if it is recorded already, or the store reports none.
-func (r coordinatorRecord) newEraRow() (row store.Row, ok bool, err error) {
-	if r.era.Era == r.snapshot.Era {
-		return store.Row{}, false, nil
-	}
-	value, err := json.Marshal(eraRow{Era: r.snapshot.Era, SinceMs: r.snapshot.Now.Milliseconds()})
-	return store.Row{Table: coordinatorTable, Key: eraKey, Value: value}, true, err
-}
-
 // expectations returns the conditions under which the record is still current.
 func (r coordinatorRecord) expectations() []store.Row {
 	expect := []store.Row{{Table: coordinatorTable, Key: coordinatorKey, Version: r.row.Version}}
--- a/fleet/coordinator_test.go
+++ b/fleet/coordinator_test.go
@@ -174,6 +174,31 @@
 	}
 }
 
+// Guards against a claim that overwrites the record of an order made while the claim was in progress.
+func TestClaimKeepsConcurrentRecordOfOrder(t *testing.T) {
+	sim := newSimulation()
+	lease := sim.lease("one")
+	if err := claim(t, lease); err != nil {
+		t.Fatal(err)
+	}
+	sim.store.BeforeNextCommit(func() {
+		if err := lease.RecordOrder(context.Background(), "orders", 2); err != nil {
+			t.Error(err)
+		}
+	})
+	if err := lease.Claim(context.Background(), "orders", 3); err != nil {
+		t.Fatal(err)
+	}
+	sim.advance(fleet.CoordinatorLeaseDuration + fleet.IntentSlack)
+	s, err := sim.store.All(context.Background(), fleet.CoordinatorTable)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !fleet.PromotionInProgress(s, "orders", 1) {
+		t.Error("the store confirms term 1 after a promotion to term 2 was ordered")
+	}
+}
+
 // At no time do two instances hold the lease or does the token decrease, whatever answers are lost or late.
 func TestCoordinatorLeaseProperty(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
