--- a/fleet/era.go
+++ b/fleet/era.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"sync"
+	"time"
 
+	"github.com/monsoontiller/monsoontiller/clock"
 	"github.com/monsoontiller/monsoontiller/fault"
 	"github.com/monsoontiller/monsoontiller/store"
 )
@@ -16,6 +18,8 @@
 	mu      sync.Mutex
 	current uint64
 	hinted  uint64
+	// raisedAt is when this instance saw the era rise, or zero while it has seen one era only.
+	raisedAt time.Time
 	// lasting is cancelled by end, and replaced, when the era rises or may have risen.
 	lasting context.Context
 	end     context.CancelFunc
@@ -36,6 +40,9 @@
 		return before, false
 	}
 	e.current = era
+	if before > 0 {
+		e.raisedAt = clock.Now()
+	}
 	e.endLocked()
 	return before, true
 }
@@ -65,6 +72,13 @@
 	return e.current, e.lasting
 }
 
+// LastsFor reports whether the era has not risen within d before now, as far as this instance has seen.
+func (e *storeEra) LastsFor(d time.Duration, now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.raisedAt.IsZero() || now.Sub(e.raisedAt) >= d
+}
+
 // trackedStore is a store whose answers of earlier eras are dropped.
 //
 // Such an answer describes rows that the store may have lost since. Observe receives the era of each answer.
--- a/fleet/export_test.go
+++ b/fleet/export_test.go
@@ -160,6 +160,9 @@
 	return EraTracker{era: e}, trackedStore{Store: s, era: e, observe: func(era uint64) { e.Observe(era) }}
 }
 
+// LastsFor reports whether the era has not risen within d before now.
+func (t EraTracker) LastsFor(d time.Duration, now time.Time) bool { return t.era.LastsFor(d, now) }
+
 // Hint records the era that a peer reported.
 func (t EraTracker) Hint(era uint64) { t.era.Hint(era) }
 
@@ -168,3 +171,6 @@
 	era, _ := t.era.Current()
 	return era
 }
+
+// ReregistrationTime is how long after the store's return registrations may be missing.
+const ReregistrationTime = reregistrationTime
--- a/fleet/restore_test.go
+++ b/fleet/restore_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/monsoontiller/monsoontiller/clock"
 	"github.com/monsoontiller/monsoontiller/fault"
 	"github.com/monsoontiller/monsoontiller/fleet"
 	"github.com/monsoontiller/monsoontiller/store"
@@ -264,3 +265,26 @@
 		t.Errorf("era %d, %v after the late answer", s.Era, err)
 	}
 }
+
+// Guards against a promotion that does not wait for the leases of instances whose registrations the store has just lost.
+func TestRegistrationsMayBeMissingAfterStoreReturns(t *testing.T) {
+	inner := storetest.New()
+	inner.SetEra(1)
+	tracker, tracked := fleet.NewEraTracker(inner)
+	older := inner.Copy()
+	for _, restored := range []bool{false, true} {
+		if restored {
+			inner.Restore(older)
+		}
+		if _, err := tracked.All(t.Context(), "instances"); err != nil {
+			t.Fatal(err)
+		}
+		now := clock.Now()
+		if got := tracker.LastsFor(fleet.ReregistrationTime, now); got == restored {
+			t.Errorf("restored %v: registrations count as complete: %v", restored, got)
+		}
+		if !tracker.LastsFor(fleet.ReregistrationTime, now.Add(fleet.ReregistrationTime)) {
+			t.Errorf("restored %v: registrations do not count as complete once they are back", restored)
+		}
+	}
+}
