--- a/cmd/monsoonsoak/main.go
+++ b/cmd/monsoonsoak/main.go
@@ -27,6 +27,7 @@
 	Connections   int           `long:"connections" default:"40" description:"connections that each endpoint takes; few make instances pass sessions on"`
 	PowerLosses   int           `long:"power-losses" description:"times that all instances lose power, besides the other faults, while the endpoints keep their connections"`
 	StoreRestores int           `long:"store-restores" description:"times that the store returns from an older copy, besides the other faults"`
+	Case          string        `long:"case" description:"a series of faults around such a return that replaces the drawn ones; its name"`
 	Binary        string        `long:"binary" default:"target/monsoontiller" description:"the program"`
 	Directory     string        `long:"directory" default:"target/soak" description:"takes the settings and output of the processes of each seed"`
 }
@@ -89,7 +90,7 @@
 	}
 	defer faults.Close()
 	report, err := soak.Run(ctx, soak.Config{
-		Seed: seed, Length: o.Length, Instances: o.Instances, Clients: o.Clients, Connections: o.Connections, PowerLosses: o.PowerLosses, StoreRestores: o.StoreRestores,
+		Seed: seed, Length: o.Length, Instances: o.Instances, Clients: o.Clients, Connections: o.Connections, PowerLosses: o.PowerLosses, StoreRestores: o.StoreRestores, Case: o.Case,
 		Network: 1 + int(seed%networkCount), Binary: o.Binary, Directory: directory, Output: io.Writer(faults),
 	})
 	if err != nil {
--- a/soak/fixture.go
+++ b/soak/fixture.go
@@ -73,7 +73,7 @@
 		return nil, err
 	}
 	f.background(ctx, f.store.Run)
-	if cfg.StoreRestores > 0 {
+	if cfg.restoresStore() {
 		f.background(ctx, f.copyStore)
 		f.background(ctx, f.heartbeat)
 	}
--- a/soak/run.go
+++ b/soak/run.go
@@ -26,6 +26,8 @@
 	PowerLosses int
 	// StoreRestores is the number of times that the store returns from an older copy, in addition to the schedule.
 	StoreRestores int
+	// Case, if set, names the series of faults that replaces those of the schedule, one of CaseNames.
+	Case string
 	// Network is the second octet of the instances' loopback addresses; concurrent runs need different values.
 	Network int
 	// Binary is the path of the program; Directory receives the settings and output files of its processes.
@@ -35,6 +37,21 @@
 	Output io.Writer
 }
 
+// restoresStore reports whether the store returns from older copies in the run.
+func (c Config) restoresStore() bool { return c.StoreRestores > 0 || c.Case != "" }
+
+// faults returns the faults of the run in order of their start.
+func (c Config) faults() (faults []Fault, err error) {
+	if c.Case == "" {
+		faults = Schedule(c.Seed, c.Length)
+	} else if faults, err = CaseFaults(c.Case, c.Seed, c.Instances); err != nil {
+		return nil, err
+	}
+	faults = slices.Concat(faults, PowerLosses(c.Seed, c.Length, c.PowerLosses), StoreRestores(c.Seed, c.Length, c.StoreRestores))
+	slices.SortStableFunc(faults, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
+	return faults, nil
+}
+
 // Report holds the results of a run.
 type Report struct {
 	violations []string
@@ -62,6 +79,10 @@
 // Run injects the faults of a seed into instances under load and reports the violations. It returns an error if the run
 // could not be completed; its report is then not valid.
 func Run(ctx context.Context, cfg Config) (report Report, err error) {
+	faults, err := cfg.faults()
+	if err != nil {
+		return report, err
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	oracle := NewOracle()
 	f, err := newFixture(ctx, cfg, oracle)
@@ -84,8 +105,8 @@
 	if err := f.awaitReady(ctx); err != nil {
 		return report, err
 	}
-	f.runLoad(ctx, oracle)
-	if cfg.StoreRestores > 0 {
+	f.runLoad(ctx, oracle, faults)
+	if cfg.restoresStore() {
 		f.restoreStore(ctx, lastRestore)
 	}
 	failures := f.checkRecovery(ctx, oracle)
@@ -122,7 +143,7 @@
 }
 
 // runLoad runs the callers for the length of the run and injects the faults; it returns when all of them have ended.
-func (f *fixture) runLoad(ctx context.Context, oracle *Oracle) {
+func (f *fixture) runLoad(ctx context.Context, oracle *Oracle, faults []Fault) {
 	loadCtx, stop := context.WithTimeout(ctx, f.cfg.Length)
 	defer stop()
 	var wait sync.WaitGroup
@@ -134,9 +155,6 @@
 		}()
 	}
 	started := time.Now()
-	faults := slices.Concat(Schedule(f.cfg.Seed, f.cfg.Length), PowerLosses(f.cfg.Seed, f.cfg.Length, f.cfg.PowerLosses),
-		StoreRestores(f.cfg.Seed, f.cfg.Length, f.cfg.StoreRestores))
-	slices.SortStableFunc(faults, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	for _, fault := range faults {
 		pause(ctx, fault.At-time.Since(started))
 		if _, err := fmt.Fprintln(f.cfg.Output, fault); err != nil {
