fleet: what instances write after the store's return is spread by the fleet's size

Load: 3,500 instances register again within half a second, 7,000 writes a second on a store that takes a few hundred, just when the operator and the endpoints write again too. The fix: at most 100 a second in all (half a second up to 50 instances, 0.78 s for 78), and promotions wait for leases until then. TestRegistrationsAreSpreadOverTime fails with the fixed half second at 78 and at 3,500 instances.

--- a/fleet/export_test.go
+++ b/fleet/export_test.go
@@ -172,5 +172,8 @@
 	return era
 }
 
-// ReregistrationTime is how long after the store's return registrations may be missing.
-const ReregistrationTime = reregistrationTime
+// RewriteSpread returns the time over which n instances spread what they write after the store's return.
+func RewriteSpread(n int) time.Duration { return rewriteSpread(n) }
+
+// ReregistrationTime returns how long after the store's return registrations may be missing in a fleet of n instances.
+func ReregistrationTime(n int) time.Duration { return reregistrationTime(n) }
--- a/fleet/registration.go
+++ b/fleet/registration.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"math/rand/v2"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -76,7 +75,7 @@
 	for ctx.Err() == nil {
 		select {
 		case <-lasting.Done():
-			if engine.Sleep(ctx, rand.N(rewriteSpread)) == nil {
+			if r.instance.rewritePause(ctx) == nil {
 				lasting = r.register(ctx, row)
 			}
 		case <-ctx.Done():
--- a/fleet/restore_test.go
+++ b/fleet/restore_test.go
@@ -280,11 +280,31 @@
 			t.Fatal(err)
 		}
 		now := clock.Now()
-		if got := tracker.LastsFor(fleet.ReregistrationTime, now); got == restored {
+		if got := tracker.LastsFor(fleet.ReregistrationTime(4), now); got == restored {
 			t.Errorf("restored %v: registrations count as complete: %v", restored, got)
 		}
-		if !tracker.LastsFor(fleet.ReregistrationTime, now.Add(fleet.ReregistrationTime)) {
+		if !tracker.LastsFor(fleet.ReregistrationTime(4), now.Add(fleet.ReregistrationTime(4))) {
 			t.Errorf("restored %v: registrations do not count as complete once they are back", restored)
 		}
 	}
 }
+
+// Load: all instances of a large fleet register again after the store's return. They must not use up the writes of the
+// store, and promotions must not trust the list of registrations before.
+func TestRegistrationsAreSpreadOverTime(t *testing.T) {
+	for _, tc := range []struct {
+		instances  int
+		mostWrites float64
+	}{{9, 100}, {78, 100}, {3500, 100}} {
+		spread := fleet.RewriteSpread(tc.instances)
+		if rate := float64(tc.instances) / spread.Seconds(); rate > tc.mostWrites {
+			t.Errorf("%d instances write %.0f times a second, want at most %.0f", tc.instances, rate, tc.mostWrites)
+		}
+		if wait := fleet.ReregistrationTime(tc.instances); wait <= spread {
+			t.Errorf("%d instances: the registrations count as complete after %v, and are written until %v", tc.instances, wait, spread)
+		}
+		if tc.instances <= 78 && spread >= time.Second {
+			t.Errorf("%d instances register again within %v, want them back within 2 s", tc.instances, spread)
+		}
+	}
+}
--- a/fleet/revoke.go
+++ b/fleet/revoke.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"strings"
-	"time"
 
 	"github.com/monsoontiller/monsoontiller/clock"
 	"github.com/monsoontiller/monsoontiller/fault"
@@ -44,13 +43,10 @@
 	return len(missing) == 0
 }
 
-// reregistrationTime is how long after the store's return registrations that it has lost may be missing.
-const reregistrationTime = 2 * time.Second
-
 // possibleHolders returns the instances that may hold a lease; it fails with KindUnavailable, also while registrations may be
 // missing because the store has lost them.
 func (i *Instance[L]) possibleHolders(ctx context.Context) (map[string]bool, error) {
-	if !i.era.LastsFor(reregistrationTime, clock.Now()) {
+	if alive, _ := i.counts(); !i.era.LastsFor(reregistrationTime(alive), clock.Now()) {
 		return nil, restoredError(fault.KindUnavailable, nil)
 	}
 	ctx, cancel := context.WithTimeout(ctx, leaseDuration)
