fleet: a lease on the store's clock counts no longer than the longest claim

Cause: if the store's clock goes back with its rows, a row of a build that knows no era ends far in the future: nobody can claim the lease until then, and the store is no witness of the group. The fix: an end further away than the longest claim is of an earlier era, and has passed once claims are known again.

--- a/fleet/coordinator.go
+++ b/fleet/coordinator.go
@@ -194,9 +194,8 @@
 		if !isIntent || json.Unmarshal(row.Value, &intent) != nil {
 			continue
 		}
-		remaining := time.Duration(intent.UntilMs)*time.Millisecond - record.snapshot.Now
-		if remaining > -intentSlack {
-			intents[name] = heldIntent{term: intent.Term, until: now.Add(remaining), ordered: intent.Ordered}
+		if remaining, ended := remainingTime(record.snapshot, intent.UntilMs+intentSlack.Milliseconds()); !ended {
+			intents[name] = heldIntent{term: intent.Term, until: now.Add(remaining - intentSlack), ordered: intent.Ordered}
 		}
 	}
 	l.mu.Lock()
--- a/fleet/coordinator_record.go
+++ b/fleet/coordinator_record.go
@@ -108,7 +108,18 @@
 // written by builds that know none.
 func (r coordinatorRecord) heldByOther(name string) bool {
 	sameEra := r.current.Era == r.snapshot.Era || r.current.Era == 0
-	return r.current.Holder != "" && r.current.Holder != name && sameEra && r.snapshot.Now.Milliseconds() < r.current.UntilMs
+	_, ended := remainingTime(r.snapshot, r.current.UntilMs)
+	return r.current.Holder != "" && r.current.Holder != name && sameEra && !ended
+}
+
+// remainingTime returns the time from a snapshot to an end on the store's clock, and whether the end has passed.
+//
+// The clock may have gone back with the rows. A claim or an intent that seems to last
+// longer than the longest one is of an earlier era, and has ended by the time that
+// claims and intents are known again.
+func remainingTime(s store.Snapshot, untilMs int64) (remaining time.Duration, ended bool) {
+	remaining = time.Duration(untilMs)*time.Millisecond - s.Now
+	return remaining, remaining <= 0 || remaining > coordinatorLeaseDuration+intentSlack
 }
 
 // nextToken returns the fencing token of a claim by name, which does not hold the lease now.
@@ -165,5 +176,6 @@
 	if group.Term(intent.Ordered) > term {
 		return true
 	}
-	return group.Term(intent.Term) > term && s.Now < time.Duration(intent.UntilMs)*time.Millisecond+intentSlack
+	_, ended := remainingTime(s, intent.UntilMs+intentSlack.Milliseconds())
+	return group.Term(intent.Term) > term && !ended
 }
--- a/fleet/restore_test.go
+++ b/fleet/restore_test.go
@@ -33,10 +33,11 @@
 	}
 }
 
-// restore makes the store return from a copy that is the given number of seconds old.
-func (sim *restoredSimulation) restore(seconds int) {
+// restore makes the store return from a copy that is the given number of seconds old; its clock goes back by clockBack.
+func (sim *restoredSimulation) restore(seconds int, clockBack time.Duration) {
 	if n := len(sim.copies) - seconds; n >= 0 && n < len(sim.copies) {
 		sim.store.Restore(sim.copies[n])
+		sim.store.Advance(-clockBack)
 		sim.copies = sim.copies[:n+1]
 	}
 }
@@ -61,7 +62,7 @@
 			case 2:
 				sim.store.LoseAnswers(rapid.IntRange(0, 3).Draw(t, "lost"))
 			case 3:
-				sim.restore(rapid.IntRange(1, 8).Draw(t, "seconds"))
+				sim.restore(rapid.IntRange(1, 8).Draw(t, "seconds"), time.Duration(rapid.SampledFrom([]int{0, 3, 1000}).Draw(t, "clock back"))*time.Second)
 			case 4:
 				leases[name] = sim.lease(name)
 			case 5:
@@ -95,6 +96,27 @@
 	}
 }
 
+// Guards against a lease that nobody can claim for long, since the store's clock went back with its rows.
+func TestLeaseCanBeClaimedAfterStoreClockGoesBack(t *testing.T) {
+	sim := newSimulation()
+	sim.advance(time.Hour)
+	if err := claim(t, sim.lease("one")); err != nil {
+		t.Fatal(err)
+	}
+	older := sim.store.Copy()
+	sim.store.SetEra(1)
+	sim.store.Restore(older)
+	sim.store.Advance(-time.Hour)
+	two := sim.lease("two")
+	if err := two.Restore(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	sim.advance(fleet.CoordinatorLeaseDuration)
+	if err := claim(t, two); err != nil {
+		t.Errorf("the lease cannot be claimed after the longest claim has ended: %v", err)
+	}
+}
+
 // Guards against promotions that wait for lost claims although their holder goes on: it writes its lease again, and keeps
 // its token.
 func TestHolderKeepsLeaseAcrossRestoredStore(t *testing.T) {
