--- a/fleet/coordinator_test.go
+++ b/fleet/coordinator_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -199,6 +201,32 @@
 	}
 }
 
+// leaseHolders checks that one instance at a time holds the lease, and that tokens increase with each new holder.
+type leaseHolders struct {
+	// highest is the highest token seen so far, and holder the instance that held it.
+	highest uint64
+	holder  string
+}
+
+// check compares what the instances hold now with what was held before.
+func (h *leaseHolders) check(t *rapid.T, leases map[string]*fleet.CoordinatorLease) {
+	held := 0
+	for _, instance := range slices.Sorted(maps.Keys(leases)) {
+		token, ok := leases[instance].Held()
+		if !ok {
+			continue
+		}
+		held++
+		if token < h.highest || token == h.highest && h.holder != "" && h.holder != instance {
+			t.Fatalf("%s holds token %d after %s held %d", instance, token, h.holder, h.highest)
+		}
+		h.highest, h.holder = token, instance
+	}
+	if held > 1 {
+		t.Fatalf("%d instances hold the lease at once", held)
+	}
+}
+
 // At no time do two instances hold the lease or does the token decrease, whatever answers are lost or late.
 func TestCoordinatorLeaseProperty(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -208,7 +236,7 @@
 		for _, name := range names {
 			leases[name] = sim.lease(name)
 		}
-		highest, holder := uint64(0), ""
+		holders := leaseHolders{}
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
 			name := rapid.SampledFrom(names).Draw(t, "instance")
 			switch rapid.IntRange(0, 4).Draw(t, "step") {
@@ -225,21 +253,7 @@
 					continue
 				}
 			}
-			held := 0
-			for _, instance := range names {
-				token, ok := leases[instance].Held()
-				if !ok {
-					continue
-				}
-				held++
-				if token < highest || token == highest && holder != "" && holder != instance {
-					t.Fatalf("%s holds token %d after %s held %d", instance, token, holder, highest)
-				}
-				highest, holder = token, instance
-			}
-			if held > 1 {
-				t.Fatalf("%d instances hold the lease at once", held)
-			}
+			holders.check(t, leases)
 		}
 	})
 }
--- a/fleet/restore_test.go
+++ b/fleet/restore_test.go
@@ -53,7 +53,7 @@
 		for _, name := range names {
 			leases[name] = sim.lease(name)
 		}
-		highest, holder := uint64(0), ""
+		holders := leaseHolders{}
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			name := rapid.SampledFrom(names).Draw(t, "instance")
 			switch rapid.IntRange(0, 7).Draw(t, "step") {
@@ -74,21 +74,7 @@
 					claims++
 				}
 			}
-			held := 0
-			for _, instance := range names {
-				token, ok := leases[instance].Held()
-				if !ok {
-					continue
-				}
-				held++
-				if token < highest || token == highest && holder != "" && holder != instance {
-					t.Fatalf("%s holds token %d after %s held %d", instance, token, holder, highest)
-				}
-				highest, holder = token, instance
-			}
-			if held > 1 {
-				t.Fatalf("%d instances hold the lease at once", held)
-			}
+			holders.check(t, leases)
 		}
 	})
 	if claims == 0 || rewrites == 0 {
