experiment: replicas that fail requests while they answer probes, with ejection and retries switched off

Both mechanisms stay. TestGroupPoliciesServeMoreUnderTheirLoad covers the three loads; the cases do not compile before.

--- a/experiment/group_request.go
+++ b/experiment/group_request.go
@@ -11,6 +11,7 @@
 // attempt routes a request of a caller, and waits for a connection to the chosen member.
 func (s *groupSimulation) attempt(q *simRequest) {
 	q.attempts++
+	q.retried = false
 	q.receivedAt = s.now
 	s.dispatch(q)
 }
@@ -115,6 +116,10 @@
 		s.after(2*oneWayDelay, func() { s.rejected(q, endpoint, behind) })
 		return
 	}
+	if s.failsRequest(m) {
+		s.after(2*oneWayDelay, func() { s.failed(q, endpoint) })
+		return
+	}
 	s.occupy(m, q.service, func() {
 		s.answered(q, m, sentAt)
 		s.release(q, endpoint)
@@ -136,6 +141,26 @@
 	s.dispatch(q)
 }
 
+// failsRequest reports whether a member fails the next request at once.
+func (s *groupSimulation) failsRequest(m *simMember) bool {
+	grey := s.scenario.Grey
+	return m.name == replicaNames[0] && grey.active(s.now.Sub(s.start)) && s.random.Float64() < grey.Share
+}
+
+// failed handles a request that the member has lost: a read is retried once at the member that is best now.
+func (s *groupSimulation) failed(q *simRequest, endpoint string) {
+	s.release(q, endpoint)
+	if !s.variant.NeverEject {
+		s.tracker.RecordFailure(endpoint, s.now)
+	}
+	if q.writes || q.retried || s.variant.ReturnFailures {
+		s.refuse(q)
+		return
+	}
+	q.retried = true
+	s.dispatch(q)
+}
+
 // answered records a success: the new commit, the position, and whether the caller got its answer in time.
 func (s *groupSimulation) answered(q *simRequest, m *simMember, sentAt time.Time) {
 	if q.writes {
@@ -148,6 +173,7 @@
 	if int(position) > m.inherited {
 		s.tracker.ObservePoint(m.name, sentAt, s.now, group.NewPoint(m.term, position))
 	}
+	s.tracker.RecordSuccess(m.name)
 	s.tracker.RecordServiceTime(m.name, s.now.Sub(sentAt))
 	l := s.links[m.name]
 	l.mean = (9*l.mean + s.now.Sub(sentAt)) / 10
--- a/experiment/group_run.go
+++ b/experiment/group_run.go
@@ -151,7 +151,9 @@
 	window     int
 	routed     route.Request
 	onReplica  bool
-	conn       int
+	// retried reports that the present attempt has moved to another member once.
+	retried bool
+	conn    int
 }
 
 // RunGroup simulates a scenario under one variant; the result depends only on the arguments.
--- a/experiment/group_test.go
+++ b/experiment/group_test.go
@@ -38,6 +38,9 @@
 		{"planned change", experiment.GroupVariant{Name: "no floors once demoted", DropDemoted: true}},
 		{"planned change", experiment.GroupVariant{Name: "floors name the new term", NameNewTerm: true}},
 		{"partition", experiment.GroupVariant{Name: "no reads without lease", RequireLease: true}},
+		{"grey replica", experiment.GroupVariant{Name: "no retries", ReturnFailures: true}},
+		{"lying replica", experiment.GroupVariant{Name: "no ejection", NeverEject: true}},
+		{"flapping replica", experiment.GroupVariant{Name: "no ejection", NeverEject: true}},
 	} {
 		s := scenario(t, c.scenario)
 		with, worstWith := sum(s, experiment.GroupVariant{})
--- a/experiment/scenario.go
+++ b/experiment/scenario.go
@@ -43,6 +43,26 @@
 	DemotedAt, PromotedAt time.Duration
 	// SplitFrom and SplitUntil are when the replicas and the store cannot be reached from the instance, or 0.
 	SplitFrom, SplitUntil time.Duration
+	// Grey describes a replica that answers probes but fails requests.
+	Grey Grey
+}
+
+// Grey describes the failures of the first replica, which answers its probes all the while.
+type Grey struct {
+	// From and Until are when it fails requests.
+	From, Until time.Duration
+	// Share is the share of the requests that fail.
+	Share float64
+	// Period, if above 0, makes the replica fail all requests in the first half of each period and none in the second.
+	Period time.Duration
+}
+
+// active reports whether the replica fails requests at a time since the start.
+func (g Grey) active(elapsed time.Duration) bool {
+	if elapsed < g.From || elapsed >= g.Until {
+		return false
+	}
+	return g.Period == 0 || (elapsed-g.From)%g.Period < g.Period/2
 }
 
 // rosterKinds are the requests of one of three database groups of a crew rostering system, per group.
@@ -78,7 +98,13 @@
 	change.DemotedAt, change.PromotedAt = 8*time.Second, 8700*time.Millisecond
 	split := rosterScenario("partition")
 	split.SplitFrom, split.SplitUntil = 8*time.Second, 13*time.Second
-	return []Scenario{steady, behind, change, split}
+	grey := rosterScenario("grey replica")
+	grey.Grey = Grey{From: 6 * time.Second, Until: 14 * time.Second, Share: 0.4}
+	lying := rosterScenario("lying replica")
+	lying.Grey = Grey{From: 6 * time.Second, Until: 14 * time.Second, Share: 1}
+	flapping := rosterScenario("flapping replica")
+	flapping.Grey = Grey{From: 6 * time.Second, Until: 14 * time.Second, Share: 1, Period: 2800 * time.Millisecond}
+	return []Scenario{steady, behind, change, split, grey, lying, flapping}
 }
 
 // GroupVariant is a set of policies with which a group is simulated; the zero value has those in use.
@@ -94,6 +120,10 @@
 	RequireLease bool
 	// KeepAll evicts no waiter that would start too late.
 	KeepAll bool
+	// NeverEject keeps sending reads to a replica that fails them.
+	NeverEject bool
+	// ReturnFailures returns the failure of a read to its caller instead of retrying the read at another member.
+	ReturnFailures bool
 }
 
 // GroupVariants returns the policies in use, and each of them switched off.
@@ -105,5 +135,7 @@
 		{Name: "floors name the new term", NameNewTerm: true},
 		{Name: "no reads without lease", RequireLease: true},
 		{Name: "no eviction", KeepAll: true},
+		{Name: "no ejection", NeverEject: true},
+		{Name: "no retries", ReturnFailures: true},
 	}
 }
