--- a/fleet/registration.go
+++ b/fleet/registration.go
@@ -91,7 +91,7 @@
 
 // register writes the row until that succeeds or ctx ends, and returns a context that ends with the store's era in which the
 // row was written.
-func (r *registration[L]) register(ctx context.Context, row store.Row) (lasting context.Context) {
+func (r *registration[L]) register(ctx context.Context, row store.Row) context.Context {
 	for {
 		committed, err := r.instance.cfg.Store.Commit(ctx, store.Tx{Upserts: []store.Row{row}})
 		era, lasting := r.instance.era.Current()
