fleet: a follower reads the table again after any failed call

Cause: after an outage the follower waited for the next change at once. Such a call shows the store's era only when it ends, and a change that was written under an assigned-again version before it does not end it. Where nothing else changes, the return was noticed after 20 s, and a configuration could be missed as long.

Evidence: with the start of the instance over and an outage that ends all waiting calls, the test fails every time before (20 s) and passes after. The stand-in let calls survive an outage of no length; it ends them now.

--- a/fleet/follow.go
+++ b/fleet/follow.go
@@ -90,9 +90,8 @@
 	}
 	s, err := f.store.Changes(ctx, f.table, f.position.Version())
 	if err != nil {
-		if fault.KindOf(err) == fault.KindStale {
-			f.loaded = false
-		}
+		// The store may have returned from an older copy since; a call that waits for a change would not show its era.
+		f.loaded = false
 		return err
 	}
 	f.failures, f.unconfirmed = 0, false
@@ -106,7 +105,7 @@
 // logRead counts and logs a read of the whole table.
 func (f *follower) logRead(s store.Snapshot) {
 	f.tablesRead.Inc(1)
-	reason := "history_dropped"
+	reason := "call_failed"
 	switch {
 	case f.position == store.Position{}:
 		reason = "start"
--- a/store/storetest/store.go
+++ b/store/storetest/store.go
@@ -21,6 +21,7 @@
 	now              time.Duration
 	changed          chan struct{}
 	down             bool
+	outages          int
 	answersToLose    int
 	beforeCommit     func()
 	calls            int
@@ -43,6 +44,9 @@
 func (s *Store) SetDown(down bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if down {
+		s.outages++
+	}
 	s.down = down
 	s.wakeLocked()
 }
@@ -116,11 +120,14 @@
 
 // Changes returns the changes of a table after version; it waits for a change until ctx ends.
 func (s *Store) Changes(ctx context.Context, table string, version uint64) (store.Snapshot, error) {
+	s.mu.Lock()
+	outages := s.outages
+	s.mu.Unlock()
 	for {
 		s.mu.Lock()
 		s.calls++
 		out := s.emptyLocked()
-		down, stale, changed := s.down, version < s.compactedVersion || version > s.version, s.changed
+		down, stale, changed := s.down || s.outages != outages, version < s.compactedVersion || version > s.version, s.changed
 		for _, r := range s.changes {
 			if r.Table == table && r.Version > version {
 				out.Rows = append(out.Rows, r)
