--- a/fleet/era.go
+++ b/fleet/era.go
@@ -86,10 +86,11 @@
 
 // trackedStore is a store whose answers of earlier eras are dropped.
 //
-// Such an answer describes rows that the store may have lost since. Observe receives the era of each answer.
+// Such an answer describes rows that the store may have lost since.
 type trackedStore struct {
 	store.Store
-	era     *storeEra
+	era *storeEra
+	// observe receives the era of each answer.
 	observe func(era uint64)
 }
 
--- a/fleet/follow_test.go
+++ b/fleet/follow_test.go
@@ -53,3 +53,37 @@
 
 // maxStaleCalls is two calls for each of the retries of 5 s.
 const maxStaleCalls = 40
+
+// failingStore fails the first call that waits for a change; all later ones wait until they are given up.
+type failingStore struct {
+	store.Store
+	reads, waits int
+}
+
+func (s *failingStore) All(context.Context, string) (store.Snapshot, error) {
+	s.reads++
+	return store.Snapshot{Version: 10}, nil
+}
+
+func (s *failingStore) Changes(ctx context.Context, _ string, _ uint64) (store.Snapshot, error) {
+	if s.waits++; s.waits > 1 {
+		<-ctx.Done()
+	}
+	return store.Snapshot{}, fault.New(fault.Config{Kind: fault.KindUnavailable, Message: "the connection was lost", Remedy: "try again"})
+}
+
+// Guards against a follower that waits for a change right after an outage, from which the store may have returned with
+// an older copy: such a call shows the new era only when it ends.
+func TestFollowerReadsTableAfterFailedCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &failingStore{}
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		if err := fleet.Follow(ctx, s, "servers"); err != nil {
+			t.Fatal(err)
+		}
+		if s.reads != 2 {
+			t.Errorf("the table was read %d times, want once at the start and once after the failed call", s.reads)
+		}
+	})
+}
