fleet: an instance that follows the store confirms its era while no call is answered

What callers saw: after the store had returned from an older copy, promotions could wait for leases of instances whose registrations were missing for up to 20 s, and a configuration of the new era could come as late, in a fleet of at most 16 instances in which no followed row changed.

Cause: the era is learned from answers only, and a call that waits for changes is answered after 20 s if nothing changes. A store that keeps such calls across its return shows the new era no sooner. Larger fleets have the checks of the instances that do not follow the store.

Change: an instance that follows the store reads a small table when the last answer is 0.75 s old. Where the store reports no eras no call is made, since there is nothing to confirm.

--- a/fleet/era.go
+++ b/fleet/era.go
@@ -18,8 +18,10 @@
 	mu sync.Mutex
 	// answered reports that the store has answered; the first era may be 0.
 	answered bool
-	current  uint64
-	hinted   uint64
+	// answeredAt is when the store last answered.
+	answeredAt time.Time
+	current    uint64
+	hinted     uint64
 	// raisedAt is when this instance saw the era rise, or zero while it has seen one era only.
 	raisedAt time.Time
 	// lasting is cancelled by end, and replaced, when the era rises or may have risen.
@@ -41,6 +43,7 @@
 	raised = era > e.current
 	restored = raised && e.answered
 	e.answered = true
+	e.answeredAt = clock.Now()
 	if !raised {
 		return false, false
 	}
@@ -77,6 +80,16 @@
 	return e.current, e.lasting
 }
 
+// UnconfirmedFor returns how long the store has not confirmed its era by an answer; it is 0 if the store reports no eras.
+func (e *storeEra) UnconfirmedFor(now time.Time) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.current == 0 {
+		return 0
+	}
+	return now.Sub(e.answeredAt)
+}
+
 // LastsFor reports whether the era has not risen within d before now, as far as this instance has seen.
 func (e *storeEra) LastsFor(d time.Duration, now time.Time) bool {
 	e.mu.Lock()
--- a/fleet/instance.go
+++ b/fleet/instance.go
@@ -149,6 +149,7 @@
 		&leaseRestorer[L]{instance: i},
 		i.ordered,
 		&storeCheck[L]{instance: i},
+		&eraCheck[L]{instance: i},
 		&follower{
 			store: i.cfg.Store, table: i.cfg.Adapter.ConfigurationTable, logger: i.cfg.Logger, active: i.followsStore, era: i.era, tablesRead: i.meters.tablesRead,
 			applyAll: i.applyConfiguration, applyChanges: i.applyConfiguration,
