--- /dev/null
+++ b/transport/transporttest/doc.go
@@ -0,0 +1,2 @@
+// Package transporttest provides a TCP proxy whose open connections can go silent.
+package transporttest
