--- a/membership/items.go
+++ b/membership/items.go
@@ -156,16 +156,13 @@
 // BucketDigests returns the digest of each bucket.
 func (s *Items[V]) BucketDigests() []uint64 { return append([]uint64(nil), s.buckets[:]...) }
 
-// retransmitFactor times the logarithm of the fleet's size is about how many times a change is sent.
-const retransmitFactor = 3
-
 // Deltas returns at most limit of the changed items, those sent least often first, for a fleet of the given size.
 //
-// Each item is returned retransmitFactor * (floor(log2(size)) + 2) times and then dropped;
+// Each item is returned floor(log2(size)) + 2 times and then dropped;
 // peers that lack it by then are repaired by digest.
 func (s *Items[V]) Deltas(limit, size int) []Item[V] {
 	sort.SliceStable(s.pending, func(i, j int) bool { return s.pending[i].sent < s.pending[j].sent })
-	maxSent := retransmitFactor * (bits.Len(uint(size)) + 1)
+	maxSent := bits.Len(uint(size)) + 1
 	n := min(limit, len(s.pending))
 	out := make([]Item[V], 0, n)
 	for i := range n {
--- a/peer/calls.go
+++ b/peer/calls.go
@@ -21,7 +21,7 @@
 	defer n.mu.Unlock()
 	c := n.clients[address]
 	if c == nil {
-		c = peerv1connect.NewPeerServiceClient(n.cfg.Client, n.cfg.Scheme+"://"+address)
+		c = peerv1connect.NewPeerServiceClient(n.cfg.Client, n.cfg.Scheme+"://"+address, clientOptions())
 		n.clients[address] = c
 	}
 	return c
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -7,7 +7,6 @@
 
 	"connectrpc.com/connect"
 
-	"github.com/monsoontiller/monsoontiller/clock"
 	"github.com/monsoontiller/monsoontiller/event"
 	"github.com/monsoontiller/monsoontiller/membership"
 	"github.com/monsoontiller/monsoontiller/peer/peerv1"
@@ -18,13 +17,8 @@
 // exchangeLoop exchanges with the next peers at every interval, and more often until the instance has joined the fleet.
 func (n *Node) exchangeLoop(ctx context.Context) error {
 	for {
-		n.exchangeRound(ctx)
-		wait := n.cfg.Interval
-		if len(n.Others()) == 0 || n.cfg.Joined != nil && !n.cfg.Joined() {
-			wait = min(wait, joinInterval)
-		}
 		select {
-		case <-time.After(wait):
+		case <-time.After(n.ExchangeRound(ctx)):
 		case <-ctx.Done():
 			return nil
 		}
@@ -39,10 +33,10 @@
 	joinTimeout = 300 * time.Millisecond
 )
 
-// exchangeRound exchanges with this round's targets and some seeds concurrently. After all exchanges have ended, it
-// expires silent peers.
-func (n *Node) exchangeRound(ctx context.Context) {
-	now := clock.Now()
+// ExchangeRound exchanges with this round's targets and some seeds concurrently. After all exchanges have ended, it
+// expires silent peers, and returns the pause before the next round.
+func (n *Node) ExchangeRound(ctx context.Context) time.Duration {
+	now := n.cfg.Now()
 	n.mu.Lock()
 	var addresses []string
 	for _, t := range n.roster.Targets(now) {
@@ -67,6 +61,10 @@
 		<-done
 	}
 	n.expire()
+	if len(n.Others()) == 0 || n.cfg.Joined != nil && !n.cfg.Joined() {
+		return min(n.cfg.Interval, joinInterval)
+	}
+	return n.cfg.Interval
 }
 
 // unknownSeeds returns the seeds that are not known to be alive: all of them if all is set, else the next in rotation.
@@ -98,7 +96,7 @@
 // expire declares dead the monitored peers that have not answered for DeadAfter.
 func (n *Node) expire() {
 	n.mu.Lock()
-	dead := n.roster.Expire(clock.Now())
+	dead := n.roster.Expire(n.cfg.Now())
 	n.mu.Unlock()
 	for _, peer := range dead {
 		n.cfg.Events.Add(event.Config{
@@ -119,7 +117,7 @@
 	ctx, cancel := context.WithTimeout(ctx, n.cfg.Timeout)
 	defer cancel()
 	client := n.client(address)
-	sentAt := clock.Now()
+	sentAt := n.cfg.Now()
 	resp, err := client.Exchange(ctx, connect.NewRequest(&peerv1.ExchangeRequest{News: n.newUpdate(n.nameOf(address))}))
 	if err != nil {
 		return
@@ -168,7 +166,7 @@
 		PresenceDigest: uint64(n.roster.Presences().Digest()),
 		FreshAgeMs:     -1,
 	}
-	proof := n.freshness.Proof(clock.Now())
+	proof := n.freshness.Proof(n.cfg.Now())
 	out.Witness = proof.Witness
 	if proof.Known {
 		out.FreshAgeMs = proof.Age.Milliseconds() + 1
@@ -207,7 +205,7 @@
 	from := identityOf(update.GetFrom())
 	n.mu.Lock()
 	before := n.roster.Presences().Digest()
-	n.roster.RecordMessage(clock.Now(), from)
+	n.roster.RecordMessage(n.cfg.Now(), from)
 	for _, p := range update.GetPresences() {
 		n.roster.Apply(presenceOf(p))
 	}
@@ -236,9 +234,12 @@
 	n.mu.Lock()
 	sameConfig := uint64(n.items.Digest()) == update.GetConfigDigest()
 	samePresence := uint64(n.roster.Presences().Digest()) == update.GetPresenceDigest()
-	req := &peerv1.RepairRequest{
-		ConfigBuckets:   n.items.BucketDigests(),
-		PresenceBuckets: n.roster.Presences().BucketDigests(),
+	req := &peerv1.RepairRequest{}
+	if !sameConfig {
+		req.ConfigBuckets = n.items.BucketDigests()
+	}
+	if !samePresence {
+		req.PresenceBuckets = n.roster.Presences().BucketDigests()
 	}
 	n.mu.Unlock()
 	if sameConfig && samePresence {
--- a/peer/node.go
+++ b/peer/node.go
@@ -70,7 +70,9 @@
 	Seeds []string
 	// Joined reports whether this instance has joined the fleet; until then it exchanges more often. If Joined is
 	// nil, the instance has joined once it knows another live instance.
-	Joined  func() bool
+	Joined func() bool
+	// Now returns the time; the default is clock.Now.
+	Now     func() time.Time
 	Backend Backend
 	Events  *event.Log
 	Logger  log.Logger
@@ -119,6 +121,9 @@
 	if cfg.Logger == nil {
 		cfg.Logger = log.NewNopLogger()
 	}
+	if cfg.Now == nil {
+		cfg.Now = clock.Now
+	}
 	return &Node{
 		cfg:    cfg,
 		roster: membership.NewRoster(membership.RosterConfig{Self: cfg.Self, Fanout: cfg.Fanout, DeadAfter: cfg.DeadAfter}),
@@ -126,7 +131,7 @@
 		freshness: membership.NewFreshness(membership.FreshnessConfig{
 			Self:      cfg.Self.Name(),
 			Bound:     cfg.FreshBound,
-			StartedAt: clock.Now(),
+			StartedAt: cfg.Now(),
 		}),
 		seeds:   slices.Clone(cfg.Seeds),
 		seats:   map[uint32]Seat{},
@@ -177,10 +182,15 @@
 	return err
 }
 
-func (n *Node) serve() error {
+// Handler returns the handler of the calls of peers.
+func (n *Node) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(peerv1connect.NewPeerServiceHandler(&handler{node: n}))
-	n.cfg.Server.Handler = mux
+	mux.Handle(peerv1connect.NewPeerServiceHandler(&handler{node: n}, handlerOptions()))
+	return mux
+}
+
+func (n *Node) serve() error {
+	n.cfg.Server.Handler = n.Handler()
 	var err error
 	if n.cfg.Server.TLSConfig != nil {
 		err = n.cfg.Server.ServeTLS(n.cfg.Listener, "", "")
