engine: probes back off from an endpoint at its connection limit

Cause: the endpoints still counted the silent connections and refused new ones. Requests that waited for a lease triggered probes, and a probe without a link dialed every 20 ms, from every home of the group: 106,844 refused dials in 14 s, each of which costs the endpoint a slot. The dials of requests had a backoff, those of probes had none.

Change: the dials of probes use the same backoff, 50 ms to 400 ms.

Evidence: TestProbesOfEndpointAtConnectionLimitAreBounded failed before.

--- a/engine/dial_backoff.go
+++ b/engine/dial_backoff.go
@@ -36,6 +36,15 @@
 	b.nextDial = now.Add(b.interval + rand.N(b.interval/2))
 }
 
+// record records the result of a dial.
+func (b *dialBackoff) record(now time.Time, err error) {
+	if errors.Is(err, ErrEndpointAtLimit) {
+		b.recordRefusal(now)
+		return
+	}
+	*b = dialBackoff{}
+}
+
 // delay returns how long to wait before dialing; after a result of 0, the caller dials and others wait for interval.
 func (b *dialBackoff) delay(now time.Time) time.Duration {
 	if b.interval == 0 {
--- a/engine/failure_test.go
+++ b/engine/failure_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
@@ -212,6 +213,27 @@
 	})
 }
 
+// Load: requests wait for a lease of an endpoint at its connection limit, and each of them triggers probes. The dials of
+// the probes, each of which costs the endpoint a slot, must be as rare as those of the requests.
+func TestProbesOfEndpointAtConnectionLimitAreBounded(t *testing.T) {
+	f := newFixture(t, contract.ConsistencyPrimary)
+	f.cluster.with("b", func(m *member) { m.dialsToRefuse = 1_000_000 })
+	f.cluster.with("b", func(m *member) { m.down = true })
+	waitUntil(t, func() bool { return f.group.LastError("b") != nil })
+	f.cluster.with("b", func(m *member) { m.down = false })
+	const duration = time.Second
+	for until := time.Now().Add(duration); time.Now().Before(until); {
+		f.group.ProbeNow()
+		<-time.After(time.Millisecond)
+	}
+	f.cluster.with("b", func(m *member) {
+		// One dial every 50 ms.
+		if limit := int(duration / (50 * time.Millisecond)); m.refusedDials > limit {
+			t.Errorf("%d dials in %v, want at most %d", m.refusedDials, duration, limit)
+		}
+	})
+}
+
 // noTerms is a contract source that refuses every database with a retry delay.
 type noTerms struct{}
 
--- a/engine/probe.go
+++ b/engine/probe.go
@@ -80,11 +80,13 @@
 	ticker := time.NewTicker(g.cfg.ProbeInterval)
 	defer ticker.Stop()
 	var unset, conn L
+	var backoff dialBackoff
 	order := Order[L](statusOrder[L])
 	var usedAt time.Time
 	for {
-		if order != nil {
-			conn = g.probe(ctx, m, conn, order)
+		// At its connection limit a member is dialed less often: each dial costs it a slot.
+		if order != nil && (conn != unset || backoff.delay(clock.Now()) == 0) {
+			conn = g.probe(ctx, m, conn, order, &backoff)
 			usedAt = clock.Now()
 		}
 		order = statusOrder[L]
@@ -179,13 +181,14 @@
 
 // probe sends the member an order over conn, dialing first if conn is unset, and returns the connection for the next
 // order, which is unset after a failure.
-func (g *Group[L]) probe(ctx context.Context, m *member[L], conn L, order Order[L]) L {
+func (g *Group[L]) probe(ctx context.Context, m *member[L], conn L, order Order[L], backoff *dialBackoff) L {
 	ctx, cancel := context.WithTimeout(ctx, g.cfg.ProbeTimeout)
 	defer cancel()
 	var unset L
 	var err error
 	if conn == unset {
 		conn, err = g.cfg.Dial(ctx, m.address, "")
+		backoff.record(clock.Now(), err)
 	}
 	if err != nil {
 		g.probeFailed(m, err)
