--- a/endpoint/conn.go
+++ b/endpoint/conn.go
@@ -191,6 +191,9 @@
 // Canceled reports whether a cancel request was sent for this connection at any time.
 func (c *Conn) Canceled() bool { return c.canceled }
 
+// Unresponsive reports false: idle connections are checked by a status request before their use.
+func (c *Conn) Unresponsive() bool { return false }
+
 // MarkCanceled records that a cancel request may still reach the endpoint, so that the connection is not shared again.
 func (c *Conn) MarkCanceled() { c.canceled = true }
 
--- a/engine/connections.go
+++ b/engine/connections.go
@@ -153,11 +153,21 @@
 
 // Discard closes a connection whose state is unknown, and releases its permit; the connection counts towards the limit
 // until the endpoint has closed it.
+//
+// If it was lost without an acknowledgment, the connections that have been idle since before its last use may be
+// just as dead, and are closed too.
 func (c *Connections[L]) Discard(conn L) {
+	var suspect []L
 	c.mu.Lock()
+	if use, held := c.inUse[conn]; held && conn.Unresponsive() {
+		suspect = c.pool.TakeIdleBefore(use.since, 0)
+	}
 	wakeups := c.endUse(clock.Now(), conn)
 	deliver(wakeups)
 	c.mu.Unlock()
+	for _, idle := range suspect {
+		c.Discard(idle)
+	}
 	go func() {
 		c.retire(conn)
 		c.uncount()
--- a/engine/fake_test.go
+++ b/engine/fake_test.go
@@ -97,6 +97,8 @@
 	values     map[string]string
 	prepared   map[string]bool
 	closed     bool
+	// unresponsive is what Unresponsive reports.
+	unresponsive bool
 }
 
 func (c *cluster) dial(_ context.Context, a engine.Address, _ string) (*fakeLink, error) {
@@ -117,6 +119,7 @@
 func (l *fakeLink) Key() string                                        { return "" }
 func (l *fakeLink) AnsweredAt() time.Time                              { return l.answeredAt }
 func (l *fakeLink) SetAnsweredAt(now time.Time)                        { l.answeredAt = now }
+func (l *fakeLink) Unresponsive() bool                                 { return l.unresponsive }
 func (l *fakeLink) Canceled() bool                                     { return false }
 func (l *fakeLink) CloseGracefully(time.Duration) bool                 { return true }
 func (l *fakeLink) AwaitClose(time.Duration) bool                      { return true }
--- a/engine/link.go
+++ b/engine/link.go
@@ -21,6 +21,8 @@
 	SetAnsweredAt(now time.Time)
 	// Canceled reports whether a cancellation was sent for the link, after which it must not be reused.
 	Canceled() bool
+	// Unresponsive reports whether the link was lost because the endpoint's host acknowledged no bytes for too long.
+	Unresponsive() bool
 	// CloseGracefully closes an idle link gracefully and reports whether the endpoint closed its side within timeout.
 	CloseGracefully(timeout time.Duration) bool
 	// AwaitClose waits for the endpoint to close its side and reports whether it did within timeout.
--- a/engine/permits_test.go
+++ b/engine/permits_test.go
@@ -172,6 +172,39 @@
 	waitUntil(t, func() bool { return conns.Usage().Open() == 1 })
 }
 
+// Load: connections go silent for good without a reset. Once one link is lost without an acknowledgment, requests must not be
+// sent over the others that have been idle since before, of which each would cost a request its deadline.
+func TestIdleLinksEndWithUnresponsiveLink(t *testing.T) {
+	c := newCluster()
+	conns := newSinglePermitConnections(c)
+	conns.SetPermits(0)
+	var held []*fakeLink
+	for range 3 {
+		l, err := conns.Acquire(t.Context(), request("orders", 2, time.Minute))
+		if err != nil {
+			t.Fatal(err)
+		}
+		held = append(held, l)
+	}
+	conns.Release(held[1])
+	conns.Release(held[2])
+	used, err := conns.Acquire(t.Context(), request("orders", 2, time.Minute))
+	if err != nil {
+		t.Fatal(err)
+	}
+	conns.Release(held[0])
+	used.unresponsive = true
+	conns.Discard(used)
+	waitUntil(t, func() bool { return conns.Usage().Open() == 1 })
+	next, err := conns.Acquire(t.Context(), request("orders", 2, time.Minute))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if next != held[0] {
+		t.Error("the next request uses a link that was idle before the unresponsive one was used, want the one that answered since")
+	}
+}
+
 // An instance that receives the lease evidence from another one closes its idle link for probes.
 func TestStandbyClosesIdleProbeLink(t *testing.T) {
 	c := newCluster()
