fleet: checks of the store read only what has changed

Cause: an instance whose source of evidence fails checks the store at every tick, and each check read the whole configuration. On a link of 2 Mbit/s that takes longer than a tick, so that heartbeats and evidence were late again, and the instance checked again.

Change: an instance remembers up to which version it has read the two tables, and asks for the changes since, without waiting. It reads a whole table again in another era of the store, or once the history is dropped, as the followers do; both share the code.

Evidence: TestStoreChecksReadOnlyChanges; with each check reading whole tables, as before, 20 checks read 4,000,000 bytes of a configuration of 200,000.

--- a/fleet/config.go
+++ b/fleet/config.go
@@ -107,6 +107,8 @@
 	maxBackoffs = 4
 	// maxFleetAllFollow is the largest fleet in which every instance follows the store.
 	maxFleetAllFollow = 16
+	// followWait is how long a call waits for the next change of a table.
+	followWait = 20 * time.Second
 	// followCheckInterval is how often an instance that does not follow the store checks whether it has to.
 	followCheckInterval = 200 * time.Millisecond
 	// removalGrace is how long an endpoint is kept after its entry disappears: entries that lapse in an outage of the
--- a/fleet/era.go
+++ b/fleet/era.go
@@ -118,13 +118,13 @@
 
 // Changes waits until a table changes after version, and returns the changed rows; it fails with KindStale once the era
 // has risen, or may have risen, since the call.
-func (s trackedStore) Changes(ctx context.Context, table string, version uint64) (store.Snapshot, error) {
+func (s trackedStore) Changes(ctx context.Context, table string, version uint64, wait time.Duration) (store.Snapshot, error) {
 	_, lasting := s.era.Current()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	stop := context.AfterFunc(lasting, cancel)
 	defer stop()
-	snapshot, err := s.Store.Changes(ctx, table, version)
+	snapshot, err := s.Store.Changes(ctx, table, version, wait)
 	s.track(snapshot, err)
 	if lasting.Err() != nil {
 		return store.Snapshot{}, restoredError(fault.KindStale, err)
--- a/fleet/export_test.go
+++ b/fleet/export_test.go
@@ -145,7 +145,7 @@
 // Follow follows a table of a store until ctx ends.
 func Follow(ctx context.Context, s store.Store, table string) error {
 	f := &follower{
-		store: s, table: table, logger: log.NewNopLogger(), era: newStoreEra(), tablesRead: tally.NoopScope.Counter("reads"),
+		store: s, table: table, logger: log.NewNopLogger(), wait: followWait, era: newStoreEra(), tablesRead: tally.NoopScope.Counter("reads"),
 		active: func() bool { return true }, applyAll: func(store.Snapshot) {}, applyChanges: func(store.Snapshot) {},
 	}
 	return f.Run(ctx)
@@ -177,3 +177,12 @@
 
 // ReregistrationTime returns how long after the store's return registrations may be missing in a fleet of n instances.
 func ReregistrationTime(n int) time.Duration { return reregistrationTime(n) }
+
+// CatchUp returns a function that catches up with a table of s as a check of the store does, and passes on what it reads.
+func CatchUp(s store.Store, table string, apply func(store.Snapshot)) (step func(context.Context) error) {
+	f := &follower{
+		store: s, table: table, logger: log.NewNopLogger(), era: newStoreEra(), tablesRead: tally.NoopScope.Counter("reads"),
+		applyAll: apply, applyChanges: apply,
+	}
+	return f.step
+}
--- a/fleet/follow.go
+++ b/fleet/follow.go
@@ -20,6 +20,8 @@
 	logger log.Logger
 	// active reports whether to follow the table.
 	active func() bool
+	// wait is how long a call waits for a change; with 0, a step only catches up.
+	wait time.Duration
 	// applyAll receives all rows of the table, and applyChanges those that changed since.
 	applyAll     func(s store.Snapshot)
 	applyChanges func(s store.Snapshot)
@@ -70,7 +72,7 @@
 	return nil
 }
 
-// step reads the table once, or waits for its next change.
+// step reads the table once, or waits for its next change and applies it.
 //
 // Versions are comparable within one era of the store only, so the whole table is read again in each era.
 func (f *follower) step(ctx context.Context) error {
@@ -88,10 +90,10 @@
 		f.loaded, f.unconfirmed = true, true
 		return nil
 	}
-	s, err := f.store.Changes(ctx, f.table, f.position.Version())
+	s, err := f.store.Changes(ctx, f.table, f.position.Version(), f.wait)
 	if err != nil {
 		// The store may have returned from an older copy since; a call that waits for a change would not show its era.
-		f.loaded = false
+		f.loaded = f.wait == 0 && fault.KindOf(err) != fault.KindStale
 		return err
 	}
 	f.failures, f.unconfirmed = 0, false
--- a/fleet/follow_test.go
+++ b/fleet/follow_test.go
@@ -30,7 +30,7 @@
 	return store.Snapshot{Version: 10}, nil
 }
 
-func (s *staleStore) Changes(context.Context, string, uint64) (store.Snapshot, error) {
+func (s *staleStore) Changes(context.Context, string, uint64, time.Duration) (store.Snapshot, error) {
 	s.count()
 	return store.Snapshot{}, fault.New(fault.Config{Kind: fault.KindStale, Message: "the history was dropped", Remedy: "read the table"})
 }
@@ -65,7 +65,7 @@
 	return store.Snapshot{Version: 10}, nil
 }
 
-func (s *failingStore) Changes(ctx context.Context, _ string, _ uint64) (store.Snapshot, error) {
+func (s *failingStore) Changes(ctx context.Context, _ string, _ uint64, _ time.Duration) (store.Snapshot, error) {
 	if s.waits++; s.waits > 1 {
 		<-ctx.Done()
 	}
--- a/fleet/instance.go
+++ b/fleet/instance.go
@@ -148,16 +148,10 @@
 		&registration[L]{instance: i},
 		&leaseRestorer[L]{instance: i},
 		i.ordered,
-		&storeCheck[L]{instance: i},
+		newStoreCheck(i),
 		&eraCheck[L]{instance: i},
-		&follower{
-			store: i.cfg.Store, table: i.cfg.Adapter.ConfigurationTable, logger: i.cfg.Logger, active: i.followsStore, era: i.era, tablesRead: i.meters.tablesRead,
-			applyAll: i.applyConfiguration, applyChanges: i.applyConfiguration,
-		},
-		&follower{
-			store: i.cfg.Store, table: i.cfg.Adapter.EndpointTable, logger: i.cfg.Logger, active: i.followsStore, era: i.era, tablesRead: i.meters.tablesRead,
-			applyAll: i.replaceEndpoints, applyChanges: i.applyEndpointChanges,
-		},
+		i.configurationFollower(followWait),
+		i.endpointFollower(followWait),
 	}
 	for _, s := range append(services, callerServices...) {
 		if err := k.Register(s); err != nil {
@@ -175,6 +169,22 @@
 	return err
 }
 
+// configurationFollower returns a follower of the configuration, whose calls wait for a change for the given time.
+func (i *Instance[L]) configurationFollower(wait time.Duration) *follower {
+	return &follower{
+		store: i.cfg.Store, table: i.cfg.Adapter.ConfigurationTable, logger: i.cfg.Logger, active: i.followsStore, wait: wait, era: i.era,
+		tablesRead: i.meters.tablesRead, applyAll: i.applyConfiguration, applyChanges: i.applyConfiguration,
+	}
+}
+
+// endpointFollower returns a follower of the list of endpoints, whose calls wait for a change for the given time.
+func (i *Instance[L]) endpointFollower(wait time.Duration) *follower {
+	return &follower{
+		store: i.cfg.Store, table: i.cfg.Adapter.EndpointTable, logger: i.cfg.Logger, active: i.followsStore, wait: wait, era: i.era,
+		tablesRead: i.meters.tablesRead, applyAll: i.replaceEndpoints, applyChanges: i.applyEndpointChanges,
+	}
+}
+
 // applyConfiguration puts the newest configuration of a snapshot into force.
 func (i *Instance[L]) applyConfiguration(s store.Snapshot) {
 	for _, row := range s.Rows {
--- a/fleet/restore_test.go
+++ b/fleet/restore_test.go
@@ -224,7 +224,7 @@
 	}
 	ended := make(chan error, 1)
 	go func() {
-		_, err := tracked.Changes(t.Context(), "servers", first.Version)
+		_, err := tracked.Changes(t.Context(), "servers", first.Version, time.Minute)
 		ended <- err
 	}()
 	var waited error
--- a/fleet/store_check.go
+++ b/fleet/store_check.go
@@ -26,10 +26,16 @@
 // answer may be separated from the others, and checks the store at every tick.
 type storeCheck[L Link[L]] struct {
 	instance *Instance[L]
+	// tables catch up with the configuration and the list of endpoints: only the first check reads whole tables.
+	tables []*follower
 	// checkedAt is when this instance last checked the store.
 	checkedAt time.Time
 }
 
+func newStoreCheck[L Link[L]](i *Instance[L]) *storeCheck[L] {
+	return &storeCheck[L]{instance: i, tables: []*follower{i.configurationFollower(0), i.endpointFollower(0)}}
+}
+
 // Name returns the service's name.
 func (c *storeCheck[L]) Name() string { return "store_check" }
 
@@ -68,19 +74,12 @@
 	return min(1, storeCheckTick.Seconds()/(storeCheckInterval.Seconds()*float64(max(1, n))))
 }
 
-// check reads the configuration and the list of endpoints, and applies what is newer than the known state.
+// check reads what has changed in the configuration and the list of endpoints since the last check, and applies it.
 func (c *storeCheck[L]) check(ctx context.Context) {
-	i := c.instance
-	configuration, err := i.cfg.Store.All(ctx, i.cfg.Adapter.ConfigurationTable)
-	if err != nil {
-		logLine(i.cfg.Logger, "level", "info", "msg", "store_check_failed", "error", err.Error())
-		return
-	}
-	i.applyConfiguration(configuration)
-	endpoints, err := i.cfg.Store.All(ctx, i.cfg.Adapter.EndpointTable)
-	if err != nil {
-		logLine(i.cfg.Logger, "level", "info", "msg", "store_check_failed", "error", err.Error())
-		return
+	for _, table := range c.tables {
+		if err := table.step(ctx); err != nil {
+			logLine(c.instance.cfg.Logger, "level", "info", "msg", "store_check_failed", "table", table.table, "error", err.Error())
+			return
+		}
 	}
-	i.replaceEndpoints(endpoints)
 }
--- a/fleet/store_check_test.go
+++ b/fleet/store_check_test.go
@@ -1,11 +1,15 @@
 package fleet_test
 
 import (
+	"context"
 	"math/rand/v2"
 	"testing"
 	"time"
 
+	"github.com/monsoontiller/monsoontiller/fault"
 	"github.com/monsoontiller/monsoontiller/fleet"
+	"github.com/monsoontiller/monsoontiller/store"
+	"github.com/monsoontiller/monsoontiller/store/storetest"
 )
 
 // Load: the store turns away a third of a large fleet, among them all instances that follow it. A new configuration must be
@@ -60,3 +64,61 @@
 		}
 	}
 }
+
+// readCounter counts the bytes of the rows that calls return.
+type readCounter struct {
+	store.Store
+	bytes int
+}
+
+func (c *readCounter) count(s store.Snapshot, err error) (store.Snapshot, error) {
+	for _, r := range s.Rows {
+		c.bytes += len(r.Value)
+	}
+	return s, err
+}
+
+func (c *readCounter) All(ctx context.Context, table string) (store.Snapshot, error) {
+	return c.count(c.Store.All(ctx, table))
+}
+
+func (c *readCounter) Changes(ctx context.Context, table string, version uint64, wait time.Duration) (store.Snapshot, error) {
+	return c.count(c.Store.Changes(ctx, table, version, wait))
+}
+
+// Load: heartbeats fail on a narrow link, so that an instance checks the store at every tick, and the configuration is large.
+// If each check read it again, the link would stay full, and the heartbeats would fail for good.
+func TestStoreChecksReadOnlyChanges(t *testing.T) {
+	const size, checks = 200_000, 20
+	rows := storetest.New()
+	rows.Put("op", "config", make([]byte, size))
+	s := &readCounter{Store: rows}
+	var newest store.Snapshot
+	step := fleet.CatchUp(s, "op", func(s store.Snapshot) { newest = s })
+	check := func() {
+		t.Helper()
+		if err := step(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for range checks {
+		check()
+	}
+	if s.bytes != size {
+		t.Errorf("%d checks read %d bytes, want the %d of one configuration", checks, s.bytes, size)
+	}
+	rows.Put("op", "config", []byte("newer"))
+	check()
+	if row, ok := newest.Row("config"); !ok || string(row.Value) != "newer" {
+		t.Error("a check does not apply the changed configuration")
+	}
+	rows.Put("op", "config", []byte("newest"))
+	rows.Compact()
+	if err := step(t.Context()); fault.KindOf(err) != fault.KindStale {
+		t.Fatalf("error %v after the history was dropped, want KindStale", err)
+	}
+	check()
+	if row, ok := newest.Row("config"); !ok || string(row.Value) != "newest" {
+		t.Error("a check does not read the table again after the history was dropped")
+	}
+}
--- a/store/store.go
+++ b/store/store.go
@@ -51,10 +51,11 @@
 type Store interface {
 	// All returns every row of a table; it fails with KindUnavailable.
 	All(ctx context.Context, table string) (Snapshot, error)
-	// Changes waits until a table changes after version, or for a bounded time, and returns the changed rows in order.
+	// Changes waits until a table changes after version, but at most for wait, and returns the changed rows in order; with a
+	// wait of 0 it returns at once.
 	//
 	// It fails with KindStale when the store has dropped changes after version from its history, and with KindUnavailable.
-	Changes(ctx context.Context, table string, version uint64) (Snapshot, error)
+	Changes(ctx context.Context, table string, version uint64, wait time.Duration) (Snapshot, error)
 	// Commit applies a transaction.
 	//
 	// It fails with KindConflict when a condition does not hold, with KindUnavailable
--- a/store/storetest/store.go
+++ b/store/storetest/store.go
@@ -118,8 +118,9 @@
 	return out, nil
 }
 
-// Changes returns the changes of a table after version; it waits for a change until ctx ends.
-func (s *Store) Changes(ctx context.Context, table string, version uint64) (store.Snapshot, error) {
+// Changes returns the changes of a table after version; it waits for a change until wait has passed or ctx ends.
+func (s *Store) Changes(ctx context.Context, table string, version uint64, wait time.Duration) (store.Snapshot, error) {
+	waited := time.After(wait)
 	s.mu.Lock()
 	outages := s.outages
 	s.mu.Unlock()
@@ -139,11 +140,13 @@
 			return store.Snapshot{}, errDown
 		case stale:
 			return store.Snapshot{Era: out.Era}, fault.New(fault.Config{Kind: fault.KindStale, Message: "the store does not hold the history after this version", Remedy: "read the whole table again"})
-		case len(out.Rows) > 0:
+		case len(out.Rows) > 0 || wait == 0:
 			return out, nil
 		}
 		select {
 		case <-changed:
+		case <-waited:
+			return store.Snapshot{Version: version, Era: out.Era, Now: out.Now}, nil
 		case <-ctx.Done():
 			return store.Snapshot{}, errors.Join(errDown, ctx.Err())
 		}
