--- a/fleet/backend.go
+++ b/fleet/backend.go
@@ -61,7 +61,7 @@
 func (b *backend[L]) Revoke(name string, term uint64) { b.instance.revoke(name, group.Term(term)) }
 
 // PeerChanged adapts the homes and the shares of connections to a change of the fleet.
-func (b *backend[L]) PeerChanged() { b.instance.members.UpdateGroups() }
+func (b *backend[L]) PeerChanged() { b.instance.members.changed.Signal() }
 
 // Cancel reports false: the protocol of the callers has no cancel requests.
 func (b *backend[L]) Cancel(context.Context, uint32, []byte) bool { return false }
--- a/fleet/export_test.go
+++ b/fleet/export_test.go
@@ -186,3 +186,6 @@
 	}
 	return f.step
 }
+
+// NewCoalescer gives tests access to the coalescer.
+func NewCoalescer(pause time.Duration) *coalescer { return newCoalescer(pause) }
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -47,10 +47,12 @@
 	// because the homes, which are also computed while mu is held, depend on it.
 	slotsMu      sync.Mutex
 	slotsByGroup map[string]int
+	// changed is signalled when the set of live instances may have changed.
+	changed *coalescer
 }
 
 func newMembers[L Link[L]](i *Instance[L]) *members[L] {
-	return &members[L]{instance: i, logger: i.cfg.Logger, entries: map[string]*listedEndpoint{}, groups: map[string]*watchedGroup[L]{}, slotsByGroup: map[string]int{}}
+	return &members[L]{instance: i, logger: i.cfg.Logger, entries: map[string]*listedEndpoint{}, groups: map[string]*watchedGroup[L]{}, slotsByGroup: map[string]int{}, changed: newCoalescer(minUpdatePause)}
 }
 
 // Name returns the service's name.
@@ -59,6 +61,9 @@
 // refreshInterval is how often the watched groups and the shares are updated, and removed endpoints dropped.
 const refreshInterval = 200 * time.Millisecond
 
+// minUpdatePause is the least time between two updates that follow changes of the fleet.
+const minUpdatePause = 100 * time.Millisecond
+
 // Run watches the groups until ctx ends.
 func (m *members[L]) Run(ctx context.Context) error {
 	m.mu.Lock()
@@ -67,6 +72,11 @@
 		m.startLocked(w)
 	}
 	m.mu.Unlock()
+	m.loops.Add(1)
+	go func() {
+		defer m.loops.Done()
+		m.changed.Run(ctx, m.UpdateGroups)
+	}()
 	ticker := time.NewTicker(refreshInterval)
 	defer ticker.Stop()
 	for {
@@ -215,6 +225,10 @@
 // updateGroupLocked applies the entries of a group's endpoints to the group, and starts its watch if this instance has
 // become a home.
 func (m *members[L]) updateGroupLocked(name string) {
+	w := m.groups[name]
+	if _, configured := m.instance.directory.Group(name); w == nil && !(configured && m.instance.isHome(name)) {
+		return
+	}
 	var addresses []engine.Address
 	var names, leaving []string
 	now := clock.Now()
@@ -231,10 +245,6 @@
 	sort.Slice(addresses, func(a, b int) bool { return addresses[a].Endpoint < addresses[b].Endpoint })
 	sort.Strings(names)
 	sort.Strings(leaving)
-	w := m.groups[name]
-	if _, configured := m.instance.directory.Group(name); w == nil && !(configured && m.instance.isHome(name)) {
-		return
-	}
 	if w == nil {
 		w = m.newWatchedGroup(name, addresses)
 		m.groups[name] = w
--- a/membership/homes.go
+++ b/membership/homes.go
@@ -1,8 +1,9 @@
 package membership
 
 import (
+	"cmp"
 	"math"
-	"sort"
+	"slices"
 )
 
 // defaultCapacity is assumed for an instance whose capacity is not known, in thousandths of a core.
@@ -14,34 +15,55 @@
 // and all instances that know the same others choose the same homes. An instance is
 // chosen in proportion to its capacity. The homes alternate between the data centres, so
 // that each data centre has a home and a partition between them leaves some on either side.
+//
+// It keeps only the count best instances of each data centre, since a large fleet computes
+// the homes of all groups whenever an instance joins or leaves.
 func Homes(key string, instances []Identity, count int) []Identity {
-	if count >= len(instances) {
-		count = len(instances)
+	count = min(count, len(instances))
+	if count <= 0 {
+		return nil
 	}
-	scores := make(map[string]float64, len(instances))
-	for _, instance := range instances {
-		scores[instance.Name()] = score(key, instance)
+	best := map[string][]candidate{}
+	for n := range instances {
+		c := candidate{instance: &instances[n], score: score(key, instances[n])}
+		dataCentre := instances[n].DataCentre()
+		best[dataCentre] = insertCandidate(best[dataCentre], c, count)
 	}
-	ranked := append([]Identity(nil), instances...)
-	sort.Slice(ranked, func(a, b int) bool {
-		if x, y := scores[ranked[a].Name()], scores[ranked[b].Name()]; x != y {
-			return x > y
+	ranked := make([]candidate, 0, min(len(instances), count*len(best)))
+	for _, candidates := range best {
+		for rank, c := range candidates {
+			c.rank = rank
+			ranked = append(ranked, c)
 		}
-		return ranked[a].Name() < ranked[b].Name()
-	})
-	return interleaveDataCentres(ranked)[:count]
+	}
+	slices.SortFunc(ranked, func(a, b candidate) int { return cmp.Or(cmp.Compare(a.rank, b.rank), a.compare(b)) })
+	homes := make([]Identity, count)
+	for n := range homes {
+		homes[n] = *ranked[n].instance
+	}
+	return homes
+}
+
+// candidate is an instance with its score for a key, and its rank among the instances of its data centre.
+type candidate struct {
+	instance *Identity
+	score    float64
+	rank     int
+}
+
+// compare orders candidates by score, the highest first.
+func (c candidate) compare(other candidate) int {
+	return cmp.Or(cmp.Compare(other.score, c.score), cmp.Compare(c.instance.Name(), other.instance.Name()))
 }
 
-// interleaveDataCentres puts the first instance of each data centre first, then the second of each, and so on.
-func interleaveDataCentres(ranked []Identity) []Identity {
-	countIn := map[string]int{}
-	rank := make(map[string]int, len(ranked))
-	for _, instance := range ranked {
-		rank[instance.Name()] = countIn[instance.DataCentre()]
-		countIn[instance.DataCentre()]++
+// insertCandidate inserts c into best, which is in order, and keeps at most limit candidates.
+func insertCandidate(best []candidate, c candidate, limit int) []candidate {
+	if len(best) == limit && best[limit-1].compare(c) < 0 {
+		return best
 	}
-	sort.SliceStable(ranked, func(a, b int) bool { return rank[ranked[a].Name()] < rank[ranked[b].Name()] })
-	return ranked
+	at, _ := slices.BinarySearchFunc(best, c, candidate.compare)
+	best = slices.Insert(best, at, c)
+	return best[:min(len(best), limit)]
 }
 
 // score returns the weighted rendezvous score: the chance that an instance has the highest one is proportional to its capacity.
--- a/membership/homes_test.go
+++ b/membership/homes_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 
+	"pgregory.net/rapid"
+
 	"github.com/monsoontiller/monsoontiller/membership"
 )
 
@@ -88,3 +90,35 @@
 		}
 	}
 }
+
+// interleavedHomes is the definition of the homes: the instances of each data centre in the order of their scores, the first
+// of every data centre before the second of any.
+func interleavedHomes(key string, instances []membership.Identity, count int) []membership.Identity {
+	ranked := membership.Homes(key, instances, len(instances))
+	return ranked[:min(count, len(ranked))]
+}
+
+// A prefix of the homes does not depend on how many are asked for.
+func TestHomesArePrefixOfRanking(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 60).Draw(t, "instances")
+		var instances []membership.Identity
+		for k := range n {
+			instances = append(instances, membership.NewIdentity(membership.IdentityConfig{
+				Name: fmt.Sprintf("i-%d", k), DataCentre: fmt.Sprintf("dc-%d", rapid.IntRange(0, 5).Draw(t, "data centre")),
+				Capacity: uint32(rapid.IntRange(0, 800).Draw(t, "capacity")),
+			}))
+		}
+		key := rapid.String().Draw(t, "key")
+		count := rapid.IntRange(0, n+2).Draw(t, "count")
+		got, want := membership.Homes(key, instances, count), interleavedHomes(key, instances, count)
+		if len(got) != len(want) {
+			t.Fatalf("%d homes, want %d", len(got), len(want))
+		}
+		for k := range got {
+			if got[k] != want[k] {
+				t.Fatalf("home %d is %s, want %s", k, got[k].Name(), want[k].Name())
+			}
+		}
+	})
+}
--- a/membership/roster.go
+++ b/membership/roster.go
@@ -1,6 +1,8 @@
 package membership
 
 import (
+	"cmp"
+	"slices"
 	"sort"
 	"time"
 
@@ -196,14 +198,19 @@
 
 // sortRing orders the ring by the distance of each name's hash from this instance's.
 func (r *Roster) sortRing() {
+	type place struct {
+		distance uint64
+		instance Identity
+	}
 	self := xxhash.Sum64String(r.cfg.Self.Name())
-	distance := make(map[string]uint64, len(r.view.ring))
-	for _, other := range r.view.ring {
-		distance[other.Name()] = xxhash.Sum64String(other.Name()) - self
+	places := make([]place, len(r.view.ring))
+	for n, other := range r.view.ring {
+		places[n] = place{distance: xxhash.Sum64String(other.Name()) - self, instance: other}
+	}
+	slices.SortFunc(places, func(a, b place) int { return cmp.Compare(a.distance, b.distance) })
+	for n, p := range places {
+		r.view.ring[n] = p.instance
 	}
-	sort.Slice(r.view.ring, func(i, j int) bool {
-		return distance[r.view.ring[i].Name()] < distance[r.view.ring[j].Name()]
-	})
 }
 
 // Targets returns the peers of the next exchange: the instances that this one watches, and one of the others in rotation.
@@ -254,12 +261,10 @@
 
 // weight returns the rendezvous weight of a name for a key.
 func weight(key, name string) uint64 {
-	var d xxhash.Digest
-	d.Reset()
-	_, _ = d.WriteString(key)
-	_, _ = d.Write([]byte{0})
-	_, _ = d.WriteString(name)
-	return d.Sum64()
+	var buffer [128]byte
+	text := append(buffer[:0], key...)
+	text = append(text, 0)
+	return xxhash.Sum64(append(text, name...))
 }
 
 // Rank orders names by their rendezvous weight for key, highest first.
