--- a/experiment/fleet_run.go
+++ b/experiment/fleet_run.go
@@ -37,6 +37,8 @@
 	joinedShare = 0.75
 	// observationInterval is the interval at which the state of the fleet is observed.
 	observationInterval = 20 * time.Millisecond
+	// idleInterval is the interval of heartbeats while there is no change to spread.
+	idleInterval = 750 * time.Millisecond
 	// settleTime is the time for which a fleet runs after its start until it counts as settled.
 	settleTime = 14 * time.Second
 	// steadyTime is the time over which the traffic of a settled fleet is measured.
@@ -127,12 +129,13 @@
 				Incarnation: uint64(i.next.UnixNano()), Name: fmt.Sprintf("entry-%s-%d", dataCentre, k), PeerAddress: fleetAddress(k),
 				DataCentre: dataCentre, Capacity: 192,
 			}),
-			Client:  &http.Client{Transport: &fleetTransport{network: r.network, dataCentre: dataCentre}},
-			Seeds:   seeds,
-			Joined:  func() bool { return float64(len(i.node.Others())+1) >= joinedShare*float64(cfg.Instances) },
-			Now:     func() time.Time { return r.now },
-			Backend: fleetBackend{},
-			Events:  eventlog.NewLog(eventlog.LogConfig{}),
+			Client:       &http.Client{Transport: &fleetTransport{network: r.network, dataCentre: dataCentre}},
+			Seeds:        seeds,
+			IdleInterval: idleInterval,
+			Joined:       func() bool { return float64(len(i.node.Others())+1) >= joinedShare*float64(cfg.Instances) },
+			Now:          func() time.Time { return r.now },
+			Backend:      fleetBackend{},
+			Events:       eventlog.NewLog(eventlog.LogConfig{}),
 		})
 		i.serves = i.node.Handler()
 		r.instances = append(r.instances, i)
--- a/fleet/config.go
+++ b/fleet/config.go
@@ -93,6 +93,10 @@
 // probing keeps lease evidence fresh on the instance that probes for the others.
 var probing = route.Probing{RenewalAge: renewInterval, MaxStatusAge: idleProbeInterval, TriggeredAge: minTriggeredAge}
 
+// idleHeartbeatInterval is the interval of heartbeats while there is no change to spread: a few within the time after which
+// a silent peer is declared dead.
+const idleHeartbeatInterval = 750 * time.Millisecond
+
 // peerTimeout bounds calls to peers, which take a few milliseconds: an unreachable peer must not delay a round of
 // heartbeats.
 const peerTimeout = 500 * time.Millisecond
--- a/fleet/export_test.go
+++ b/fleet/export_test.go
@@ -146,7 +146,7 @@
 func Follow(ctx context.Context, s store.Store, table string) error {
 	f := &follower{
 		store: s, table: table, logger: log.NewNopLogger(), wait: followWait, era: newStoreEra(), tablesRead: tally.NoopScope.Counter("reads"),
-		active: func() bool { return true }, applyAll: func(store.Snapshot) {}, applyChanges: func(store.Snapshot) {},
+		active: func() bool { return true }, settled: func() bool { return true }, applyAll: func(store.Snapshot) {}, applyChanges: func(store.Snapshot) {},
 	}
 	return f.Run(ctx)
 }
--- a/fleet/follow.go
+++ b/fleet/follow.go
@@ -20,6 +20,8 @@
 	logger log.Logger
 	// active reports whether to follow the table.
 	active func() bool
+	// settled reports whether the size of the fleet is known; until then the table is read, but not followed.
+	settled func() bool
 	// wait is how long a call waits for a change; with 0, a step only catches up.
 	wait time.Duration
 	// applyAll receives all rows of the table, and applyChanges those that changed since.
@@ -44,7 +46,7 @@
 // Run follows the table until ctx ends.
 func (f *follower) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		if !f.active() {
+		if !f.active() || f.loaded && !f.settled() {
 			if engine.Sleep(ctx, followCheckInterval) != nil {
 				return nil
 			}
--- a/fleet/instance.go
+++ b/fleet/instance.go
@@ -84,15 +84,16 @@
 			DataCentre:  cfg.DataCentre,
 			Capacity:    cfg.Capacity,
 		}),
-		Listener: cfg.PeerListener,
-		Client:   peer.NewClient(nil),
-		Server:   peer.NewServer(nil),
-		Seeds:    cfg.Seeds,
-		Joined:   i.joined,
-		Timeout:  peerTimeout,
-		Backend:  &backend[L]{instance: i},
-		Events:   i.events,
-		Logger:   cfg.Logger,
+		Listener:     cfg.PeerListener,
+		Client:       peer.NewClient(nil),
+		Server:       peer.NewServer(nil),
+		Seeds:        cfg.Seeds,
+		Joined:       i.joined,
+		Timeout:      peerTimeout,
+		IdleInterval: idleHeartbeatInterval,
+		Backend:      &backend[L]{instance: i},
+		Events:       i.events,
+		Logger:       cfg.Logger,
 	})
 	return i
 }
@@ -172,7 +173,7 @@
 // configurationFollower returns a follower of the configuration, whose calls wait for a change for the given time.
 func (i *Instance[L]) configurationFollower(wait time.Duration) *follower {
 	return &follower{
-		store: i.cfg.Store, table: i.cfg.Adapter.ConfigurationTable, logger: i.cfg.Logger, active: i.followsStore, wait: wait, era: i.era,
+		store: i.cfg.Store, table: i.cfg.Adapter.ConfigurationTable, logger: i.cfg.Logger, active: i.followsStore, settled: i.knowsFleet, wait: wait, era: i.era,
 		tablesRead: i.meters.tablesRead, applyAll: i.applyConfiguration, applyChanges: i.applyConfiguration,
 	}
 }
@@ -180,7 +181,7 @@
 // endpointFollower returns a follower of the list of endpoints, whose calls wait for a change for the given time.
 func (i *Instance[L]) endpointFollower(wait time.Duration) *follower {
 	return &follower{
-		store: i.cfg.Store, table: i.cfg.Adapter.EndpointTable, logger: i.cfg.Logger, active: i.followsStore, wait: wait, era: i.era,
+		store: i.cfg.Store, table: i.cfg.Adapter.EndpointTable, logger: i.cfg.Logger, active: i.followsStore, settled: i.knowsFleet, wait: wait, era: i.era,
 		tablesRead: i.meters.tablesRead, applyAll: i.replaceEndpoints, applyChanges: i.applyEndpointChanges,
 	}
 }
--- a/fleet/registration.go
+++ b/fleet/registration.go
@@ -67,9 +67,9 @@
 	if err != nil {
 		return err
 	}
-	r.expectRegistered(ctx)
+	complete := r.expectRegistered(ctx)
 	lasting := r.register(ctx, row)
-	if ctx.Err() == nil {
+	if ctx.Err() == nil && !complete {
 		r.countRegistered(ctx)
 	}
 	for ctx.Err() == nil {
@@ -108,16 +108,17 @@
 // expectRegistered makes this instance expect the registered instances, if an earlier run of it is among them.
 //
 // An earlier run that did not remove its registration has crashed, and the other
-// instances may have crashed with it. Only then is the list known to be complete: when
-// the fleet starts for the first time, the instances register one after the other.
-func (r *registration[L]) expectRegistered(ctx context.Context) {
+// instances may have crashed with it. Only then is the list known to be complete, and
+// complete is set: when the fleet starts for the first time, the instances register one
+// after the other.
+func (r *registration[L]) expectRegistered(ctx context.Context) (complete bool) {
 	s, err := r.instance.cfg.Store.All(ctx, instanceTable)
 	if err != nil {
 		logLine(r.instance.cfg.Logger, "level", "info", "msg", "registrations_unknown", "error", err.Error())
-		return
+		return false
 	}
 	if _, restarted := s.Row(r.instance.cfg.Name); !restarted {
-		return
+		return false
 	}
 	var expected []membership.Identity
 	for _, row := range s.Rows {
@@ -126,6 +127,8 @@
 		}
 	}
 	r.instance.expect(expected)
+	r.instance.registered.Store(int64(len(s.Rows)))
+	return true
 }
 
 // countRegistered reads the number of registered instances; without it, this instance waits longer before it acts as a home.
--- a/fleet/store_check.go
+++ b/fleet/store_check.go
@@ -15,6 +15,9 @@
 	storeCheckInterval = 250 * time.Millisecond
 	// storeCheckTick is the mean time between two draws of one instance.
 	storeCheckTick = time.Second
+	// sourceLostInterval is the least time between two checks of an instance whose source of evidence fails: several fit
+	// into the bound on how late a configuration may come into force, and in a partition such instances are many.
+	sourceLostInterval = 2 * time.Second
 )
 
 // storeCheck reads the store now and then on an instance that does not follow it.
@@ -23,7 +26,7 @@
 // turns away just these, the others would learn of no change, although they could read
 // it. The checks of all instances together have a constant rate; what one of them
 // finds spreads with the heartbeats. An instance whose source of evidence does not
-// answer may be separated from the others, and checks the store at every tick.
+// answer may be separated from the others, and checks the store at once.
 type storeCheck[L Link[L]] struct {
 	instance *Instance[L]
 	// tables catch up with the configuration and the list of endpoints: only the first check reads whole tables.
@@ -64,7 +67,7 @@
 // of evidence has just failed, and a random number below 1.
 func storeCheckDue(sinceLast time.Duration, sourceLost bool, n int, random float64) bool {
 	if sourceLost {
-		return sinceLast >= storeCheckTick
+		return sinceLast >= sourceLostInterval
 	}
 	return random < storeCheckChance(n)
 }
--- a/membership/items.go
+++ b/membership/items.go
@@ -156,6 +156,9 @@
 // BucketDigests returns the digest of each bucket.
 func (s *Items[V]) BucketDigests() []uint64 { return append([]uint64(nil), s.buckets[:]...) }
 
+// Spreading reports whether there are deltas to send.
+func (s *Items[V]) Spreading() bool { return len(s.pending) > 0 }
+
 // Deltas returns at most limit of the changed items, those sent least often first, for a fleet of the given size.
 //
 // Each item is returned floor(log2(size)) + 2 times and then dropped;
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -64,7 +64,12 @@
 	if len(n.Others()) == 0 || n.cfg.Joined != nil && !n.cfg.Joined() {
 		return min(n.cfg.Interval, joinInterval)
 	}
-	return n.cfg.Interval
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.items.Spreading() || n.roster.Presences().Spreading() || !n.differedAt.Before(now) {
+		return n.cfg.Interval
+	}
+	return n.cfg.IdleInterval
 }
 
 // unknownSeeds returns the seeds that are not known to be alive: all of them if all is set, else the next in rotation.
@@ -241,6 +246,9 @@
 	if !samePresence {
 		req.PresenceBuckets = n.roster.Presences().BucketDigests()
 	}
+	if !sameConfig || !samePresence {
+		n.differedAt = n.cfg.Now()
+	}
 	n.mu.Unlock()
 	if sameConfig && samePresence {
 		return true
--- a/peer/exchange_test.go
+++ b/peer/exchange_test.go
@@ -1,8 +1,11 @@
 package peer_test
 
 import (
+	"compress/gzip"
 	"context"
+	"io"
 	"net"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -126,3 +129,47 @@
 		t.Errorf("the instances %v confirmed after all registrations were removed", got)
 	}
 }
+
+// Load: all instances start at once, and their first exchanges are long. If each message that is compressed allocated a
+// compressor, an idle instance would collect its heap for each of them.
+func TestCompressionAllocatesNoWriterPerMessage(t *testing.T) {
+	source := startNode(t, "one")
+	receiver := startNode(t, "two", source.Self().PeerAddress())
+	exchangeLong := func(revision membership.Revision) {
+		long := membership.NewItem("long", revision, membership.NewEntry(membership.EntryConfig{Text: strings.Repeat("x", 20_000)}))
+		source.ApplyWithoutDelta(long)
+		tick := time.NewTicker(time.Millisecond)
+		defer tick.Stop()
+		for {
+			if held, ok := receiver.Item("long"); ok && held.Revision() == revision {
+				return
+			}
+			<-tick.C
+		}
+	}
+	exchangeLong(1)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	const messages = 20
+	for k := range messages {
+		runtime.GC()
+		exchangeLong(membership.Revision(2 + k))
+	}
+	runtime.ReadMemStats(&after)
+	if each, limit := (after.TotalAlloc-before.TotalAlloc)/messages, writerSize(t); each > limit {
+		t.Errorf("%d bytes allocated for each long message, want less than the %d of a compressor", each, limit)
+	}
+}
+
+// writerSize returns the number of bytes that a compressor allocates for its first message.
+func writerSize(t *testing.T) uint64 {
+	t.Helper()
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	w := gzip.NewWriter(io.Discard)
+	if _, err := w.Write(make([]byte, 1024)); err != nil {
+		t.Fatal(err)
+	}
+	runtime.ReadMemStats(&after)
+	return after.TotalAlloc - before.TotalAlloc
+}
--- a/peer/node.go
+++ b/peer/node.go
@@ -58,6 +58,8 @@
 	Scheme   string
 	// Interval is the time between two rounds of exchanges.
 	Interval time.Duration
+	// IdleInterval is the time between two rounds while the peers have the same data; the default is Interval.
+	IdleInterval time.Duration
 	// Timeout bounds a call to a peer.
 	Timeout time.Duration
 	// Fanout is the number of peers that the instance monitors.
@@ -101,7 +103,9 @@
 	items     *membership.Items[membership.Entry]
 	freshness *membership.Freshness
 	seats     map[uint32]Seat
-	clients   map[string]peerv1connect.PeerServiceClient
+	// differedAt is when this instance or a peer last lacked a part of the other's data.
+	differedAt time.Time
+	clients    map[string]peerv1connect.PeerServiceClient
 	// seeds are the addresses of Config.Seeds and AddSeeds.
 	seeds []string
 	// seedIndex, modulo the number of seeds, is the index of the seed checked last; only the exchange loop uses it.
@@ -113,6 +117,7 @@
 // NewNode returns a node that knows only itself until Run.
 func NewNode(cfg Config) *Node {
 	setDefault(&cfg.Interval, defaultInterval)
+	setDefault(&cfg.IdleInterval, cfg.Interval)
 	setDefault(&cfg.Timeout, defaultTimeout)
 	setDefault(&cfg.Fanout, defaultFanout)
 	setDefault(&cfg.DeadAfter, defaultDeadAfter)
