--- a/fleet/store_check.go
+++ b/fleet/store_check.go
@@ -15,6 +15,9 @@
 	storeCheckInterval = 250 * time.Millisecond
 	// storeCheckTick is the mean time between two draws of one instance.
 	storeCheckTick = time.Second
+	// endpointCheckShare is the share of the checks that include the list of endpoints, which may be older than the
+	// configuration: a leaving endpoint serves for several seconds.
+	endpointCheckShare = 0.25
 	// sourceLostInterval is the least time between two checks of an instance whose source of evidence fails: several fit
 	// into the bound on how late a configuration may come into force, and in a partition such instances are many.
 	sourceLostInterval = 2 * time.Second
@@ -29,14 +32,14 @@
 // answer may be separated from the others, and checks the store at once.
 type storeCheck[L Link[L]] struct {
 	instance *Instance[L]
-	// tables catch up with the configuration and the list of endpoints: only the first check reads whole tables.
-	tables []*follower
+	// configuration and endpoints catch up with their tables: only the first check reads a whole table.
+	configuration, endpoints *follower
 	// checkedAt is when this instance last checked the store.
 	checkedAt time.Time
 }
 
 func newStoreCheck[L Link[L]](i *Instance[L]) *storeCheck[L] {
-	return &storeCheck[L]{instance: i, tables: []*follower{i.configurationFollower(0), i.endpointFollower(0)}}
+	return &storeCheck[L]{instance: i, configuration: i.configurationFollower(0), endpoints: i.endpointFollower(0)}
 }
 
 // Name returns the service's name.
@@ -59,7 +62,10 @@
 			continue
 		}
 		c.checkedAt = now
-		c.check(ctx)
+		c.check(ctx, c.configuration)
+		if sourceLost || rand.Float64() < endpointCheckShare {
+			c.check(ctx, c.endpoints)
+		}
 	}
 }
 
@@ -77,12 +83,9 @@
 	return min(1, storeCheckTick.Seconds()/(storeCheckInterval.Seconds()*float64(max(1, n))))
 }
 
-// check reads what has changed in the configuration and the list of endpoints since the last check, and applies it.
-func (c *storeCheck[L]) check(ctx context.Context) {
-	for _, table := range c.tables {
-		if err := table.step(ctx); err != nil {
-			logLine(c.instance.cfg.Logger, "level", "info", "msg", "store_check_failed", "table", table.table, "error", err.Error())
-			return
-		}
+// check reads what has changed in a table since its last check, and applies it.
+func (c *storeCheck[L]) check(ctx context.Context, table *follower) {
+	if err := table.step(ctx); err != nil {
+		logLine(c.instance.cfg.Logger, "level", "info", "msg", "store_check_failed", "table", table.table, "error", err.Error())
 	}
 }
