--- a/cmd/monsoonsoak/main.go
+++ b/cmd/monsoonsoak/main.go
@@ -26,6 +26,7 @@
 	Clients       int           `long:"clients" default:"24" description:"callers for each seed"`
 	Connections   int           `long:"connections" default:"40" description:"connections that each endpoint takes; few make instances pass sessions on"`
 	PowerLosses   int           `long:"power-losses" description:"times that all instances lose power, besides the other faults, while the endpoints keep their connections"`
+	Severances    int           `long:"severances" description:"times that open connections to the endpoints, the store and the promoter go silent for good, besides the other faults"`
 	StoreRestores int           `long:"store-restores" description:"times that the store returns from an older copy, besides the other faults"`
 	Case          string        `long:"case" description:"a series of faults around such a return that replaces the drawn ones; its name"`
 	Binary        string        `long:"binary" default:"target/monsoontiller" description:"the program"`
@@ -90,7 +91,7 @@
 	}
 	defer faults.Close()
 	report, err := soak.Run(ctx, soak.Config{
-		Seed: seed, Length: o.Length, Instances: o.Instances, Clients: o.Clients, Connections: o.Connections, PowerLosses: o.PowerLosses, StoreRestores: o.StoreRestores, Case: o.Case,
+		Seed: seed, Length: o.Length, Instances: o.Instances, Clients: o.Clients, Connections: o.Connections, PowerLosses: o.PowerLosses, Severances: o.Severances, StoreRestores: o.StoreRestores, Case: o.Case,
 		Network: 1 + int(seed%networkCount), Binary: o.Binary, Directory: directory, Output: io.Writer(faults),
 	})
 	if err != nil {
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -24,6 +24,8 @@
 			p.Linger(deadPeerTime)
 		}
 		f.killAll(ctx, fault)
+	case kindSever:
+		f.sever(fault)
 	case kindStoreRestore:
 		f.restoreStore(ctx, fault)
 	case "freeze":
@@ -39,6 +41,19 @@
 	}
 }
 
+// leastSevered is the least share of the connections that a severance affects.
+const leastSevered = 0.4
+
+// sever makes a share of the open connections to the endpoints, the store and the promoter go silent for good.
+func (f *fixture) sever(fault Fault) {
+	share := leastSevered + (1-leastSevered)*float64(fault.Target%100)/100
+	for _, proxies := range [][]*Proxy{f.endpointProxies, f.storeProxies, f.promoterProxies} {
+		for _, p := range proxies {
+			p.Sever(share)
+		}
+	}
+}
+
 // deadPeerTime is how long an endpoint keeps the connections of a machine without power.
 const deadPeerTime = 3 * time.Second
 
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"time"
@@ -31,6 +32,9 @@
 // proxyDelay is the delay of ModeDelay: several times the mean time of a statement.
 const proxyDelay = 80 * time.Millisecond
 
+// severedTime is how long the other side of a severed connection stays open after one side has closed.
+const severedTime = 5 * time.Second
+
 // modePollInterval is the interval at which a connection that holds bytes back checks the mode.
 const modePollInterval = 5 * time.Millisecond
 
@@ -42,6 +46,8 @@
 	mu       sync.Mutex
 	mode     Mode
 	conns    map[net.Conn]struct{}
+	// severed holds the connections that deliver nothing further.
+	severed map[net.Conn]bool
 	// lingering holds the connections of callers whose end the target learns only at the given time.
 	lingering map[net.Conn]time.Time
 	wait      sync.WaitGroup
@@ -53,7 +59,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Proxy{name: name, listener: l, target: target, conns: map[net.Conn]struct{}{}, lingering: map[net.Conn]time.Time{}}, nil
+	return &Proxy{name: name, listener: l, target: target, conns: map[net.Conn]struct{}{}, severed: map[net.Conn]bool{}, lingering: map[net.Conn]time.Time{}}, nil
 }
 
 // Name returns the name given to NewProxy, which identifies the target.
@@ -75,6 +81,24 @@
 	}
 }
 
+// Sever makes a share of the open connections deliver nothing further, in either direction, without closing them; new
+// connections work.
+func (p *Proxy) Sever(share float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for nc := range p.conns {
+		if rand.Float64() < share {
+			p.severed[nc] = true
+		}
+	}
+}
+
+func (p *Proxy) isSevered(nc net.Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.severed[nc]
+}
+
 // Linger keeps the target's side of the connections that are open now for d, even if their other side closes before, as
 // after a power loss of the callers' machines.
 func (p *Proxy) Linger(d time.Duration) {
@@ -151,10 +175,12 @@
 	go func() {
 		p.copy(ctx, out, in, ModeSilent)
 		p.awaitLinger(ctx, in)
+		p.awaitSevered(ctx, in)
 		done <- struct{}{}
 	}()
 	go func() {
 		p.copy(ctx, in, out, ModeSilent, ModeDeaf)
+		p.awaitSevered(ctx, out)
 		done <- struct{}{}
 	}()
 	<-done
@@ -165,11 +191,20 @@
 	delete(p.conns, in)
 	delete(p.conns, out)
 	delete(p.lingering, out)
+	delete(p.severed, in)
+	delete(p.severed, out)
 	p.mu.Unlock()
 }
 
+// awaitSevered waits, if a connection is severed, until its other side has given it up.
+func (p *Proxy) awaitSevered(ctx context.Context, nc net.Conn) {
+	if p.isSevered(nc) {
+		pause(ctx, severedTime)
+	}
+}
+
 // copy forwards bytes, and holds them back while the mode is one of the blocking modes.
-func (p *Proxy) copy(ctx context.Context, to io.Writer, from io.Reader, blocking ...Mode) {
+func (p *Proxy) copy(ctx context.Context, to io.Writer, from net.Conn, blocking ...Mode) {
 	buffer := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buffer)
@@ -179,7 +214,7 @@
 		if p.current() == ModeDelay {
 			time.Sleep(proxyDelay)
 		}
-		if n > 0 {
+		if n > 0 && !p.isSevered(from) {
 			if _, err := to.Write(buffer[:n]); err != nil {
 				return
 			}
--- a/soak/run.go
+++ b/soak/run.go
@@ -24,6 +24,8 @@
 	Connections int
 	// PowerLosses is the number of times that all instances lose power, in addition to the faults of the schedule.
 	PowerLosses int
+	// Severances is the number of times that open connections go silent, in addition to the faults of the schedule.
+	Severances int
 	// StoreRestores is the number of times that the store returns from an older copy, in addition to the schedule.
 	StoreRestores int
 	// Case, if set, names the series of faults that replaces those of the schedule, one of CaseNames.
@@ -47,7 +49,8 @@
 	} else if faults, err = CaseFaults(c.Case, c.Seed, c.Instances); err != nil {
 		return nil, err
 	}
-	faults = slices.Concat(faults, PowerLosses(c.Seed, c.Length, c.PowerLosses), StoreRestores(c.Seed, c.Length, c.StoreRestores))
+	faults = slices.Concat(faults, PowerLosses(c.Seed, c.Length, c.PowerLosses), StoreRestores(c.Seed, c.Length, c.StoreRestores),
+		Severances(c.Seed, c.Length, c.Severances))
 	slices.SortStableFunc(faults, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return faults, nil
 }
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -61,6 +61,8 @@
 const (
 	// kindPowerLoss kills all instances while the endpoints keep their connections.
 	kindPowerLoss = "power_loss"
+	// kindSever makes a share of all open connections deliver nothing further.
+	kindSever = "sever"
 	// kindStoreRestore makes the store return from an older copy.
 	kindStoreRestore = "store_restore"
 )
@@ -77,6 +79,16 @@
 	return out
 }
 
+// Severances returns n moments, in the first four fifths of a run of the given length, at which open connections go silent.
+func Severances(seed uint64, length time.Duration, n int) []Fault {
+	r := rand.New(rand.NewPCG(seed, 0x5e7e))
+	var out []Fault
+	for range n {
+		out = append(out, Fault{At: time.Duration(r.Int64N(int64(length * 4 / 5))), Kind: kindSever, Target: r.IntN(1 << 16)})
+	}
+	return out
+}
+
 // StoreRestores returns n returns of the store from an older copy at random times in the first four fifths of a run of the
 // given length.
 func StoreRestores(seed uint64, length time.Duration, n int) []Fault {
