--- a/membership/bench_test.go
+++ b/membership/bench_test.go
@@ -93,3 +93,20 @@
 		})
 	}
 }
+
+// BenchmarkHomes measures the choice of the homes of one group, by the fleet's size.
+func BenchmarkHomes(b *testing.B) {
+	for _, n := range []int{9, 295, 3500} {
+		b.Run(fmt.Sprintf("instances=%d", n), func(b *testing.B) {
+			var instances []membership.Identity
+			for k := range n {
+				instances = append(instances, membership.NewIdentity(membership.IdentityConfig{
+					Name: fmt.Sprintf("n%d", k), DataCentre: fmt.Sprintf("dc-%d", k%6), Capacity: 192,
+				}))
+			}
+			for b.Loop() {
+				membership.Homes("home/g", instances, 5)
+			}
+		})
+	}
+}
