peer: calls and bytes between instances are counted by kind

The counters peer_calls_total, peer_calls_failed_total, peer_bytes_sent_total and peer_bytes_received_total have the kind of call as their label; TestCallsAndBytesAreCountedByKind.

--- a/fleet/instance.go
+++ b/fleet/instance.go
@@ -91,6 +91,7 @@
 		Joined:       i.joined,
 		Timeout:      peerTimeout,
 		IdleInterval: idleHeartbeatInterval,
+		Scope:        cfg.Scope,
 		Backend:      &backend[L]{instance: i},
 		Events:       i.events,
 		Logger:       cfg.Logger,
--- a/peer/exchange_test.go
+++ b/peer/exchange_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/monsoontiller/monsoontiller/event"
 	"github.com/monsoontiller/monsoontiller/membership"
@@ -130,6 +131,29 @@
 	}
 }
 
+// The traffic between instances must be attributable to a kind of call.
+func TestCallsAndBytesAreCountedByKind(t *testing.T) {
+	scope := tally.NewTestScope("", nil)
+	source := startNode(t, "one")
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	n := peer.NewNode(peer.Config{
+		Self:   membership.NewIdentity(membership.IdentityConfig{Name: "two", Incarnation: 1, PeerAddress: l.Addr().String()}),
+		Client: peer.NewClient(nil), Seeds: []string{source.Self().PeerAddress()}, Backend: emptyBackend{}, Scope: scope,
+		Events: event.NewLog(event.LogConfig{}),
+	})
+	n.ExchangeRound(t.Context())
+	counters := scope.Snapshot().Counters()
+	for _, name := range []string{"peer_calls_total", "peer_bytes_sent_total", "peer_bytes_received_total"} {
+		if c, ok := counters[name+"+kind=Exchange"]; !ok || c.Value() == 0 {
+			t.Errorf("%s is not counted for heartbeats", name)
+		}
+	}
+}
+
 // Load: all instances start at once, and their first exchanges are long. If each message that is compressed allocated a
 // compressor, an idle instance would collect its heap for each of them.
 func TestCompressionAllocatesNoWriterPerMessage(t *testing.T) {
--- a/peer/node.go
+++ b/peer/node.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/monsoontiller/monsoontiller/clock"
 	"github.com/monsoontiller/monsoontiller/event"
@@ -78,6 +79,8 @@
 	Backend Backend
 	Events  *event.Log
 	Logger  log.Logger
+	// Scope, if set, receives counters of the calls to peers and their bytes by kind of call.
+	Scope tally.Scope
 }
 
 const (
@@ -129,6 +132,9 @@
 	if cfg.Now == nil {
 		cfg.Now = clock.Now
 	}
+	if cfg.Scope != nil {
+		cfg.Client = &http.Client{Transport: newMeteredTransport(cfg.Client.Transport, cfg.Scope)}
+	}
 	return &Node{
 		cfg:    cfg,
 		roster: membership.NewRoster(membership.RosterConfig{Self: cfg.Self, Fanout: cfg.Fanout, DeadAfter: cfg.DeadAfter}),
