--- a/fleet/era_check.go
+++ b/fleet/era_check.go
@@ -5,14 +5,16 @@
 	"time"
 
 	"github.com/monsoontiller/monsoontiller/clock"
+	"github.com/monsoontiller/monsoontiller/engine"
 )
 
 const (
 	// maxEraAge is the age of the store's last answer at which its era is confirmed: it leaves half of the time in which
 	// the rows of the fleet must be written again after the store's return.
 	maxEraAge = 750 * time.Millisecond
-	// eraCheckTick is the interval at which that age is checked.
+	// eraCheckTick is the interval at which that age is checked, and noEraTick that interval while the store reports no eras.
 	eraCheckTick = 250 * time.Millisecond
+	noEraTick    = 2 * time.Second
 	// eraCheckTimeout bounds a call that confirms the era.
 	eraCheckTimeout = time.Second
 )
@@ -31,12 +33,12 @@
 
 // Run checks the age of the store's last answer at every tick until ctx ends.
 func (c *eraCheck[L]) Run(ctx context.Context) error {
-	ticker := time.NewTicker(eraCheckTick)
-	defer ticker.Stop()
 	for {
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
+		tick := eraCheckTick
+		if era, _ := c.instance.era.Current(); era == 0 {
+			tick = noEraTick
+		}
+		if engine.Sleep(ctx, tick) != nil {
 			return nil
 		}
 		if c.instance.followsStore() && c.instance.era.UnconfirmedFor(clock.Now()) >= maxEraAge {
