fleet: an instance of a large fleet reads the tables at its start, and follows them only if it is its turn

Cause: all instances of a starting fleet counted as followers, since each knew few others: 295 instances waited for changes of two tables, and every entry that an endpoint wrote at the start ended these calls. After a loss of power the list of registrations tells the size of the fleet at once, but only the live instances were counted.

Change: every instance reads each table once; who follows is decided from the instances that are expected, as the homes are.

Evidence: TestInstanceReadsTableOnceAtItsStart; an instance that need not follow a table did not read it before.

--- a/fleet/export_test.go
+++ b/fleet/export_test.go
@@ -178,6 +178,15 @@
 // ReregistrationTime returns how long after the store's return registrations may be missing in a fleet of n instances.
 func ReregistrationTime(n int) time.Duration { return reregistrationTime(n) }
 
+// ReadAtStart runs a follower of a table on an instance that need not follow it, until ctx ends.
+func ReadAtStart(ctx context.Context, s store.Store, table string) error {
+	f := &follower{
+		store: s, table: table, logger: log.NewNopLogger(), wait: followWait, era: newStoreEra(), tablesRead: tally.NoopScope.Counter("reads"),
+		active: func() bool { return false }, settled: func() bool { return true }, applyAll: func(store.Snapshot) {}, applyChanges: func(store.Snapshot) {},
+	}
+	return f.Run(ctx)
+}
+
 // CatchUp returns a function that catches up with a table of s as a check of the store does, and passes on what it reads.
 func CatchUp(s store.Store, table string, apply func(store.Snapshot)) (step func(context.Context) error) {
 	f := &follower{
--- a/fleet/follow.go
+++ b/fleet/follow.go
@@ -18,9 +18,11 @@
 	store  store.Store
 	table  string
 	logger log.Logger
-	// active reports whether to follow the table.
+	// active reports whether to follow the table; it is read once in any case.
 	active func() bool
-	// settled reports whether the size of the fleet is known; until then the table is read, but not followed.
+	// hasRead reports that the table has been read since the start.
+	hasRead bool
+	// settled reports whether the size of the fleet is known, on which it depends whether to follow the table.
 	settled func() bool
 	// wait is how long a call waits for a change; with 0, a step only catches up.
 	wait time.Duration
@@ -46,7 +48,7 @@
 // Run follows the table until ctx ends.
 func (f *follower) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		if !f.active() || f.loaded && !f.settled() {
+		if f.hasRead && !(f.active() && f.settled()) {
 			if engine.Sleep(ctx, followCheckInterval) != nil {
 				return nil
 			}
@@ -89,7 +91,7 @@
 		f.applyAll(s)
 		f.logRead(s)
 		f.position = s.Position()
-		f.loaded, f.unconfirmed = true, true
+		f.loaded, f.unconfirmed, f.hasRead = true, true, true
 		return nil
 	}
 	s, err := f.store.Changes(ctx, f.table, f.position.Version(), f.wait)
--- a/fleet/follow_test.go
+++ b/fleet/follow_test.go
@@ -87,3 +87,19 @@
 		}
 	})
 }
+
+// Load: hundreds of instances start again after a loss of power. Each must read the tables at once, but only those that
+// follow the store for the others may wait for changes: each call has a price.
+func TestInstanceReadsTableOnceAtItsStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &failingStore{}
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		if err := fleet.ReadAtStart(ctx, s, "servers"); err != nil {
+			t.Fatal(err)
+		}
+		if s.reads != 1 || s.waits != 0 {
+			t.Errorf("the table was read %d times, and %d calls waited for changes; want 1 and 0", s.reads, s.waits)
+		}
+	})
+}
--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -145,9 +145,8 @@
 // In a small fleet all instances do; in a larger one the first home of each group
 // does, and the others learn of a newer version with the evidence that they fetch.
 func (i *Instance[L]) followsStore() bool {
-	alive, _ := i.counts()
 	groups := i.directory.GroupNames()
-	if alive <= maxFleetAllFollow || len(groups) == 0 {
+	if len(i.presumedAlive()) <= maxFleetAllFollow || len(groups) == 0 {
 		return true
 	}
 	for _, name := range groups {
