fleet: a starting instance stops asking the store for what it has learned from peers

Only an instance whose store is away at its start is affected: it would have asked for both tables until the store answered, although its peers had given it their rows. TestInstanceReadsTableOnceAtItsStart covers that it reads them otherwise.

--- a/fleet/export_test.go
+++ b/fleet/export_test.go
@@ -146,7 +146,7 @@
 func Follow(ctx context.Context, s store.Store, table string) error {
 	f := &follower{
 		store: s, table: table, logger: log.NewNopLogger(), wait: followWait, era: newStoreEra(), tablesRead: tally.NoopScope.Counter("reads"),
-		active: func() bool { return true }, settled: func() bool { return true }, applyAll: func(store.Snapshot) {}, applyChanges: func(store.Snapshot) {},
+		active: func() bool { return true }, known: func() bool { return true }, settled: func() bool { return true }, applyAll: func(store.Snapshot) {}, applyChanges: func(store.Snapshot) {},
 	}
 	return f.Run(ctx)
 }
@@ -180,9 +180,11 @@
 
 // ReadAtStart runs a follower of a table on an instance that need not follow it, until ctx ends.
 func ReadAtStart(ctx context.Context, s store.Store, table string) error {
+	known := false
 	f := &follower{
 		store: s, table: table, logger: log.NewNopLogger(), wait: followWait, era: newStoreEra(), tablesRead: tally.NoopScope.Counter("reads"),
-		active: func() bool { return false }, settled: func() bool { return true }, applyAll: func(store.Snapshot) {}, applyChanges: func(store.Snapshot) {},
+		active: func() bool { return false }, known: func() bool { return known }, settled: func() bool { return true },
+		applyAll: func(store.Snapshot) { known = true }, applyChanges: func(store.Snapshot) {},
 	}
 	return f.Run(ctx)
 }
--- a/fleet/follow.go
+++ b/fleet/follow.go
@@ -18,10 +18,10 @@
 	store  store.Store
 	table  string
 	logger log.Logger
-	// active reports whether to follow the table; it is read once in any case.
+	// active reports whether to follow the table.
 	active func() bool
-	// hasRead reports that the table has been read since the start.
-	hasRead bool
+	// known reports whether its rows are known, also from peers; until then the table is read in any case.
+	known func() bool
 	// settled reports whether the size of the fleet is known, on which it depends whether to follow the table.
 	settled func() bool
 	// wait is how long a call waits for a change; with 0, a step only catches up.
@@ -48,7 +48,7 @@
 // Run follows the table until ctx ends.
 func (f *follower) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		if f.hasRead && !(f.active() && f.settled()) {
+		if f.known() && !(f.active() && f.settled()) {
 			if engine.Sleep(ctx, followCheckInterval) != nil {
 				return nil
 			}
@@ -91,7 +91,7 @@
 		f.applyAll(s)
 		f.logRead(s)
 		f.position = s.Position()
-		f.loaded, f.unconfirmed, f.hasRead = true, true, true
+		f.loaded, f.unconfirmed = true, true
 		return nil
 	}
 	s, err := f.store.Changes(ctx, f.table, f.position.Version(), f.wait)
--- a/fleet/instance.go
+++ b/fleet/instance.go
@@ -173,17 +173,28 @@
 
 // configurationFollower returns a follower of the configuration, whose calls wait for a change for the given time.
 func (i *Instance[L]) configurationFollower(wait time.Duration) *follower {
-	return &follower{
-		store: i.cfg.Store, table: i.cfg.Adapter.ConfigurationTable, logger: i.cfg.Logger, active: i.followsStore, settled: i.knowsFleet, wait: wait, era: i.era,
-		tablesRead: i.meters.tablesRead, applyAll: i.applyConfiguration, applyChanges: i.applyConfiguration,
+	f := i.newFollower(i.cfg.Adapter.ConfigurationTable, wait)
+	f.known = func() bool {
+		_, known := i.directory.Version()
+		return known
 	}
+	f.applyAll, f.applyChanges = i.applyConfiguration, i.applyConfiguration
+	return f
 }
 
 // endpointFollower returns a follower of the list of endpoints, whose calls wait for a change for the given time.
 func (i *Instance[L]) endpointFollower(wait time.Duration) *follower {
+	f := i.newFollower(i.cfg.Adapter.EndpointTable, wait)
+	f.known = i.endpointsListed.Load
+	f.applyAll, f.applyChanges = i.replaceEndpoints, i.applyEndpointChanges
+	return f
+}
+
+// newFollower returns a follower of a table without what depends on the table's rows.
+func (i *Instance[L]) newFollower(table string, wait time.Duration) *follower {
 	return &follower{
-		store: i.cfg.Store, table: i.cfg.Adapter.EndpointTable, logger: i.cfg.Logger, active: i.followsStore, settled: i.knowsFleet, wait: wait, era: i.era,
-		tablesRead: i.meters.tablesRead, applyAll: i.replaceEndpoints, applyChanges: i.applyEndpointChanges,
+		store: i.cfg.Store, table: table, logger: i.cfg.Logger, active: i.followsStore, settled: i.knowsFleet, wait: wait, era: i.era,
+		tablesRead: i.meters.tablesRead,
 	}
 }
 
