peer: the test of the compressor has one message at a time

go test -race ./peer failed once: 1,120,670 bytes a message, limit 840,720. Traced: both nodes initiated exchanges, so that two messages were compressed at once, and one writer is kept.

--- a/peer/exchange_test.go
+++ b/peer/exchange_test.go
@@ -34,8 +34,14 @@
 func (emptyBackend) Revoke(string, uint64)                       {}
 func (emptyBackend) PeerChanged()                                {}
 
-// startNode runs a node with the given seeds until the test ends.
+// startNode runs a node with the given seeds, which exchanges every 5 ms, until the test ends.
 func startNode(t *testing.T, name string, seeds ...string) *peer.Node {
+	t.Helper()
+	return startNodeWithInterval(t, name, 5*time.Millisecond, seeds...)
+}
+
+// startNodeWithInterval runs a node with the given interval of exchanges and seeds until the test ends.
+func startNodeWithInterval(t *testing.T, name string, interval time.Duration, seeds ...string) *peer.Node {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -43,7 +49,7 @@
 	}
 	n := peer.NewNode(peer.Config{
 		Self:     membership.NewIdentity(membership.IdentityConfig{Name: name, Incarnation: 1, PeerAddress: l.Addr().String()}),
-		Listener: l, Client: peer.NewClient(nil), Server: peer.NewServer(nil), Seeds: seeds, Interval: 5 * time.Millisecond,
+		Listener: l, Client: peer.NewClient(nil), Server: peer.NewServer(nil), Seeds: seeds, Interval: interval,
 		Backend: emptyBackend{}, Events: event.NewLog(event.LogConfig{}),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -157,7 +163,8 @@
 // Load: all instances start at once, and their first exchanges are long. If each message that is compressed allocated a
 // compressor, an idle instance would collect its heap for each of them.
 func TestCompressionAllocatesNoWriterPerMessage(t *testing.T) {
-	source := startNode(t, "one")
+	// Only the receiver initiates exchanges, so that one message at a time is compressed.
+	source := startNodeWithInterval(t, "one", time.Hour)
 	receiver := startNode(t, "two", source.Self().PeerAddress())
 	exchangeLong := func(revision membership.Revision) {
 		long := membership.NewItem("long", revision, membership.NewEntry(membership.EntryConfig{Text: strings.Repeat("x", 20_000)}))
