--- a/fleet/export_test.go
+++ b/fleet/export_test.go
@@ -200,3 +200,6 @@
 
 // NewCoalescer gives tests access to the coalescer.
 func NewCoalescer(pause time.Duration) *coalescer { return newCoalescer(pause) }
+
+// UnconfirmedFor returns how long the store has not confirmed its era.
+func (t *EraTracker) UnconfirmedFor(now time.Time) time.Duration { return t.era.UnconfirmedFor(now) }
--- a/fleet/store_check_test.go
+++ b/fleet/store_check_test.go
@@ -89,6 +89,7 @@
 // Load: heartbeats fail on a narrow link, so that an instance checks the store at every tick, and the configuration is large.
 // If each check read it again, the link would stay full, and the heartbeats would fail for good.
 func TestStoreChecksReadOnlyChanges(t *testing.T) {
+	// size is in bytes.
 	const size, checks = 200_000, 20
 	rows := storetest.New()
 	rows.Put("op", "config", make([]byte, size))
--- a/membership/homes_test.go
+++ b/membership/homes_test.go
@@ -91,14 +91,27 @@
 	}
 }
 
-// interleavedHomes is the definition of the homes: the instances of each data centre in the order of their scores, the first
-// of every data centre before the second of any.
+// interleavedHomes ranks the instances of each data centre alone, and puts the first of every data centre before the second of
+// any. It calls Homes only where there is nothing to interleave: for one data centre, or one instance of each.
 func interleavedHomes(key string, instances []membership.Identity, count int) []membership.Identity {
-	ranked := membership.Homes(key, instances, len(instances))
+	byDataCentre := map[string][]membership.Identity{}
+	for _, i := range instances {
+		byDataCentre[i.DataCentre()] = append(byDataCentre[i.DataCentre()], i)
+	}
+	levels := make([][]membership.Identity, len(instances))
+	for _, local := range byDataCentre {
+		for rank, i := range membership.Homes(key, local, len(local)) {
+			levels[rank] = append(levels[rank], i)
+		}
+	}
+	var ranked []membership.Identity
+	for _, level := range levels {
+		ranked = append(ranked, membership.Homes(key, level, len(level))...)
+	}
 	return ranked[:min(count, len(ranked))]
 }
 
-// A prefix of the homes does not depend on how many are asked for.
+// Guards against homes that differ from the ranking of all instances because only the best of each data centre are kept.
 func TestHomesArePrefixOfRanking(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(1, 60).Draw(t, "instances")
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -82,7 +82,7 @@
 }
 
 // Sever makes a share of the open connections deliver nothing further, in either direction, without closing them; new
-// connections work.
+// connections work. Which ones are chosen is not part of the seed, as neither is which ones are open.
 func (p *Proxy) Sever(share float64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
