--- a/peer/peerv1/peerv1connect/peer.connect.go
+++ b/peer/peerv1/peerv1connect/peer.connect.go
@@ -49,6 +49,9 @@
 	PeerServiceEvidenceProcedure = "/monsoontiller.peer.v1.PeerService/Evidence"
 	// PeerServiceRevokeProcedure is the fully-qualified name of the PeerService's Revoke RPC.
 	PeerServiceRevokeProcedure = "/monsoontiller.peer.v1.PeerService/Revoke"
+	// PeerServiceBorrowTokensProcedure is the fully-qualified name of the PeerService's BorrowTokens
+	// RPC.
+	PeerServiceBorrowTokensProcedure = "/monsoontiller.peer.v1.PeerService/BorrowTokens"
 )
 
 // PeerServiceClient is a client for the monsoontiller.peer.v1.PeerService service.
@@ -69,6 +72,8 @@
 	Evidence(context.Context, *connect.Request[peerv1.EvidenceRequest]) (*connect.Response[peerv1.EvidenceResponse], error)
 	// Revoke ends the lease of a group's primary on the instance, up to a term.
 	Revoke(context.Context, *connect.Request[peerv1.RevokeRequest]) (*connect.Response[peerv1.RevokeResponse], error)
+	// BorrowTokens requests a part of the quota tokens that the lender holds for client accounts.
+	BorrowTokens(context.Context, *connect.Request[peerv1.BorrowTokensRequest]) (*connect.Response[peerv1.BorrowTokensResponse], error)
 }
 
 // NewPeerServiceClient constructs a client for the monsoontiller.peer.v1.PeerService service. By
@@ -130,19 +135,26 @@
 			connect.WithSchema(peerServiceMethods.ByName("Revoke")),
 			connect.WithClientOptions(opts...),
 		),
+		borrowTokens: connect.NewClient[peerv1.BorrowTokensRequest, peerv1.BorrowTokensResponse](
+			httpClient,
+			baseURL+PeerServiceBorrowTokensProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("BorrowTokens")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // peerServiceClient implements PeerServiceClient.
 type peerServiceClient struct {
-	exchange *connect.Client[peerv1.ExchangeRequest, peerv1.ExchangeResponse]
-	repair   *connect.Client[peerv1.RepairRequest, peerv1.RepairResponse]
-	view     *connect.Client[peerv1.ViewRequest, peerv1.ViewResponse]
-	cancel   *connect.Client[peerv1.CancelRequest, peerv1.CancelResponse]
-	borrow   *connect.Client[peerv1.BorrowRequest, peerv1.BorrowResponse]
-	explain  *connect.Client[peerv1.ExplainRequest, peerv1.ExplainResponse]
-	evidence *connect.Client[peerv1.EvidenceRequest, peerv1.EvidenceResponse]
-	revoke   *connect.Client[peerv1.RevokeRequest, peerv1.RevokeResponse]
+	exchange     *connect.Client[peerv1.ExchangeRequest, peerv1.ExchangeResponse]
+	repair       *connect.Client[peerv1.RepairRequest, peerv1.RepairResponse]
+	view         *connect.Client[peerv1.ViewRequest, peerv1.ViewResponse]
+	cancel       *connect.Client[peerv1.CancelRequest, peerv1.CancelResponse]
+	borrow       *connect.Client[peerv1.BorrowRequest, peerv1.BorrowResponse]
+	explain      *connect.Client[peerv1.ExplainRequest, peerv1.ExplainResponse]
+	evidence     *connect.Client[peerv1.EvidenceRequest, peerv1.EvidenceResponse]
+	revoke       *connect.Client[peerv1.RevokeRequest, peerv1.RevokeResponse]
+	borrowTokens *connect.Client[peerv1.BorrowTokensRequest, peerv1.BorrowTokensResponse]
 }
 
 // Exchange calls monsoontiller.peer.v1.PeerService.Exchange.
@@ -185,6 +197,11 @@
 	return c.revoke.CallUnary(ctx, req)
 }
 
+// BorrowTokens calls monsoontiller.peer.v1.PeerService.BorrowTokens.
+func (c *peerServiceClient) BorrowTokens(ctx context.Context, req *connect.Request[peerv1.BorrowTokensRequest]) (*connect.Response[peerv1.BorrowTokensResponse], error) {
+	return c.borrowTokens.CallUnary(ctx, req)
+}
+
 // PeerServiceHandler is an implementation of the monsoontiller.peer.v1.PeerService service.
 type PeerServiceHandler interface {
 	// Exchange is a heartbeat. Both sides send recent changes and digests of their data.
@@ -203,6 +220,8 @@
 	Evidence(context.Context, *connect.Request[peerv1.EvidenceRequest]) (*connect.Response[peerv1.EvidenceResponse], error)
 	// Revoke ends the lease of a group's primary on the instance, up to a term.
 	Revoke(context.Context, *connect.Request[peerv1.RevokeRequest]) (*connect.Response[peerv1.RevokeResponse], error)
+	// BorrowTokens requests a part of the quota tokens that the lender holds for client accounts.
+	BorrowTokens(context.Context, *connect.Request[peerv1.BorrowTokensRequest]) (*connect.Response[peerv1.BorrowTokensResponse], error)
 }
 
 // NewPeerServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -260,6 +279,12 @@
 		connect.WithSchema(peerServiceMethods.ByName("Revoke")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceBorrowTokensHandler := connect.NewUnaryHandler(
+		PeerServiceBorrowTokensProcedure,
+		svc.BorrowTokens,
+		connect.WithSchema(peerServiceMethods.ByName("BorrowTokens")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/monsoontiller.peer.v1.PeerService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerServiceExchangeProcedure:
@@ -278,6 +303,8 @@
 			peerServiceEvidenceHandler.ServeHTTP(w, r)
 		case PeerServiceRevokeProcedure:
 			peerServiceRevokeHandler.ServeHTTP(w, r)
+		case PeerServiceBorrowTokensProcedure:
+			peerServiceBorrowTokensHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -318,3 +345,7 @@
 func (UnimplementedPeerServiceHandler) Revoke(context.Context, *connect.Request[peerv1.RevokeRequest]) (*connect.Response[peerv1.RevokeResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("monsoontiller.peer.v1.PeerService.Revoke is not implemented"))
 }
+
+func (UnimplementedPeerServiceHandler) BorrowTokens(context.Context, *connect.Request[peerv1.BorrowTokensRequest]) (*connect.Response[peerv1.BorrowTokensResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("monsoontiller.peer.v1.PeerService.BorrowTokens is not implemented"))
+}
