--- a/peer/handler.go
+++ b/peer/handler.go
@@ -7,11 +7,13 @@
 
 	"github.com/monsoontiller/monsoontiller/event"
 	"github.com/monsoontiller/monsoontiller/peer/peerv1"
+	"github.com/monsoontiller/monsoontiller/peer/peerv1/peerv1connect"
 	"github.com/monsoontiller/monsoontiller/pool"
 )
 
 // handler serves the calls of peers.
 type handler struct {
+	peerv1connect.UnimplementedPeerServiceHandler
 	node *Node
 }
 
