platform, engine, fleet: client accounts, keys and proof that they are the newest

Where the configuration lists client accounts, the key of a session names its account at every statement, an unknown key is refused, links to endpoints belong to one account, and an instance that cannot prove that its keys are younger than the bound refuses callers with keys as not run. Sessions of an account prefer the same home of a group.

--- /dev/null
+++ b/account/doc.go
@@ -0,0 +1,7 @@
+// Package account identifies client accounts by their keys.
+//
+// A Registry holds the accounts of one version of the configuration, and is replaced
+// with each version. A Freshness bounds how long an instance may trust the registry
+// that it holds: a key may have been removed since. The package has no goroutines and
+// no sockets; times are arguments.
+package account
--- a/cmd/monsoontiller/node.go
+++ b/cmd/monsoontiller/node.go
@@ -11,7 +11,6 @@
 
 	"github.com/go-kit/log"
 
-	"github.com/monsoontiller/monsoontiller/engine"
 	"github.com/monsoontiller/monsoontiller/fleet"
 	"github.com/monsoontiller/monsoontiller/platform"
 	"github.com/monsoontiller/monsoontiller/route"
@@ -65,6 +64,7 @@
 		TunnelPort:    tunnelPort,
 		ForwardPort:   forwardPort,
 		Capacity:      n.Capacity,
+		KeyBound:      n.KeyBound,
 		Store:         platform.NewStoreClient(platform.StoreClientConfig{Address: n.StoreAddress}),
 		Adapter:       newAdapter(n),
 		Logger:        logger,
@@ -76,6 +76,7 @@
 		Homes:          i.Homes,
 		Starting:       i.Starting,
 		Source:         i,
+		Accounts:       i,
 		Policy:         route.EarliestAnswer{},
 		Recorder:       i,
 		Logger:         logger,
@@ -149,9 +150,9 @@
 		ParseDocument:      platform.ParseDocument,
 		ParseEntry:         platform.ParseEntry,
 		Dialer:             platform.DialEndpoint,
-		Dial: func(ctx context.Context, group string, m engine.Address, dial fleet.DialFunc) (*platform.Link, error) {
+		Dial: func(ctx context.Context, t fleet.Target, dial fleet.DialFunc) (*platform.Link, error) {
 			return platform.DialLink(ctx, platform.LinkConfig{
-				Address: m.Address, Service: group, Endpoint: m.Endpoint, Instance: n.Instance, Dial: dial,
+				Address: t.Member.Address, Service: t.Group, Endpoint: t.Member.Endpoint, Instance: n.Instance, Account: t.Account, Dial: dial,
 			})
 		},
 		Promote: promoter.Promote,
--- a/engine/session.go
+++ b/engine/session.go
@@ -38,6 +38,20 @@
 	Policy   route.Policy
 	Recorder SessionRecorder
 	Clock    func() time.Time
+	// Account is the client account of the session, or "" if it has none; the session uses links of that account only.
+	Account string
+	// Admission limits the operations of client accounts; nil admits all.
+	Admission Admission
+}
+
+// Admission limits the operations of client accounts; it must be safe for concurrent use.
+type Admission interface {
+	// Admit takes the admission of one operation, and may wait for it until the given time.
+	//
+	// It fails with KindOverloaded; the remedy of the error names the time after which to try again.
+	Admit(ctx context.Context, account string, until time.Time) error
+	// Return gives back the admission of an operation that was sent to no endpoint.
+	Return(account string)
 }
 
 // SessionRecorder records the outcome of each statement that needs an endpoint; it must be safe for concurrent use.
@@ -100,6 +114,36 @@
 	return TxOpen
 }
 
+// Account returns the client account of the session, or "".
+func (s *Session[L]) Account() string { return s.cfg.Account }
+
+// SetAccount continues the session under another client account; an open transaction is rolled back.
+func (s *Session[L]) SetAccount(name string) {
+	if s.tx != nil && !s.tx.failed {
+		s.rollback()
+		s.markFailed("the key of the session moved to another client account; the transaction was rolled back")
+	}
+	s.cfg.Account = name
+}
+
+// Reject refuses a statement before it runs, and rolls back the open transaction.
+func (s *Session[L]) Reject(st Statement, reason Reason, text string) Answer {
+	if s.tx == nil {
+		return refuse(reason, text, TxNone)
+	}
+	if !s.tx.failed {
+		s.rollback()
+		s.markFailed(text)
+	}
+	if st.Op == OpCommit || st.Op == OpRollback {
+		s.tx = nil
+	}
+	if reason == ReasonOverloaded {
+		reason = ReasonAborted
+	}
+	return refuse(reason, text, s.State())
+}
+
 // Floor returns the log point of the session's newest commit, or zero.
 func (s *Session[L]) Floor() group.Point { return s.floor }
 
@@ -197,11 +241,15 @@
 func (s *Session[L]) serve(ctx context.Context, j *job[L]) (HeldLink[L], *Execution[L], error) {
 	c := s.terms.Contract
 	target := j.receivedAt.Add(c.Objectives().Latency())
+	if err := s.admit(ctx, j.receivedAt); err != nil {
+		return HeldLink[L]{}, nil, err
+	}
 	e := NewExecution(ExecutionConfig[L]{
 		Group:  s.terms.Group,
 		Policy: s.cfg.Policy,
 		AcquireRequest: AcquireRequest{
 			Customer:   c.Customer(),
+			Key:        s.cfg.Account,
 			QueueLimit: c.Limits().QueueLength(),
 			Deadline:   target,
 			MaxIdle:    noIdleCheck,
@@ -217,9 +265,24 @@
 	})
 	s.terms.Retries.Request()
 	h, err := e.Serve(ctx, j)
+	if err != nil && s.cfg.Admission != nil && e.Target() == route.TargetNone {
+		s.cfg.Admission.Return(s.cfg.Account)
+	}
 	return h, e, err
 }
 
+// admissionShare is the fraction of the latency objective for which an operation may wait for its admission.
+const admissionShare = 0.15
+
+// admit takes the admission of an operation that arrived at receivedAt.
+func (s *Session[L]) admit(ctx context.Context, receivedAt time.Time) error {
+	if s.cfg.Admission == nil {
+		return nil
+	}
+	wait := time.Duration(admissionShare * float64(s.terms.Contract.Objectives().Latency()))
+	return s.cfg.Admission.Admit(ctx, s.cfg.Account, receivedAt.Add(wait))
+}
+
 const (
 	// leaseShare is the fraction of the request timeout that a request may wait for a primary. The rest is left for
 	// the request itself, or for the caller to retry after a refusal.
--- a/engine/statement.go
+++ b/engine/statement.go
@@ -104,13 +104,15 @@
 	ReasonMalformed
 	// ReasonNoDatabase means that no contract names the database.
 	ReasonNoDatabase
+	// ReasonUnauthenticated means that no client account holds the caller's key.
+	ReasonUnauthenticated
 )
 
 // String returns the reason in snake case.
 func (r Reason) String() string {
 	names := [...]string{
 		"other", "overloaded", "behind", "read_only", "wrong_endpoint", "too_many_links", "unknown_statement",
-		"failed", "timeout", "in_doubt", "aborted", "malformed", "no_database",
+		"failed", "timeout", "in_doubt", "aborted", "malformed", "no_database", "unauthenticated",
 	}
 	return names[min(int(r), len(names)-1)]
 }
--- /dev/null
+++ b/fleet/accounts.go
@@ -0,0 +1,90 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/monsoontiller/monsoontiller/account"
+	"github.com/monsoontiller/monsoontiller/clock"
+	"github.com/monsoontiller/monsoontiller/fault"
+	"github.com/monsoontiller/monsoontiller/membership"
+)
+
+// Identify returns the client account that holds a key now, or "" if a database needs no account.
+//
+// It fails with KindUnauthorized if no account holds the key, and with KindStale if
+// this instance cannot prove that it knows the newest keys.
+func (i *Instance[L]) Identify(database string, key account.Key) (name string, err error) {
+	registry, public := i.directory.Accounts(database)
+	if registry == nil {
+		return "", nil
+	}
+	name, known := registry.Lookup(key)
+	switch {
+	case known && i.freshness.Valid(clock.Now()):
+		return name, nil
+	case public:
+		return "", nil
+	case known || !i.freshness.Valid(clock.Now()):
+		return "", fault.New(fault.Config{
+			Kind:    fault.KindStale,
+			Message: "this instance cannot prove that it knows the newest keys; nothing ran",
+			Remedy:  "connect through another instance, or try again in a second",
+		})
+	}
+	return "", fault.New(fault.Config{
+		Kind:    fault.KindUnauthorized,
+		Message: "no client account holds the key; nothing ran",
+		Remedy:  "use a key that the configuration lists",
+	})
+}
+
+// AccountsRevision returns the version of the configuration, with which the keys may change.
+func (i *Instance[L]) AccountsRevision() uint64 {
+	version, _ := i.directory.Version()
+	return version
+}
+
+// accountHomes returns the homes of a group in the order in which the sessions of an account prefer them.
+//
+// The links and the quota of an account are thereby in one place, as long as that home is reached.
+func (i *Instance[L]) accountHomes(group, name string) []membership.Identity {
+	homes := i.homes(group)
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	set, ok := i.homesByGroup[group]
+	if !ok {
+		return homes
+	}
+	if ordered, cached := set.byAccount[name]; cached {
+		return ordered
+	}
+	ordered := membership.Homes("account/"+group+"/"+name, homes, len(homes))
+	if len(set.byAccount) < maxCachedAccounts {
+		set.byAccount[name] = ordered
+	}
+	return ordered
+}
+
+// maxCachedAccounts bounds the accounts of a group whose order of homes is cached.
+const maxCachedAccounts = 1024
+
+// accountShare returns the share of an account's quota that this instance refills: the part of the groups whose first home
+// for the account it is.
+func (i *Instance[L]) accountShare(name string) float64 {
+	groups := i.directory.GroupNames()
+	if len(groups) == 0 || !i.knowsFleet() {
+		return 0
+	}
+	first := 0
+	for _, group := range groups {
+		homes := i.accountHomes(group, name)
+		if len(homes) > 0 && homes[0].Name() == i.cfg.Name {
+			first++
+		}
+	}
+	return float64(first) / float64(len(groups))
+}
+
+// ConfirmedAsOf returns the time as of which the configuration in force is known to be the newest; ok is false without a
+// proof.
+func (i *Instance[L]) ConfirmedAsOf() (asOf time.Time, ok bool) { return i.freshness.AsOf() }
--- a/fleet/adapter.go
+++ b/fleet/adapter.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 
+	"github.com/monsoontiller/monsoontiller/account"
 	"github.com/monsoontiller/monsoontiller/contract"
 	"github.com/monsoontiller/monsoontiller/engine"
 	"github.com/monsoontiller/monsoontiller/group"
@@ -27,6 +28,18 @@
 	Contracts map[string]*contract.Contract
 	// Groups are the database groups by name.
 	Groups map[string]GroupSettings
+	// Accounts are the client accounts, or nil if callers need no key.
+	Accounts *account.Registry
+	// Public holds the databases that callers reach without a key.
+	Public map[string]bool
+}
+
+// AccountNames returns the names of the client accounts.
+func (d Document) AccountNames() []string {
+	if d.Accounts == nil {
+		return nil
+	}
+	return d.Accounts.Names()
 }
 
 // GroupSettings is the configuration of a database group.
@@ -58,6 +71,14 @@
 	Token uint64
 }
 
+// Target describes the link to open.
+type Target struct {
+	Group  string
+	Member engine.Address
+	// Account is the client account whose requests the link carries, or "".
+	Account string
+}
+
 // DialFunc opens a connection to an address.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
@@ -75,7 +96,7 @@
 	// Dialer opens a connection that fails when the remote side no longer answers.
 	Dialer DialFunc
 	// Dial opens a link to a member of a group over a connection that dial opens.
-	Dial func(ctx context.Context, group string, m engine.Address, dial DialFunc) (L, error)
+	Dial func(ctx context.Context, t Target, dial DialFunc) (L, error)
 	// Promote orders a promotion.
 	Promote func(ctx context.Context, p Promotion) error
 }
--- a/fleet/backend.go
+++ b/fleet/backend.go
@@ -32,9 +32,11 @@
 
 // Evidence returns this instance's lease evidence of the given groups, without those whose lease is revoked.
 func (b *backend[L]) Evidence(groups []string) peer.LeaseEvidence {
+	// The proof is read before the version, so that it never covers an older version than the one that it confirmed.
+	confirmedAsOf, _ := b.instance.ConfirmedAsOf()
 	version, _ := b.instance.directory.Version()
 	era, _ := b.instance.era.Current()
-	out := peer.LeaseEvidence{Configuration: version, Endpoints: b.instance.members.Position(), StoreEra: era}
+	out := peer.LeaseEvidence{Configuration: version, Endpoints: b.instance.members.Position(), StoreEra: era, ConfirmedAsOf: confirmedAsOf}
 	for _, name := range groups {
 		g := b.instance.members.group(name)
 		if g == nil {
--- a/fleet/config.go
+++ b/fleet/config.go
@@ -24,6 +24,9 @@
 	// Capacity is the instance's CPU share in thousandths of a core; the number of groups of which the instance is a home is
 	// proportional to it.
 	Capacity uint32
+	// KeyBound is the age from which the proof that this instance knows the newest keys is too old to serve callers with keys;
+	// 0 means that no proof is needed.
+	KeyBound time.Duration
 	// TunnelPort is the port of TunnelAddress.
 	TunnelPort string
 	Store      store.Store
--- a/fleet/dialer.go
+++ b/fleet/dialer.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/monsoontiller/monsoontiller/clock"
-	"github.com/monsoontiller/monsoontiller/engine"
 	"github.com/monsoontiller/monsoontiller/tunnel"
 )
 
@@ -129,6 +128,6 @@
 }
 
 // dialMember opens a link to a member of a group.
-func (d *endpointDialer[L]) dialMember(ctx context.Context, group string, m engine.Address) (L, error) {
-	return d.instance.cfg.Adapter.Dial(ctx, group, m, d.Dial)
+func (d *endpointDialer[L]) dialMember(ctx context.Context, t Target) (L, error) {
+	return d.instance.cfg.Adapter.Dial(ctx, t, d.Dial)
 }
--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -5,6 +5,7 @@
 	"slices"
 	"sync"
 
+	"github.com/monsoontiller/monsoontiller/account"
 	"github.com/monsoontiller/monsoontiller/contract"
 	"github.com/monsoontiller/monsoontiller/engine"
 	"github.com/monsoontiller/monsoontiller/fault"
@@ -68,6 +69,20 @@
 	return g, ok
 }
 
+// Accounts returns the client accounts, or nil if callers need no key, and whether a database can be used without a key.
+func (d *directory[L]) Accounts(database string) (r *account.Registry, public bool) {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.document.Accounts, d.document.Public[database]
+}
+
+// HasAccounts reports whether callers need keys.
+func (d *directory[L]) HasAccounts() bool {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.document.Accounts != nil
+}
+
 // GroupNames returns the names of the database groups, sorted.
 func (d *directory[L]) GroupNames() []string {
 	d.mu.RLock()
--- a/fleet/homes.go
+++ b/fleet/homes.go
@@ -60,7 +60,7 @@
 	}
 	presumed := i.withMissingLocked(alive)
 	count, _ := homeCount(settings.Connections, slots, len(presumed))
-	computed := homeSet{connections: settings.Connections, slots: slots, homes: membership.Homes("home/"+group, presumed, count)}
+	computed := homeSet{connections: settings.Connections, slots: slots, homes: membership.Homes("home/"+group, presumed, count), byAccount: map[string][]membership.Identity{}}
 	i.homesByGroup[group] = computed
 	return computed.homes
 }
@@ -70,6 +70,8 @@
 	connections int
 	slots       int
 	homes       []membership.Identity
+	// byAccount caches the order in which the sessions of each account prefer the homes.
+	byAccount map[string][]membership.Identity
 }
 
 // invalidateHomesLocked drops the cached homes if the set of presences has changed since they were computed, or if
@@ -164,14 +166,18 @@
 // Homes returns the addresses to which a caller of a database is forwarded, or none if this instance accepts the
 // caller or knows no contract of the database.
 //
-// Homes in this data centre come first, and those that have not been heard from since this instance started come last; the
-// order within each part is random.
-func (i *Instance[L]) Homes(database string) []string {
+// With an account, the homes are in the order that the account prefers, and this instance forwards even if it is a home
+// that the account prefers less. Without one, homes in this data centre come first, in random order. Homes that have not
+// been heard from since this instance started come last.
+func (i *Instance[L]) Homes(database, account string) []string {
 	c, ok := i.directory.Contract(database)
 	if !ok {
 		return nil
 	}
 	group := c.Databases()[0].Group()
+	if account != "" {
+		return i.homesOfAccount(group, account)
+	}
 	if i.isHome(group) || i.members.keepsSessions(group, clock.Now()) {
 		return nil
 	}
@@ -182,11 +188,10 @@
 		if home.Name() == i.cfg.Name {
 			continue
 		}
-		host, _, err := net.SplitHostPort(home.PeerAddress())
-		if err != nil {
+		address, ok := i.forwardAddress(home)
+		if !ok {
 			continue
 		}
-		address := net.JoinHostPort(host, i.cfg.ForwardPort)
 		switch {
 		case i.isMissing(home.Name()):
 			missing = append(missing, address)
@@ -199,6 +204,35 @@
 	return append(append(local, remote...), missing...)
 }
 
+// homesOfAccount returns the addresses of the homes of a group that an account prefers to this instance, or none if this
+// instance is the first that is not missing.
+func (i *Instance[L]) homesOfAccount(group, account string) []string {
+	var first, missing []string
+	for _, home := range i.accountHomes(group, account) {
+		self := home.Name() == i.cfg.Name
+		address, ok := i.forwardAddress(home)
+		switch {
+		case self && len(first) == 0 && i.isHome(group):
+			return nil
+		case self || !ok:
+		case i.isMissing(home.Name()):
+			missing = append(missing, address)
+		default:
+			first = append(first, address)
+		}
+	}
+	return append(first, missing...)
+}
+
+// forwardAddress returns the address at which an instance accepts forwarded sessions.
+func (i *Instance[L]) forwardAddress(instance membership.Identity) (address string, ok bool) {
+	host, _, err := net.SplitHostPort(instance.PeerAddress())
+	if err != nil {
+		return "", false
+	}
+	return net.JoinHostPort(host, i.cfg.ForwardPort), true
+}
+
 // isMissing reports whether an instance is expected and has not been heard from.
 func (i *Instance[L]) isMissing(name string) bool {
 	i.mu.Lock()
--- a/fleet/instance.go
+++ b/fleet/instance.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/monsoontiller/monsoontiller/account"
 	"github.com/monsoontiller/monsoontiller/clock"
 	"github.com/monsoontiller/monsoontiller/contract"
 	"github.com/monsoontiller/monsoontiller/engine"
@@ -35,8 +36,11 @@
 	recorder    *recorder
 	meters      meters
 	era         *storeEra
-	stopping    atomic.Bool
-	startedAt   time.Time
+	// freshness is the proof that the keys of the client accounts are the newest.
+	freshness        *account.Freshness
+	configurationRow configurationRow
+	stopping         atomic.Bool
+	startedAt        time.Time
 	// endpointsListed reports that a complete list of the endpoints is known.
 	endpointsListed atomic.Bool
 	mu              sync.Mutex
@@ -68,6 +72,7 @@
 	i := &Instance[L]{cfg: cfg, startedAt: clock.Now(), homesByGroup: map[string]homeSet{}, deadSince: map[string]time.Time{}, lostSources: map[string]bool{}, sourceLost: make(chan struct{}, 1)}
 	i.meters = newMeters(cfg.Scope)
 	i.era = newStoreEra()
+	i.freshness = account.NewFreshness(cfg.KeyBound)
 	i.cfg.Store = trackedStore{Store: cfg.Store, era: i.era, observe: i.observeEra}
 	i.events = event.NewLog(event.LogConfig{Instance: cfg.Name, OnAdd: i.logEvent})
 	i.coordinator = newCoordinatorLease(coordinatorLeaseConfig{Store: i.cfg.Store, Name: cfg.Name})
@@ -152,6 +157,7 @@
 		i.ordered,
 		newStoreCheck(i),
 		&eraCheck[L]{instance: i},
+		&keyProof[L]{instance: i},
 		i.configurationFollower(followWait),
 		i.endpointFollower(followWait),
 	}
@@ -204,14 +210,20 @@
 		if row.Key != i.cfg.Adapter.ConfigurationKey || row.Deleted {
 			continue
 		}
-		if version, ok := i.applyDocument(row.Value, "store"); ok {
+		version, applied := i.applyDocument(row.Value, "store")
+		if version != 0 {
+			i.configurationRow.Record(version, store.NewPosition(s.Era, row.Version))
+		}
+		if applied {
 			i.node.ApplyWithoutDelta(newItem(configurationItem, version, string(row.Value)))
 		}
 	}
 }
 
-// applyDocument puts a configuration into force unless the current one is the same or newer, and returns its version.
-func (i *Instance[L]) applyDocument(text []byte, source string) (version uint64, ok bool) {
+// applyDocument puts a configuration into force unless the current one is the same or newer.
+//
+// It returns the version, or 0 if the configuration cannot be decoded, and whether it was put into force.
+func (i *Instance[L]) applyDocument(text []byte, source string) (version uint64, applied bool) {
 	d, err := i.cfg.Adapter.ParseDocument(text)
 	if err != nil {
 		logLine(i.cfg.Logger, "level", "error", "msg", "configuration_unreadable", "source", source, "error", err.Error())
@@ -219,11 +231,11 @@
 	}
 	before, _ := i.directory.Version()
 	if !i.directory.Apply(d) {
-		return 0, false
+		return d.Version, false
 	}
 	i.meters.configuration.Update(float64(d.Version))
 	logLine(i.cfg.Logger, "level", "info", "msg", "configuration_applied", "version", d.Version, "before", before,
-		"source", source, "contracts", len(d.Contracts), "groups", len(d.Groups))
+		"source", source, "contracts", len(d.Contracts), "groups", len(d.Groups), "accounts", len(d.AccountNames()))
 	i.members.UpdateGroups()
 	return d.Version, true
 }
--- /dev/null
+++ b/fleet/key_proof.go
@@ -0,0 +1,167 @@
+package fleet
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/monsoontiller/monsoontiller/clock"
+	"github.com/monsoontiller/monsoontiller/engine"
+	"github.com/monsoontiller/monsoontiller/fault"
+	"github.com/monsoontiller/monsoontiller/peer"
+	"github.com/monsoontiller/monsoontiller/store"
+)
+
+const (
+	// keyProofTick is the interval at which the age of the proof is checked.
+	keyProofTick = 200 * time.Millisecond
+	// keyProofInterval is the interval at which an instance that follows the store renews the proof for all.
+	keyProofInterval = time.Second
+	// ownProofShare is the fraction of the bound at which an instance whose proof is relayed asks the store itself.
+	ownProofShare = 0.5
+	// maxKeyProofPause is the longest wait after failed calls: an outage of the store lasts for seconds, and each call of
+	// each instance has a cost.
+	maxKeyProofPause = 2 * time.Second
+	// keyProofTimeout bounds a call; a proof counts from the time at which the call was sent.
+	keyProofTimeout = 1500 * time.Millisecond
+)
+
+// configurationRow is the row of the store that holds a version of the configuration.
+type configurationRow struct {
+	mu       sync.Mutex
+	document uint64
+	at       store.Position
+}
+
+// Record records the position of the row that holds a version.
+func (r *configurationRow) Record(document uint64, at store.Position) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if document > r.document || document == r.document && at.After(r.at) {
+		r.document, r.at = document, at
+	}
+}
+
+// Position returns the position of the row that holds a version; ok is false if it is not known.
+func (r *configurationRow) Position(document uint64) (at store.Position, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.at, r.document == document && document != 0
+}
+
+// keyProof renews the proof that the keys which this instance holds are the newest.
+//
+// Instances that follow the store confirm the version of the configuration's row with a
+// transaction that only has a condition: unlike a list of changes, it is never answered
+// from an older state. The others receive the proof with the evidence that they
+// fetch, and confirm the version themselves when that proof becomes old.
+type keyProof[L Link[L]] struct {
+	instance *Instance[L]
+	triedAt  time.Time
+	failures int
+	lost     bool
+}
+
+// Name returns the service's name.
+func (p *keyProof[L]) Name() string { return "key_proof" }
+
+// Run renews the proof until ctx ends.
+func (p *keyProof[L]) Run(ctx context.Context) error {
+	for engine.Sleep(ctx, keyProofTick/2+rand.N(keyProofTick)) == nil {
+		now := clock.Now()
+		if p.due(now) {
+			p.triedAt = now
+			p.renew(ctx)
+		}
+		p.logValidity(now)
+	}
+	return nil
+}
+
+// due reports whether to ask the store at now.
+func (p *keyProof[L]) due(now time.Time) bool {
+	i := p.instance
+	if i.freshness.Bound() == 0 || !i.directory.HasAccounts() {
+		return false
+	}
+	pause := min(keyProofInterval<<min(p.failures, maxBackoffs), maxKeyProofPause)
+	if p.failures == 0 && !i.followsStore() {
+		return i.freshness.Age(now) >= time.Duration(ownProofShare*float64(i.freshness.Bound()))
+	}
+	return now.Sub(p.triedAt) >= pause-keyProofTick/2
+}
+
+// renew asks the store whether the version in force is the newest one, and applies a newer one.
+func (p *keyProof[L]) renew(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, keyProofTimeout)
+	defer cancel()
+	err := p.instance.confirmKeys(ctx)
+	if err != nil {
+		p.failures++
+		return
+	}
+	p.failures = 0
+}
+
+// logValidity logs when callers with keys are refused for lack of a proof, and when they are served again.
+func (p *keyProof[L]) logValidity(now time.Time) {
+	i := p.instance
+	lost := i.directory.HasAccounts() && !i.freshness.Valid(now)
+	if lost == p.lost {
+		return
+	}
+	p.lost = lost
+	message := "keys_confirmed"
+	if lost {
+		message = "keys_not_confirmed"
+	}
+	version, _ := i.directory.Version()
+	logLine(i.cfg.Logger, "level", "info", "msg", message, "configuration", version, "age_ms", i.freshness.Age(now).Milliseconds(),
+		"bound_ms", i.freshness.Bound().Milliseconds())
+}
+
+// confirmKeys confirms the version in force, or applies the newer one that the store holds; it fails with the store's error.
+func (i *Instance[L]) confirmKeys(ctx context.Context) error {
+	version, _ := i.directory.Version()
+	at, known := i.configurationRow.Position(version)
+	if era, _ := i.era.Current(); !known || at.Era() != era {
+		return i.readConfiguration(ctx)
+	}
+	sentAt := clock.Now()
+	s, err := i.cfg.Store.Commit(ctx, store.Tx{Expect: []store.Row{{
+		Table: i.cfg.Adapter.ConfigurationTable, Key: i.cfg.Adapter.ConfigurationKey, Version: at.Version(),
+	}}})
+	if err == nil {
+		i.freshness.Confirm(sentAt)
+		return nil
+	}
+	if fault.KindOf(err) != fault.KindConflict {
+		return err
+	}
+	i.applyConfiguration(s)
+	version, _ = i.directory.Version()
+	row, found := s.Row(i.cfg.Adapter.ConfigurationKey)
+	if at, known := i.configurationRow.Position(version); found && known && at == store.NewPosition(s.Era, row.Version) {
+		i.freshness.Confirm(sentAt)
+		return nil
+	}
+	return i.readConfiguration(ctx)
+}
+
+// readConfiguration reads the configuration, which may be answered from an older state and so proves nothing by itself.
+func (i *Instance[L]) readConfiguration(ctx context.Context) error {
+	s, err := i.cfg.Store.All(ctx, i.cfg.Adapter.ConfigurationTable)
+	if err == nil {
+		i.applyConfiguration(s)
+	}
+	return err
+}
+
+// confirmRelayed takes over the proof of a peer, unless the peer knows a newer configuration.
+func (i *Instance[L]) confirmRelayed(evidence peer.LeaseEvidence) {
+	version, _ := i.directory.Version()
+	if !evidence.ConfirmedAsOf.IsZero() && evidence.Configuration <= version {
+		i.freshness.Confirm(evidence.ConfirmedAsOf)
+	}
+}
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -301,8 +301,8 @@
 		Probing:            &probing,
 		RequireAllReplicas: true,
 		Standby:            func() bool { return i.standby(name) },
-		Dial: func(ctx context.Context, a engine.Address, _ string) (L, error) {
-			return i.dialer.dialMember(ctx, name, a)
+		Dial: func(ctx context.Context, a engine.Address, account string) (L, error) {
+			return i.dialer.dialMember(ctx, Target{Group: name, Member: a, Account: account})
 		},
 		Observer: w.orders,
 	})
--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -88,6 +88,7 @@
 	if evidence.Configuration > version || evidence.Endpoints.After(r.instance.members.Position()) {
 		r.instance.node.Exchange(ctx, instance)
 	}
+	r.instance.confirmRelayed(evidence)
 	for _, e := range evidence.Members {
 		if g := r.instance.members.group(e.Group); g != nil {
 			g.ObserveRelayed(e.SentAt, e.Status)
--- a/peer/evidence.go
+++ b/peer/evidence.go
@@ -35,6 +35,8 @@
 	// the newest change of an endpoint that it knows.
 	Configuration uint64
 	Endpoints     store.Position
+	// ConfirmedAsOf is the time as of which Configuration is known to be the newest version, or zero without such a proof.
+	ConfirmedAsOf time.Time
 	// StoreEra is the newest era of the store that the instance knows.
 	StoreEra uint64
 }
@@ -59,6 +61,9 @@
 		Endpoints:     store.NewPosition(resp.Msg.GetEndpointsEra(), resp.Msg.GetEndpoints()),
 		StoreEra:      resp.Msg.GetStoreEra(),
 	}
+	if age := resp.Msg.GetConfigurationAgeUs(); age > 0 {
+		evidence.ConfirmedAsOf = sentAtOf(requestedAt, age)
+	}
 	for _, m := range resp.Msg.GetMembers() {
 		evidence.Members = append(evidence.Members, evidenceOf(m, requestedAt))
 	}
@@ -101,6 +106,9 @@
 	resp.Configuration, resp.StoreEra = all.Configuration, all.StoreEra
 	resp.Endpoints, resp.EndpointsEra = all.Endpoints.Version(), all.Endpoints.Era()
 	now := clock.Now()
+	if !all.ConfirmedAsOf.IsZero() {
+		resp.ConfigurationAgeUs = ageMicros(now, all.ConfirmedAsOf)
+	}
 	for _, s := range all.Stores {
 		resp.Stores = append(resp.Stores, &peerv1.StoreEvidence{Group: s.Group, Term: uint64(s.Term), AgeUs: ageMicros(now, s.SentAt)})
 	}
