fleet: quotas of client accounts across the instances

Each instance refills the share of an account's quota that belongs to the groups whose first home for the account it is, and borrows tokens from the holders of the other shares. Operations beyond the quota are refused at once as not run, after a short wait for a borrowed token. An instance without a recent proof of its keys refills nothing.

--- a/cmd/monsoontiller/node.go
+++ b/cmd/monsoontiller/node.go
@@ -13,6 +13,7 @@
 
 	"github.com/monsoontiller/monsoontiller/fleet"
 	"github.com/monsoontiller/monsoontiller/platform"
+	"github.com/monsoontiller/monsoontiller/quota"
 	"github.com/monsoontiller/monsoontiller/route"
 )
 
@@ -65,10 +66,13 @@
 		ForwardPort:   forwardPort,
 		Capacity:      n.Capacity,
 		KeyBound:      n.KeyBound,
-		Store:         platform.NewStoreClient(platform.StoreClientConfig{Address: n.StoreAddress}),
-		Adapter:       newAdapter(n),
-		Logger:        logger,
-		Scope:         scope,
+		QuotaTolerance: quota.Tolerance{
+			Window: n.Quota.Window, Overage: n.Quota.Overage, Slack: n.Quota.Slack,
+		},
+		Store:   platform.NewStoreClient(platform.StoreClientConfig{Address: n.StoreAddress}),
+		Adapter: newAdapter(n),
+		Logger:  logger,
+		Scope:   scope,
 	})
 	callers, err := platform.NewServer(platform.ServerConfig{
 		Address:        n.CallerAddress,
@@ -77,6 +81,7 @@
 		Starting:       i.Starting,
 		Source:         i,
 		Accounts:       i,
+		Admission:      i,
 		Policy:         route.EarliestAnswer{},
 		Recorder:       i,
 		Logger:         logger,
--- a/fleet/backend.go
+++ b/fleet/backend.go
@@ -76,3 +76,8 @@
 
 // Loans returns no loans.
 func (b *backend[L]) Loans(string) []peer.Loan { return nil }
+
+// LendTokens gives up quota tokens that the operations here do not need, and returns their amounts by account.
+func (b *backend[L]) LendTokens(amounts map[string]float64) map[string]float64 {
+	return b.instance.quotas.Lend(amounts)
+}
--- a/fleet/config.go
+++ b/fleet/config.go
@@ -7,6 +7,7 @@
 	"github.com/go-kit/log"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/monsoontiller/monsoontiller/quota"
 	"github.com/monsoontiller/monsoontiller/route"
 	"github.com/monsoontiller/monsoontiller/store"
 )
@@ -27,6 +28,8 @@
 	// KeyBound is the age from which the proof that this instance knows the newest keys is too old to serve callers with keys;
 	// 0 means that no proof is needed.
 	KeyBound time.Duration
+	// QuotaTolerance is the tolerance of the quotas of client accounts.
+	QuotaTolerance quota.Tolerance
 	// TunnelPort is the port of TunnelAddress.
 	TunnelPort string
 	Store      store.Store
--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -76,6 +76,13 @@
 	return d.document.Accounts, d.document.Public[database]
 }
 
+// AccountsOf returns the client accounts, or nil if callers need no key, and the version of the configuration.
+func (d *directory[L]) AccountsOf() (r *account.Registry, version uint64) {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.document.Accounts, d.document.Version
+}
+
 // HasAccounts reports whether callers need keys.
 func (d *directory[L]) HasAccounts() bool {
 	d.mu.RLock()
--- a/fleet/export_test.go
+++ b/fleet/export_test.go
@@ -203,3 +203,6 @@
 
 // UnconfirmedFor returns how long the store has not confirmed its era.
 func (t *EraTracker) UnconfirmedFor(now time.Time) time.Duration { return t.era.UnconfirmedFor(now) }
+
+// NewLenders gives tests access to the choice of the instances from which quota tokens are borrowed.
+var NewLenders = newLenders
--- a/fleet/instance.go
+++ b/fleet/instance.go
@@ -39,6 +39,7 @@
 	// freshness is the proof that the keys of the client accounts are the newest.
 	freshness        *account.Freshness
 	configurationRow configurationRow
+	quotas           *quotas[L]
 	stopping         atomic.Bool
 	startedAt        time.Time
 	// endpointsListed reports that a complete list of the endpoints is known.
@@ -73,6 +74,7 @@
 	i.meters = newMeters(cfg.Scope)
 	i.era = newStoreEra()
 	i.freshness = account.NewFreshness(cfg.KeyBound)
+	i.quotas = newQuotas(i)
 	i.cfg.Store = trackedStore{Store: cfg.Store, era: i.era, observe: i.observeEra}
 	i.events = event.NewLog(event.LogConfig{Instance: cfg.Name, OnAdd: i.logEvent})
 	i.coordinator = newCoordinatorLease(coordinatorLeaseConfig{Store: i.cfg.Store, Name: cfg.Name})
@@ -158,6 +160,7 @@
 		newStoreCheck(i),
 		&eraCheck[L]{instance: i},
 		&keyProof[L]{instance: i},
+		i.quotas,
 		i.configurationFollower(followWait),
 		i.endpointFollower(followWait),
 	}
--- /dev/null
+++ b/fleet/lenders.go
@@ -0,0 +1,93 @@
+package fleet
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// lenderBackoff is how long an instance that had no tokens of an account to lend is not asked for them again.
+	lenderBackoff = 100 * time.Millisecond
+	// maxLenderBackoffs bounds the backoffs that are kept; they are cleared at this number.
+	maxLenderBackoffs = 4096
+)
+
+// lenders chooses the instances from which to borrow quota tokens; it is not safe for concurrent use.
+//
+// The instances with a share of an account are asked in turn, so that a burst on one of
+// them reaches the tokens of all. An instance with a call in progress, or that had
+// nothing to lend a moment ago, is passed over.
+type lenders struct {
+	inFlight map[string]bool
+	emptyAt  map[loanSource]time.Time
+	next     map[string]int
+}
+
+// loanSource is an instance that may lend tokens of an account.
+type loanSource struct {
+	instance string
+	account  string
+}
+
+func newLenders() *lenders {
+	return &lenders{inFlight: map[string]bool{}, emptyAt: map[loanSource]time.Time{}, next: map[string]int{}}
+}
+
+// Plan returns the amounts to ask of each instance, by account, and marks these instances as having a call in progress.
+//
+// shortages are the tokens that this instance lacks, and holders returns the names of the instances with a share of an
+// account.
+func (l *lenders) Plan(now time.Time, shortages map[string]float64, holders func(account string) []string) map[string]map[string]float64 {
+	plan := map[string]map[string]float64{}
+	for account, tokens := range shortages {
+		lender, ok := l.choose(now, account, holders(account))
+		if !ok {
+			continue
+		}
+		if plan[lender] == nil {
+			plan[lender] = map[string]float64{}
+		}
+		plan[lender][account] = tokens
+	}
+	for lender := range plan {
+		l.inFlight[lender] = true
+	}
+	return plan
+}
+
+// choose returns the next holder in turn that may have tokens of an account.
+func (l *lenders) choose(now time.Time, account string, holders []string) (lender string, ok bool) {
+	for range holders {
+		turn := l.next[account]
+		l.next[account] = (turn + 1) % len(holders)
+		candidate := holders[turn%len(holders)]
+		emptyAt, empty := l.emptyAt[loanSource{instance: candidate, account: account}]
+		if !l.inFlight[candidate] && !(empty && now.Sub(emptyAt) < lenderBackoff) {
+			return candidate, true
+		}
+	}
+	return "", false
+}
+
+// Answered records the end of a call: asked are the amounts that it asked for, and lent those that it returned, nil after a
+// failed call.
+func (l *lenders) Answered(now time.Time, lender string, asked, lent map[string]float64) {
+	delete(l.inFlight, lender)
+	if len(l.emptyAt) >= maxLenderBackoffs {
+		clear(l.emptyAt)
+	}
+	for account := range asked {
+		if lent[account] <= 0 {
+			l.emptyAt[loanSource{instance: lender, account: account}] = now
+		}
+	}
+}
+
+// Retain forgets the accounts that are not in the configuration any more.
+func (l *lenders) Retain(accounts []string) {
+	for account := range l.next {
+		if _, kept := slices.BinarySearch(accounts, account); !kept {
+			delete(l.next, account)
+		}
+	}
+}
--- /dev/null
+++ b/fleet/lenders_test.go
@@ -0,0 +1,44 @@
+package fleet_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/monsoontiller/monsoontiller/fleet"
+)
+
+// TestLendersTakeTurns guards against a burst of one account that asks the same instance again and again while others hold
+// the tokens, and against calls that pile up at an instance that does not answer.
+func TestLendersTakeTurns(t *testing.T) {
+	now := time.Unix(1000, 0)
+	l := fleet.NewLenders()
+	holders := func(string) []string { return []string{"one", "two", "three"} }
+	short := map[string]float64{"hot": 4}
+	var asked []string
+	for range 4 {
+		for lender := range l.Plan(now, short, holders) {
+			asked = append(asked, lender)
+		}
+	}
+	if len(asked) != 3 {
+		t.Fatalf("asked %v, want each of three instances once while the calls are in progress", asked)
+	}
+	l.Answered(now, "one", short, map[string]float64{"hot": 2})
+	l.Answered(now, "two", short, nil)
+	l.Answered(now, "three", short, nil)
+	for range 2 {
+		for lender := range l.Plan(now, short, holders) {
+			if lender != "one" {
+				t.Errorf("asked %s, which has just had nothing to lend", lender)
+			}
+			l.Answered(now, lender, short, map[string]float64{"hot": 1})
+		}
+	}
+	later := now.Add(time.Second)
+	if plan := l.Plan(later, short, func(string) []string { return []string{"two"} }); len(plan["two"]) != 1 {
+		t.Errorf("plan %v, want the instance to be asked again after the backoff", plan)
+	}
+	if plan := l.Plan(later, short, func(string) []string { return nil }); len(plan) != 0 {
+		t.Errorf("plan %v without instances", plan)
+	}
+}
--- /dev/null
+++ b/fleet/quotas.go
@@ -0,0 +1,259 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/monsoontiller/monsoontiller/clock"
+	"github.com/monsoontiller/monsoontiller/engine"
+	"github.com/monsoontiller/monsoontiller/fault"
+	"github.com/monsoontiller/monsoontiller/membership"
+	"github.com/monsoontiller/monsoontiller/quota"
+)
+
+const (
+	// quotaTick is the interval at which shares and shortages are updated.
+	quotaTick = 200 * time.Millisecond
+	// maxShareAge is the age of the proof of the keys from which this instance refills nothing: an instance that is cut off
+	// may believe that it holds the shares of others, which they refill too.
+	maxShareAge = 2500 * time.Millisecond
+	// admissionPause is the wait of an operation without a token before it tries again: a call to another instance.
+	admissionPause = 5 * time.Millisecond
+	// maxAdmissionWaiters is the most operations of an account that wait for a token here; the others are refused at once.
+	maxAdmissionWaiters = 4
+)
+
+// quotas admits the operations of client accounts within their quotas; it is safe for concurrent use.
+type quotas[L Link[L]] struct {
+	instance *Instance[L]
+	// shortage receives a value when an operation finds no token.
+	shortage chan struct{}
+	mu       sync.Mutex
+	ledger   *quota.Ledger
+	lenders  *lenders
+	// revision is the version of the configuration whose limits the ledger holds.
+	revision uint64
+	waiting  map[string]int
+}
+
+func newQuotas[L Link[L]](i *Instance[L]) *quotas[L] {
+	return &quotas[L]{
+		instance: i, shortage: make(chan struct{}, 1), ledger: quota.NewLedger(i.cfg.QuotaTolerance), lenders: newLenders(),
+		waiting: map[string]int{},
+	}
+}
+
+// Name returns the service's name.
+func (q *quotas[L]) Name() string { return "quotas" }
+
+// Run updates the shares and borrows tokens until ctx ends.
+func (q *quotas[L]) Run(ctx context.Context) error {
+	ticker := time.NewTicker(quotaTick)
+	defer ticker.Stop()
+	var calls sync.WaitGroup
+	defer calls.Wait()
+	for {
+		select {
+		case <-ticker.C:
+			q.update(clock.Now())
+		case <-q.shortage:
+		case <-ctx.Done():
+			return nil
+		}
+		for lender, amounts := range q.planLoans(clock.Now()) {
+			calls.Add(1)
+			go func() {
+				defer calls.Done()
+				q.borrow(ctx, lender, amounts)
+			}()
+		}
+	}
+}
+
+// update applies a new configuration, and the shares that follow from the fleet.
+func (q *quotas[L]) update(now time.Time) {
+	i := q.instance
+	if !i.directory.HasAccounts() {
+		return
+	}
+	q.applyLimits(now)
+	bound := i.freshness.Bound()
+	fresh := bound == 0 || i.freshness.Age(now) < min(bound, maxShareAge)
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.ledger.SetShares(now, func(account string) float64 {
+		if !fresh {
+			return 0
+		}
+		return i.accountShare(account)
+	})
+}
+
+// applyLimits takes over the limits of a new version of the configuration.
+func (q *quotas[L]) applyLimits(now time.Time) {
+	registry, version := q.instance.directory.AccountsOf()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if version == q.revision || registry == nil {
+		return
+	}
+	q.revision = version
+	names := registry.Names()
+	limits := make(map[string]quota.Limits, len(names))
+	for _, name := range names {
+		l, _ := registry.Limits(name)
+		limits[name] = quota.Limits{Rate: l.Rate, Burst: l.Burst}
+	}
+	q.ledger.Apply(now, limits)
+	q.lenders.Retain(names)
+}
+
+// Admit takes a token for an operation of an account, and may wait for it until the given time.
+//
+// It fails with KindOverloaded; nothing ran.
+func (q *quotas[L]) Admit(ctx context.Context, account string, until time.Time) error {
+	if account == "" {
+		return nil
+	}
+	now := clock.Now()
+	q.applyLimits(now)
+	wait, ok := q.take(now, account)
+	if ok {
+		return nil
+	}
+	if !q.mayWait(account) {
+		return quotaError(account, wait)
+	}
+	defer q.endWait(account)
+	for clock.Now().Add(admissionPause).Before(until) {
+		if engine.Sleep(ctx, admissionPause) != nil {
+			return engine.ErrDraining()
+		}
+		if wait, ok = q.take(clock.Now(), account); ok {
+			return nil
+		}
+	}
+	return quotaError(account, wait)
+}
+
+// take takes a token; if there is none, it starts to borrow.
+func (q *quotas[L]) take(now time.Time, account string) (wait time.Duration, ok bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	wait, ok = q.ledger.Take(now, account)
+	if !ok {
+		select {
+		case q.shortage <- struct{}{}:
+		default:
+		}
+	}
+	return wait, ok
+}
+
+// mayWait reports whether another operation of an account may wait, and counts it.
+func (q *quotas[L]) mayWait(account string) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.waiting[account] >= maxAdmissionWaiters {
+		return false
+	}
+	q.waiting[account]++
+	return true
+}
+
+func (q *quotas[L]) endWait(account string) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.waiting[account]--; q.waiting[account] == 0 {
+		delete(q.waiting, account)
+	}
+}
+
+// quotaError returns the error of an operation beyond the quota.
+func quotaError(account string, wait time.Duration) error {
+	return fault.New(fault.Config{
+		Kind:    fault.KindOverloaded,
+		Message: "the quota of client account " + account + " is used up; the request did not run",
+		Remedy:  fmt.Sprintf("try again in %v, or raise the account's rate", wait.Round(time.Millisecond)),
+	})
+}
+
+// Return gives back the token of an operation that was sent to no endpoint.
+func (q *quotas[L]) Return(account string) {
+	if account == "" {
+		return
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.ledger.Return(clock.Now(), account)
+}
+
+// Lend gives up tokens for another instance.
+func (q *quotas[L]) Lend(amounts map[string]float64) map[string]float64 {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.ledger.Lend(clock.Now(), amounts)
+}
+
+// planLoans returns the amounts to borrow now from each instance, by account.
+func (q *quotas[L]) planLoans(now time.Time) map[string]map[string]float64 {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	shortages := q.ledger.Shortages(now)
+	if len(shortages) == 0 {
+		return nil
+	}
+	return q.lenders.Plan(now, shortages, q.instance.shareHolders)
+}
+
+// borrow asks one instance for tokens; an answer that arrives too late is dropped, since the lender has refilled them.
+func (q *quotas[L]) borrow(ctx context.Context, lender string, amounts map[string]float64) {
+	sentAt := clock.Now()
+	var lent map[string]float64
+	if identity, ok := q.instance.findInstance(lender); ok {
+		answer, err := q.instance.node.BorrowTokens(ctx, identity, amounts)
+		if err == nil && clock.Since(sentAt) <= quota.LoanTimeout {
+			lent = answer
+		}
+	}
+	now := clock.Now()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.lenders.Answered(now, lender, amounts, lent)
+	q.ledger.Receive(now, lent)
+}
+
+// findInstance returns the identity of another live instance.
+func (i *Instance[L]) findInstance(name string) (identity membership.Identity, ok bool) {
+	for _, other := range i.node.Others() {
+		if other.Name() == name {
+			return other, true
+		}
+	}
+	return identity, false
+}
+
+// shareHolders returns the names of the other instances that refill a share of an account's quota, sorted by group.
+func (i *Instance[L]) shareHolders(account string) []string {
+	var holders []string
+	seen := map[string]bool{i.cfg.Name: true}
+	for _, group := range i.directory.GroupNames() {
+		homes := i.accountHomes(group, account)
+		if len(homes) == 0 || seen[homes[0].Name()] {
+			continue
+		}
+		seen[homes[0].Name()] = true
+		holders = append(holders, homes[0].Name())
+	}
+	return holders
+}
+
+// Admit admits an operation of a client account within its quota; it fails with KindOverloaded.
+func (i *Instance[L]) Admit(ctx context.Context, account string, until time.Time) error {
+	return i.quotas.Admit(ctx, account, until)
+}
+
+// Return gives back the admission of an operation that was sent to no endpoint.
+func (i *Instance[L]) Return(account string) { i.quotas.Return(account) }
