engine, fleet: pace of members that have started, come back or become primary

A member that has just started or recovered receives as many requests as this instance has permits, at once. With GroupConfig.Pace each member has a pace.Controller, whose limit caps the permits. It restarts with the first contact of a process, a new incarnation, each change of reachability or ejection, and a promotion. The group log line shows the limit. The expected time of an answer is kept by class of request, since writes take longer than the reads of the other members. fleet.Config.Pace passes the setting on; nothing sets it yet, and without it nothing changes.

--- a/engine/connections.go
+++ b/engine/connections.go
@@ -37,6 +37,7 @@
 	// limit is the configured limit; capped means that limitToOpen has lowered the pool's limit for a while.
 	limit   int
 	capped  bool
+	paced   pacedPermits
 	backoff dialBackoff
 	// generation is incremented by CloseAll; links of an earlier one are closed on release.
 	generation uint64
@@ -67,6 +68,7 @@
 		quarantine:         cfg.Quarantine,
 		limit:              cfg.Limit,
 		pool:               pool.New[L](poolConfig),
+		paced:              pacedPermits{share: cfg.Permits},
 		inUse:              map[L]linkUse{},
 	}
 }
@@ -247,13 +249,34 @@
 }
 
 // SetPermits changes the number of links that may have a request running at the same time; 0 means no limit.
-func (c *Connections[L]) SetPermits(limit int) {
+func (c *Connections[L]) SetPermits(limit int) { c.setPaced(pacedPermits{share: limit}) }
+
+// setPaced changes the number of links that may have a request running at the same time, and the pace that restricts it.
+func (c *Connections[L]) setPaced(p pacedPermits) {
 	c.mu.Lock()
-	wakeups := c.pool.SetPermits(clock.Now(), limit)
-	deliver(wakeups)
+	c.paced = p
+	deliver(c.applyPaced(clock.Now()))
 	c.mu.Unlock()
 }
 
+// applyPaced sets the pool's permits, and returns the wakeups of the waiters that are served.
+//
+// Requests that were running at the restart come on top of the limit: they may be lost
+// and hold their permits until they time out.
+func (c *Connections[L]) applyPaced(now time.Time) []pool.Wakeup[L, *waiter[L]] {
+	permits := c.paced.share
+	if c.paced.limit > 0 {
+		permits = c.paced.limit
+		for _, u := range c.inUse {
+			if !u.permitSince.IsZero() && u.permitSince.Before(c.paced.since) {
+				permits++
+			}
+		}
+		permits = c.paced.atMostShare(permits)
+	}
+	return c.pool.SetPermits(now, permits)
+}
+
 // Shrink lowers the limit towards limit by closing idle connections, and returns the limit reached.
 //
 // The endpoint has closed the connections that the result no longer counts; a connection that
--- a/engine/execution.go
+++ b/engine/execution.go
@@ -165,6 +165,7 @@
 	g.View(func(t *route.Tracker) {
 		request.Service = t.ServiceTime(h.Endpoint)
 		t.AddLoad(h.Endpoint, 1)
+		g.updatePaceLocked()
 	})
 	defer g.View(func(t *route.Tracker) { t.AddLoad(h.Endpoint, -1) })
 	return h.Connections.Acquire(ctx, request)
@@ -188,6 +189,7 @@
 		case o.Attempt.Failure == retry.FailureLost && o.Err == nil:
 			t.RecordFailure(h.Endpoint, now)
 		}
+		g.recordPaceLocked(h.Endpoint, o, h.Request.Class, now.Sub(started))
 	})
 	return o
 }
@@ -199,7 +201,10 @@
 		return h, Outcome{}, err
 	}
 	if !errors.Is(err, ErrEndpointAtLimit) {
-		e.cfg.Group.View(func(t *route.Tracker) { t.SetDown(h.Endpoint, true) })
+		e.cfg.Group.View(func(t *route.Tracker) {
+			t.SetDown(h.Endpoint, true)
+			e.cfg.Group.updatePaceLocked()
+		})
 	}
 	h.Connections = nil
 	return h, Outcome{Attempt: retry.Attempt{Failure: retry.FailureConnect}}, nil
--- a/engine/group.go
+++ b/engine/group.go
@@ -56,6 +56,8 @@
 	MaxLinkIdle time.Duration
 	// Standby, if set, reports whether another instance probes the members and relays the statuses.
 	Standby func() bool
+	// Pace limits the requests at a member that has started, come back or become primary, as its answers allow.
+	Pace bool
 	// Observer, if set, receives the result of every probe and order.
 	Observer Observer
 }
@@ -74,8 +76,10 @@
 	mu      sync.Mutex
 	tracker *route.Tracker
 	// changed is closed and replaced on every change that may end a call of await.
-	changed   chan struct{}
-	members   map[string]*member[L]
+	changed chan struct{}
+	members map[string]*member[L]
+	// pacings holds the pace of each member, if GroupConfig.Pace is set.
+	pacings   map[string]*pacing
 	endpoints []string
 	limit     int
 	sharers   int
@@ -91,6 +95,7 @@
 type member[L Link[L]] struct {
 	address     Address
 	connections *Connections[L]
+	paced       pacedPermits
 	trigger     chan struct{}
 	orders      chan Order[L]
 	stop        context.CancelFunc
@@ -120,6 +125,7 @@
 		cfg:     cfg,
 		changed: make(chan struct{}),
 		members: map[string]*member[L]{},
+		pacings: map[string]*pacing{},
 		limit:   cfg.Limit,
 		sharers: cfg.Sharers,
 		tracker: route.NewTracker(route.TrackerConfig{Group: cfg.Name, Lease: cfg.Lease, RequireAllReplicas: cfg.RequireAllReplicas}),
@@ -148,10 +154,11 @@
 		m := g.members[a.Endpoint]
 		if m == nil || m.address.Address != a.Address || m.address.Incarnation != a.Incarnation {
 			m = g.newMember(a)
+			g.addPacingLocked(a)
 		}
 		if m.address != a {
 			m.address = a
-			m.connections.SetPermits(g.permits(a))
+			g.applyPermitsLocked(m)
 		}
 		kept[a.Endpoint] = m
 		g.endpoints = append(g.endpoints, a.Endpoint)
@@ -169,6 +176,8 @@
 	}
 	g.members = kept
 	g.tracker.SetEndpoints(tracked)
+	g.dropPacingsLocked()
+	g.updatePaceLocked()
 	for _, m := range kept {
 		g.startLocked(m)
 	}
@@ -271,6 +280,7 @@
 	if changed {
 		g.unconfirmedSince = g.cfg.Clock()
 	}
+	g.updatePaceLocked()
 	g.broadcastLocked()
 	g.mu.Unlock()
 	// Links opened before the first known term belong to that term.
@@ -356,6 +366,7 @@
 	before := g.tracker.ConfirmedAt()
 	v := g.tracker.Verify(sentAt, g.cfg.Clock(), s, r)
 	g.recordStatusLocked(sentAt, s)
+	g.updatePaceLocked()
 	if g.tracker.ConfirmedAt().After(before) {
 		g.broadcastLocked()
 	}
--- a/engine/limits.go
+++ b/engine/limits.go
@@ -21,7 +21,7 @@
 	}
 	g.sharers = n
 	for _, m := range g.members {
-		m.connections.SetPermits(g.permits(m.address))
+		g.applyPermitsLocked(m)
 	}
 }
 
--- a/engine/probe.go
+++ b/engine/probe.go
@@ -225,6 +225,7 @@
 	g.mu.Lock()
 	m.lastError = err
 	g.tracker.SetDown(m.address.Endpoint, true)
+	g.updatePaceLocked()
 	g.broadcastLocked()
 	g.mu.Unlock()
 	if g.cfg.Observer != nil {
--- a/engine/queue.go
+++ b/engine/queue.go
@@ -89,6 +89,7 @@
 // When permits are the bottleneck, it may evict other waiters instead.
 func (c *Connections[L]) overloaded(now time.Time, waitRequest pool.WaitRequest[*waiter[L]]) (wait time.Duration, refused bool) {
 	permits, _ := c.pool.Permits()
+	permits = c.paced.planned(permits)
 	hasLink := c.pool.Idle() > 0 || c.pool.Open() < c.pool.Limit()
 	if c.queue == nil || c.pool.Waiting() == 0 && hasLink && c.pool.HasFreePermit() {
 		return 0, false
@@ -152,9 +153,10 @@
 		c.mu.Unlock()
 		return
 	}
-	wakeups := c.endPermit(clock.Now(), u)
+	ended := u
 	u.permitSince = time.Time{}
 	c.inUse[conn] = u
+	wakeups := c.endPermit(clock.Now(), ended)
 	deliver(wakeups)
 	c.mu.Unlock()
 }
@@ -170,7 +172,11 @@
 		clear(c.customerPermitTime)
 	}
 	c.customerPermitTime[u.customer] = updateMean(c.customerPermitTime[u.customer], elapsed)
-	return c.pool.ReleasePermit(now)
+	var wakeups []pool.Wakeup[L, *waiter[L]]
+	if c.paced.limit > 0 && u.permitSince.Before(c.paced.since) {
+		wakeups = c.applyPaced(now)
+	}
+	return append(wakeups, c.pool.ReleasePermit(now)...)
 }
 
 // ReacquirePermit waits for a permit for a link that is in use without one; it fails with KindTimeout at the deadline.
--- a/fleet/config.go
+++ b/fleet/config.go
@@ -30,6 +30,8 @@
 	Adapter    Adapter[L]
 	Logger     log.Logger
 	Scope      tally.Scope
+	// Pace limits the requests at an endpoint that has started, come back or become primary, as its answers allow.
+	Pace bool
 }
 
 // Timing of probes, leases and promotions.
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -300,6 +300,7 @@
 		PromotionTime:      promotionTime,
 		Probing:            &probing,
 		RequireAllReplicas: true,
+		Pace:               i.cfg.Pace,
 		Standby:            func() bool { return i.standby(name) },
 		Dial: func(ctx context.Context, a engine.Address, _ string) (L, error) {
 			return i.dialer.dialMember(ctx, name, a)
--- a/fleet/watchlog.go
+++ b/fleet/watchlog.go
@@ -55,12 +55,12 @@
 
 func (w *watchLog[L]) logGroup(g *engine.Group[L]) {
 	now := clock.Now()
-	waiting, usage := describeUsage(g)
+	waiting, paced, usage := describeUsage(g)
 	var members string
 	var confirmed time.Time
 	g.View(func(t *route.Tracker) {
 		confirmed = t.ConfirmedAt()
-		if waiting > 0 || now.Sub(confirmed) > leaseDuration {
+		if waiting > 0 || paced || now.Sub(confirmed) > leaseDuration {
 			members = t.Describe(now)
 		}
 	})
@@ -72,8 +72,8 @@
 }
 
 // describeUsage returns how many requests wait for links, and a text with the open links, the idle links and the waiting
-// requests of each member.
-func describeUsage[L Link[L]](g *engine.Group[L]) (waiting int, text string) {
+// requests of each member, and its pace where that restricts requests.
+func describeUsage[L Link[L]](g *engine.Group[L]) (waiting int, paced bool, text string) {
 	var parts []string
 	for _, m := range g.Members() {
 		c := g.Connections(m.Endpoint)
@@ -82,8 +82,13 @@
 		}
 		u := c.Usage()
 		waiting += u.Waiting()
-		parts = append(parts, m.Endpoint+" open "+strconv.Itoa(u.Open())+" of "+strconv.Itoa(u.Limit())+
-			", idle "+strconv.Itoa(u.Idle())+", waiting "+strconv.Itoa(u.Waiting()))
+		part := m.Endpoint + " open " + strconv.Itoa(u.Open()) + " of " + strconv.Itoa(u.Limit()) +
+			", idle " + strconv.Itoa(u.Idle()) + ", waiting " + strconv.Itoa(u.Waiting())
+		if p, limited := g.Pace(m.Endpoint); limited {
+			paced = true
+			part += ", pace " + strconv.Itoa(p.Limit()) + " of " + strconv.Itoa(p.Ceiling()) + ", restarts " + strconv.Itoa(p.Restarts())
+		}
+		parts = append(parts, part)
 	}
-	return waiting, strings.Join(parts, "; ")
+	return waiting, paced, strings.Join(parts, "; ")
 }
--- a/route/ejection.go
+++ b/route/ejection.go
@@ -40,6 +40,12 @@
 // active reports whether the replica is ejected at now.
 func (e *ejection) active(now time.Time) bool { return now.Before(e.until) }
 
+// Ejected reports whether an endpoint is ejected at now.
+func (t *Tracker) Ejected(endpoint string, now time.Time) bool {
+	m := t.members[endpoint]
+	return m != nil && m.ejection.active(now)
+}
+
 // RecordSuccess records that an endpoint answered a request completely.
 func (t *Tracker) RecordSuccess(endpoint string) {
 	if m := t.members[endpoint]; m != nil {
--- a/route/tracker.go
+++ b/route/tracker.go
@@ -131,6 +131,12 @@
 	}
 }
 
+// Down reports whether an endpoint is recorded as unreachable.
+func (t *Tracker) Down(endpoint string) bool {
+	m := t.members[endpoint]
+	return m != nil && m.down
+}
+
 // SetLeaving records whether an endpoint must get no new requests.
 func (t *Tracker) SetLeaving(endpoint string, leaving bool) {
 	if m := t.members[endpoint]; m != nil {
