--- a/experiment/doc.go
+++ b/experiment/doc.go
@@ -8,6 +8,8 @@
 // RunGroup drives the router, the pools and the queues of one instance with a simulated group
 // of few slots under load, while replicas are behind, the primary changes or a partition lasts.
 //
+// RunPace compares ways to limit the requests at an endpoint that has just started.
+//
 // RunPaired compares two builds of the program: it runs a command for both over the same
 // cases and seeds, and Compare gives the paired differences with their confidence intervals.
 package experiment
--- a/experiment/group_plot.go
+++ b/experiment/group_plot.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"time"
 
 	"github.com/rotisserie/eris"
 	"gonum.org/v1/plot"
@@ -23,6 +24,11 @@
 //
 // Each plot shows the share of requests answered in time per window, one line per variant.
 func PlotGroups(results []GroupResult, path string) error {
+	return plotGroups(results, groupWindow, path)
+}
+
+// plotGroups plots results whose windows have the given length.
+func plotGroups(results []GroupResult, window time.Duration, path string) error {
 	var scenarios []string
 	byScenario := map[string][]GroupResult{}
 	for _, r := range results {
@@ -33,7 +39,7 @@
 	}
 	plots := make([][]*plot.Plot, 0, len(scenarios))
 	for _, name := range scenarios {
-		p, err := plotScenario(name, byScenario[name])
+		p, err := plotScenario(name, window, byScenario[name])
 		if err != nil {
 			return err
 		}
@@ -42,7 +48,7 @@
 	return savePlots(plots, path)
 }
 
-func plotScenario(name string, results []GroupResult) (*plot.Plot, error) {
+func plotScenario(name string, window time.Duration, results []GroupResult) (*plot.Plot, error) {
 	p := plot.New()
 	p.Title.Text = name
 	p.X.Label.Text = "time (s)"
@@ -53,7 +59,7 @@
 	for _, r := range results {
 		var points plotter.XYs
 		for i, w := range r.Windows {
-			points = append(points, plotter.XY{X: groupWindow.Seconds() * float64(i), Y: w.Share()})
+			points = append(points, plotter.XY{X: window.Seconds() * float64(i), Y: w.Share()})
 		}
 		lines = append(lines, r.Variant, points)
 	}
