--- a/cmd/monsoontiller/main.go
+++ b/cmd/monsoontiller/main.go
@@ -20,12 +20,24 @@
 	exitUnknown  = 5
 )
 
+// Exit codes of the check of a configuration, which differ from those of the other commands.
+const (
+	exitWarnings exitStatus = 1
+	exitErrors   exitStatus = 2
+)
+
+// exitStatus is returned by a command that has printed its result and ends with this exit code.
+type exitStatus int
+
+// Error returns the exit code as text.
+func (s exitStatus) Error() string { return fmt.Sprintf("exit status %d", int(s)) }
+
 // options holds the subcommands.
 type options struct {
 	Serve    serveCommand    `command:"serve" description:"Run one instance"`
 	Node     nodeCommand     `command:"node" description:"Run one instance on a machine of the platform"`
 	Dev      devCommand      `command:"dev" description:"Run instances with a stand-in platform and databases in one process"`
-	Check    checkCommand    `command:"check" description:"Report every mistake of settings and contract files"`
+	Check    checkCommand    `command:"check" description:"Report every mistake of settings, contract and configuration files"`
 	Contract contractCommand `command:"contract" description:"Apply and read contracts"`
 	Instance instanceCommand `command:"instance" description:"List and drain instances"`
 	Endpoint endpointCommand `command:"endpoint" description:"List and drain endpoints"`
@@ -46,6 +58,10 @@
 	if err == nil {
 		return 0
 	}
+	var status exitStatus
+	if errors.As(err, &status) {
+		return int(status)
+	}
 	var usage *flags.Error
 	if errors.As(err, &usage) {
 		if usage.Type == flags.ErrHelp {
