pool: fair order of waiting requests among client accounts

A burst of one account took the slots of the others: requests of equal priority were served by target alone.

Pool passes the Key of the WaitRequest to grants, which replaces the interface Keyed.

--- a/pool/pool.go
+++ b/pool/pool.go
@@ -57,7 +57,9 @@
 type WaitRequest[W comparable] struct {
 	Customer string
 	Key      string
-	Waiter   W
+	// Account is the client account, or empty where there are no accounts; only PriorityQueue uses it.
+	Account string
+	Waiter  W
 	// QueueLimit is the maximum number of waiters: those of the customer in a FairQueue, all in a PriorityQueue.
 	// With 0, a FairQueue accepts no waiter, and a PriorityQueue is bounded only by its own Limit.
 	QueueLimit int
@@ -87,6 +89,7 @@
 	if p.queue.Len() == 0 && p.permits.free() {
 		if g, ok := p.grant(req.Key); ok {
 			p.permits.inUse++
+			p.queue.Granted(req)
 			return g
 		}
 	}
@@ -149,33 +152,20 @@
 func (p *Pool[C, W]) wake(now time.Time) []Wakeup[C, W] {
 	wakeups := p.wakeReacquiring()
 	for p.permits.free() && p.queue.Len() > 0 && (len(p.idle) > 0 || p.open < p.limit) {
-		w, ok := p.queue.Pop(now)
+		req, ok := p.queue.PopIf(now, func(WaitRequest[W]) bool { return true })
 		if !ok {
 			break
 		}
-		g, ok := p.grant(keyOf(w))
+		g, ok := p.grant(req.Key)
 		if !ok {
 			break
 		}
 		p.permits.inUse++
-		wakeups = append(wakeups, Wakeup[C, W]{Waiter: w, Grant: g})
+		wakeups = append(wakeups, Wakeup[C, W]{Waiter: req.Waiter, Grant: g})
 	}
 	return wakeups
 }
 
-// Keyed is implemented by waiters whose connection must have a certain key.
-type Keyed interface {
-	// Key returns the connection key.
-	Key() string
-}
-
-func keyOf[W comparable](w W) string {
-	if k, ok := any(w).(Keyed); ok {
-		return k.Key()
-	}
-	return ""
-}
-
 // Cancel removes a waiter and reports whether it was still queued.
 func (p *Pool[C, W]) Cancel(customer string, w W) bool {
 	return p.permits.remove(w) || p.queue.Remove(customer, w)
--- a/pool/queue.go
+++ b/pool/queue.go
@@ -1,17 +1,14 @@
 package pool
 
-import "time"
-
-// waiter is a queued request.
-type waiter[T any] struct {
-	item     T
-	deadline time.Time
-}
+import (
+	"slices"
+	"time"
+)
 
 // customerQueue is the queue of one customer.
-type customerQueue[T any] struct {
+type customerQueue[T comparable] struct {
 	customer string
-	waiters  []waiter[T]
+	waiters  []WaitRequest[T]
 }
 
 // FairQueue has a queue per customer and serves customers round robin; it is not safe for concurrent use.
@@ -44,27 +41,41 @@
 	if len(c.waiters) == 0 {
 		q.active = append(q.active, c)
 	}
-	c.waiters = append(c.waiters, waiter[T]{item: req.Waiter, deadline: req.Deadline})
+	c.waiters = append(c.waiters, req)
 	q.length++
 	return true
 }
 
 // Pop removes and returns the next request whose deadline has not passed at now.
 func (q *FairQueue[T]) Pop(now time.Time) (item T, ok bool) {
-	for len(q.active) > 0 {
-		c := q.active[0]
-		q.active = q.active[1:]
-		w := c.waiters[0]
-		c.waiters = c.waiters[1:]
+	req, ok := q.PopIf(now, func(WaitRequest[T]) bool { return true })
+	return req.Waiter, ok
+}
+
+// PopIf is like Pop for the requests that servable accepts; customers whose requests are not accepted keep their place.
+func (q *FairQueue[T]) PopIf(now time.Time, servable func(req WaitRequest[T]) bool) (req WaitRequest[T], ok bool) {
+	for at := 0; at < len(q.active); {
+		c := q.active[at]
+		i := slices.IndexFunc(c.waiters, func(r WaitRequest[T]) bool { return !now.Before(r.Deadline) || servable(r) })
+		if i < 0 {
+			at++
+			continue
+		}
+		req = c.waiters[i]
+		c.waiters = slices.Delete(c.waiters, i, i+1)
 		q.length--
+		q.active = slices.Delete(q.active, at, at+1)
 		q.requeue(c)
-		if now.Before(w.deadline) {
-			return w.item, true
+		if now.Before(req.Deadline) {
+			return req, true
 		}
 	}
-	return item, false
+	return WaitRequest[T]{}, false
 }
 
+// Granted does nothing: round robin counts only the requests that waited.
+func (q *FairQueue[T]) Granted(WaitRequest[T]) {}
+
 // requeue moves a customer behind the others, or removes it when its queue is empty.
 func (q *FairQueue[T]) requeue(c *customerQueue[T]) {
 	if len(c.waiters) > 0 {
@@ -81,7 +92,7 @@
 		return false
 	}
 	for i, w := range c.waiters {
-		if w.item != item {
+		if w.Waiter != item {
 			continue
 		}
 		c.waiters = append(c.waiters[:i], c.waiters[i+1:]...)
