engine: charge client accounts for measured permit time

AcquireRequest names the account. A grant charges its expected service time, so that a burst cannot start several requests before the first is measured; the end of the permit replaces it by the measured time, and a grant that is not used is returned.

--- a/engine/connections.go
+++ b/engine/connections.go
@@ -104,7 +104,7 @@
 	if g.Action == pool.ActionOpen {
 		opened, permit, err := c.open(ctx, r)
 		if err != nil {
-			c.dialFailed(permit)
+			c.dialFailed(r, permit)
 			return conn, err
 		}
 		opened.SetAnsweredAt(clock.Now())
@@ -112,7 +112,9 @@
 	}
 	c.mu.Lock()
 	now := clock.Now()
-	c.inUse[conn] = linkUse{generation: generation, since: now, permitSince: now, customer: r.Customer}
+	c.inUse[conn] = linkUse{
+		generation: generation, since: now, permitSince: now, customer: r.Customer, account: r.Account, charged: r.Service,
+	}
 	c.mu.Unlock()
 	return conn, nil
 }
--- a/engine/dial_backoff.go
+++ b/engine/dial_backoff.go
@@ -83,10 +83,11 @@
 	c.SetLimit(limit)
 }
 
-// dialFailed removes a link that could not be opened from the pool's count, and releases the permit if it is held.
-func (c *Connections[L]) dialFailed(permit bool) {
+// dialFailed removes a link that could not be opened for r from the pool's count, and releases the permit if it is held.
+func (c *Connections[L]) dialFailed(r AcquireRequest, permit bool) {
 	c.mu.Lock()
 	now := clock.Now()
+	c.charge(r.Account, r.Service, 0)
 	wakeups := c.pool.Discard(now)
 	if permit {
 		wakeups = append(wakeups, c.pool.ReleasePermit(now)...)
--- a/engine/queue.go
+++ b/engine/queue.go
@@ -17,6 +17,9 @@
 	// permitSince is when the link acquired its permit, or zero while it holds none.
 	permitSince time.Time
 	customer    string
+	account     string
+	// charged is the part of the permit time for which the account has already been charged.
+	charged time.Duration
 }
 
 // meanDecay is the weight of the previous value in the moving averages of hold and permit times.
@@ -24,17 +27,15 @@
 
 // waiter is a request that waits for a connection or a permit; grant has room for its only grant.
 type waiter[L Link[L]] struct {
-	key   string
 	grant chan pool.Grant[L]
 }
 
-// Key returns the pool key of the connection that the waiter needs.
-func (w *waiter[L]) Key() string { return w.key }
-
 // AcquireRequest describes a request for a connection and how long it may wait.
 type AcquireRequest struct {
-	Customer   string
-	Key        string
+	Customer string
+	Key      string
+	// Account is the client account whose share of the endpoint the request uses, or empty where there are none.
+	Account    string
 	QueueLimit int
 	Deadline   time.Time
 	// MaxIdle is how long a link may have been idle to be used without a status request first.
@@ -49,7 +50,7 @@
 
 // acquire returns a connection at once, waits for one, or refuses the request if it could not start in time.
 func (c *Connections[L]) acquire(ctx context.Context, r AcquireRequest) (link L, err error) {
-	w := &waiter[L]{key: r.Key, grant: make(chan pool.Grant[L], 1)}
+	w := &waiter[L]{grant: make(chan pool.Grant[L], 1)}
 	now := clock.Now()
 	c.mu.Lock()
 	if mean := c.customerPermitTime[r.Customer]; mean > 0 {
@@ -61,6 +62,7 @@
 	waitRequest := pool.WaitRequest[*waiter[L]]{
 		Customer:    r.Customer,
 		Key:         r.Key,
+		Account:     r.Account,
 		Waiter:      w,
 		QueueLimit:  r.QueueLimit,
 		Deadline:    r.Deadline,
@@ -153,7 +155,7 @@
 		return
 	}
 	wakeups := c.endPermit(clock.Now(), u)
-	u.permitSince = time.Time{}
+	u.permitSince, u.charged = time.Time{}, 0
 	c.inUse[conn] = u
 	deliver(wakeups)
 	c.mu.Unlock()
@@ -162,7 +164,14 @@
 // maxCustomerTimes bounds the size of customerPermitTime, which is cleared at this size.
 const maxCustomerTimes = 4096
 
-// endPermit releases a permit and updates the mean permit times.
+// charge replaces the expected permit time that an account was charged by the measured one, or 0 without a use.
+func (c *Connections[L]) charge(account string, expected, measured time.Duration) {
+	if c.queue != nil {
+		c.queue.Shares().Finish(account, expected, measured)
+	}
+}
+
+// endPermit releases a permit, updates the mean permit times, and charges the account for the permit time.
 func (c *Connections[L]) endPermit(now time.Time, u linkUse) []pool.Wakeup[L, *waiter[L]] {
 	elapsed := now.Sub(u.permitSince)
 	c.permitTime = updateMean(c.permitTime, elapsed)
@@ -170,6 +179,7 @@
 		clear(c.customerPermitTime)
 	}
 	c.customerPermitTime[u.customer] = updateMean(c.customerPermitTime[u.customer], elapsed)
+	c.charge(u.account, u.charged, elapsed)
 	return c.pool.ReleasePermit(now)
 }
 
@@ -212,7 +222,7 @@
 	queued := c.pool.Cancel("", w)
 	c.mu.Unlock()
 	if !queued {
-		c.returnGrant(w)
+		c.returnGrant(w, AcquireRequest{})
 	}
 	return false
 }
@@ -234,7 +244,7 @@
 	queued := c.pool.Cancel(r.Customer, w)
 	c.mu.Unlock()
 	if !queued {
-		c.returnGrant(w)
+		c.returnGrant(w, r)
 	}
 	return link, c.timeoutError()
 }
@@ -256,8 +266,8 @@
 	})
 }
 
-// returnGrant returns a grant that was delivered just as its waiter timed out or was canceled.
-func (c *Connections[L]) returnGrant(w *waiter[L]) {
+// returnGrant returns a grant for r that was delivered just as its waiter timed out or was canceled.
+func (c *Connections[L]) returnGrant(w *waiter[L], r AcquireRequest) {
 	select {
 	case g := <-w.grant:
 		if g.Action == pool.ActionRefuse {
@@ -270,8 +280,10 @@
 		var toClose []L
 		switch g.Action {
 		case pool.ActionUse:
+			c.charge(r.Account, r.Service, 0)
 			wakeups, toClose = c.pool.Release(now, g.Conn, g.Conn.Key())
 		case pool.ActionOpen:
+			c.charge(r.Account, r.Service, 0)
 			wakeups = c.pool.Discard(now)
 		}
 		wakeups = append(wakeups, c.pool.ReleasePermit(now)...)
