pool, engine: keep the connections of busy accounts

A connection belongs to one account, and the least recently used one was replaced at the limit. Pool now replaces the idle connection that the fewest requests are expected to need (decayed rate of requests of the key, and the Erlang loss formula for further ones), and lets a request wait for a connection of its key that is expected back within the time of a dial. Evictions count all requests of an account, not only those planned so far.

The fake link of the engine's tests has the key that it was dialed with.

--- a/engine/connections.go
+++ b/engine/connections.go
@@ -44,8 +44,13 @@
 	// holdTime is the mean time that a request holds a link, and permitTime that a link holds a permit; 0 until measured.
 	holdTime   time.Duration
 	permitTime time.Duration
-	// customerPermitTime is the mean permit time of each customer's requests.
+	// customerPermitTime is the mean permit time of each customer's requests, and customerHoldTime their mean hold time.
 	customerPermitTime map[string]time.Duration
+	customerHoldTime   map[string]time.Duration
+	// dialTime is the mean time to open a link, or 0 until measured.
+	dialTime time.Duration
+	// wakeScheduled means that wakeDeferred will be called.
+	wakeScheduled bool
 	// queue is the pool's wait queue if Ordered is set, or nil.
 	queue *pool.PriorityQueue[*waiter[L]]
 }
@@ -58,17 +63,20 @@
 		queue = pool.NewPriorityQueue[*waiter[L]](pool.PriorityQueueConfig{})
 		poolConfig.Queue = queue
 	}
-	return &Connections[L]{
+	c := &Connections[L]{
 		queue:              queue,
 		customerPermitTime: map[string]time.Duration{},
+		customerHoldTime:   map[string]time.Duration{},
 		endpoint:           cfg.Endpoint,
 		dial:               cfg.Dial,
 		terminator:         cfg.Terminator,
 		quarantine:         cfg.Quarantine,
 		limit:              cfg.Limit,
-		pool:               pool.New[L](poolConfig),
 		inUse:              map[L]linkUse{},
 	}
+	poolConfig.Forecast = forecast[L]{connections: c}
+	c.pool = pool.New[L](poolConfig)
+	return c
 }
 
 // Acquire returns a connection for the request, together with a permit.
@@ -148,7 +156,7 @@
 	now := clock.Now()
 	wakeups, toClose := c.pool.Release(now, conn, conn.Key())
 	wakeups = append(wakeups, c.endUse(now, conn)...)
-	deliver(wakeups)
+	c.deliver(wakeups)
 	c.mu.Unlock()
 	c.retireLater(toClose)
 }
@@ -165,7 +173,7 @@
 		suspect = c.pool.TakeIdleBefore(use.since, 0)
 	}
 	wakeups := c.endUse(clock.Now(), conn)
-	deliver(wakeups)
+	c.deliver(wakeups)
 	c.mu.Unlock()
 	for _, idle := range suspect {
 		c.Discard(idle)
@@ -180,7 +188,7 @@
 func (c *Connections[L]) uncount() {
 	c.mu.Lock()
 	wakeups := c.pool.Discard(clock.Now())
-	deliver(wakeups)
+	c.deliver(wakeups)
 	c.mu.Unlock()
 }
 
@@ -243,7 +251,7 @@
 		limit = c.pool.Limit()
 	}
 	wakeups, toClose := c.pool.SetLimit(clock.Now(), limit)
-	deliver(wakeups)
+	c.deliver(wakeups)
 	c.mu.Unlock()
 	c.retireLater(toClose)
 }
@@ -252,7 +260,7 @@
 func (c *Connections[L]) SetPermits(limit int) {
 	c.mu.Lock()
 	wakeups := c.pool.SetPermits(clock.Now(), limit)
-	deliver(wakeups)
+	c.deliver(wakeups)
 	c.mu.Unlock()
 }
 
@@ -269,7 +277,7 @@
 		return reached
 	}
 	wakeups, toClose := c.pool.SetLimit(clock.Now(), reached)
-	deliver(wakeups)
+	c.deliver(wakeups)
 	c.mu.Unlock()
 	return reached + c.retireAndCount(toClose)
 }
@@ -329,10 +337,11 @@
 // A waiter that is no longer queued therefore finds its grant in the channel, unless
 // the queue dropped it because its deadline had passed. Sending never blocks: each
 // waiter gets at most one grant, and its channel is buffered.
-func deliver[L Link[L]](wakeups []pool.Wakeup[L, *waiter[L]]) {
+func (c *Connections[L]) deliver(wakeups []pool.Wakeup[L, *waiter[L]]) {
 	for _, w := range wakeups {
 		w.Waiter.grant <- w.Grant
 	}
+	c.scheduleWake()
 }
 
 // retireAll retires connections one after the other.
--- a/engine/dial_backoff.go
+++ b/engine/dial_backoff.go
@@ -68,7 +68,7 @@
 	}
 	// The limit stays above 0, so that the first link is dialed again.
 	wakeups, toClose := c.pool.SetLimit(clock.Now(), max(1, c.pool.Open()))
-	deliver(wakeups)
+	c.deliver(wakeups)
 	c.mu.Unlock()
 	c.retireLater(toClose)
 	return ctx.Err() == nil && clock.Now().Before(r.Deadline)
@@ -92,7 +92,7 @@
 	if permit {
 		wakeups = append(wakeups, c.pool.ReleasePermit(now)...)
 	}
-	deliver(wakeups)
+	c.deliver(wakeups)
 	c.mu.Unlock()
 }
 
@@ -116,9 +116,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
+	dialedAt := clock.Now()
 	link, err = c.dial(ctx, r.Key)
 	if err == nil {
 		c.mu.Lock()
+		c.dialTime = updateMean(c.dialTime, clock.Since(dialedAt))
 		c.backoff = dialBackoff{}
 		c.mu.Unlock()
 	}
@@ -131,7 +133,7 @@
 func (c *Connections[L]) awaitDial(ctx context.Context, pause time.Duration, deadline time.Time) (permit bool, err error) {
 	c.mu.Lock()
 	wakeups := c.pool.ReleasePermit(clock.Now())
-	deliver(wakeups)
+	c.deliver(wakeups)
 	c.mu.Unlock()
 	if err := Sleep(ctx, pause); err != nil {
 		return false, err
--- a/engine/fair_test.go
+++ b/engine/fair_test.go
@@ -1,6 +1,7 @@
 package engine_test
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -46,3 +47,44 @@
 		<-order
 	}
 }
+
+// Guards against a link of another account that is replaced although the account's own link is about to come back, and
+// against a wait for a link that does not. Load: two accounts, two links, dials of 200 ms.
+func TestWaitsForLinkExpectedBack(t *testing.T) {
+	c := newCluster()
+	dials := make(chan string, 10)
+	conns := engine.NewConnections(engine.ConnectionsConfig[*fakeLink]{
+		Endpoint: "a", Limit: 2, Permits: 2, Ordered: true,
+		Dial: func(ctx context.Context, key string) (*fakeLink, error) {
+			dials <- key
+			if err := engine.Sleep(ctx, 200*time.Millisecond); err != nil {
+				return nil, err
+			}
+			return c.dial(ctx, engine.Address{Endpoint: "a"}, key)
+		},
+	})
+	acquire := func(key string) *fakeLink {
+		r := request("orders", 2, time.Minute)
+		r.Key, r.Account = key, key
+		l, err := conns.Acquire(t.Context(), r)
+		if err != nil {
+			t.Error(err)
+		}
+		return l
+	}
+	conns.Release(acquire("other"))
+	conns.Release(acquire("own"))
+	held := acquire("own")
+	next := make(chan *fakeLink)
+	go func() { next <- acquire("own") }()
+	waitUntil(t, func() bool { return conns.Usage().Waiting() == 1 })
+	conns.Release(held)
+	if got := <-next; got != held || len(dials) != 2 {
+		t.Errorf("another link, after %d dials; want the link that came back, and no further dial", len(dials))
+	}
+	go func() { next <- acquire("own") }()
+	waitUntil(t, func() bool { return len(dials) == 3 })
+	if got := <-next; got == held {
+		t.Error("the link in use was granted twice")
+	}
+}
--- a/engine/fake_test.go
+++ b/engine/fake_test.go
@@ -88,6 +88,7 @@
 
 // fakeLink is a link to a member of a cluster.
 type fakeLink struct {
+	key        string
 	cluster    *cluster
 	member     *member
 	state      *engine.LinkState
@@ -101,7 +102,7 @@
 	unresponsive bool
 }
 
-func (c *cluster) dial(_ context.Context, a engine.Address, _ string) (*fakeLink, error) {
+func (c *cluster) dial(_ context.Context, a engine.Address, key string) (*fakeLink, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	m := c.members[a.Endpoint]
@@ -113,10 +114,10 @@
 		m.refusedDials++
 		return nil, engine.ErrEndpointAtLimit
 	}
-	return &fakeLink{cluster: c, member: m, state: engine.NewLinkState(), values: map[string]string{}, prepared: map[string]bool{}}, nil
+	return &fakeLink{key: key, cluster: c, member: m, state: engine.NewLinkState(), values: map[string]string{}, prepared: map[string]bool{}}, nil
 }
 
-func (l *fakeLink) Key() string                                        { return "" }
+func (l *fakeLink) Key() string                                        { return l.key }
 func (l *fakeLink) AnsweredAt() time.Time                              { return l.answeredAt }
 func (l *fakeLink) SetAnsweredAt(now time.Time)                        { l.answeredAt = now }
 func (l *fakeLink) Unresponsive() bool                                 { return l.unresponsive }
--- a/engine/queue.go
+++ b/engine/queue.go
@@ -76,6 +76,7 @@
 		return link, c.overloadedError(wait)
 	}
 	g := c.pool.Acquire(waitRequest)
+	c.scheduleWake()
 	c.mu.Unlock()
 	switch g.Action {
 	case pool.ActionRefuse:
@@ -126,12 +127,14 @@
 
 // endUse ends the use of a link and of its permit, updates the mean times, and returns the wakeups for the free permit.
 func (c *Connections[L]) endUse(now time.Time, conn L) []pool.Wakeup[L, *waiter[L]] {
-	u, held := c.inUse[conn]
-	if !held {
+	u, ok := c.inUse[conn]
+	if !ok {
 		return nil
 	}
 	delete(c.inUse, conn)
-	c.holdTime = updateMean(c.holdTime, now.Sub(u.since))
+	held := now.Sub(u.since)
+	c.holdTime = updateMean(c.holdTime, held)
+	updateCustomerMean(c.customerHoldTime, u.customer, held)
 	if u.permitSince.IsZero() {
 		return nil
 	}
@@ -157,13 +160,21 @@
 	wakeups := c.endPermit(clock.Now(), u)
 	u.permitSince, u.charged = time.Time{}, 0
 	c.inUse[conn] = u
-	deliver(wakeups)
+	c.deliver(wakeups)
 	c.mu.Unlock()
 }
 
-// maxCustomerTimes bounds the size of customerPermitTime, which is cleared at this size.
+// maxCustomerTimes bounds the size of the mean times by customer, which are cleared at this size.
 const maxCustomerTimes = 4096
 
+// updateCustomerMean adds a sample to the mean of a customer.
+func updateCustomerMean(means map[string]time.Duration, customer string, sample time.Duration) {
+	if len(means) >= maxCustomerTimes {
+		clear(means)
+	}
+	means[customer] = updateMean(means[customer], sample)
+}
+
 // charge replaces the expected permit time that an account was charged by the measured one, or 0 without a use.
 func (c *Connections[L]) charge(account string, expected, measured time.Duration) {
 	if c.queue != nil {
@@ -175,10 +186,7 @@
 func (c *Connections[L]) endPermit(now time.Time, u linkUse) []pool.Wakeup[L, *waiter[L]] {
 	elapsed := now.Sub(u.permitSince)
 	c.permitTime = updateMean(c.permitTime, elapsed)
-	if len(c.customerPermitTime) >= maxCustomerTimes {
-		clear(c.customerPermitTime)
-	}
-	c.customerPermitTime[u.customer] = updateMean(c.customerPermitTime[u.customer], elapsed)
+	updateCustomerMean(c.customerPermitTime, u.customer, elapsed)
 	c.charge(u.account, u.charged, elapsed)
 	return c.pool.ReleasePermit(now)
 }
@@ -287,7 +295,7 @@
 			wakeups = c.pool.Discard(now)
 		}
 		wakeups = append(wakeups, c.pool.ReleasePermit(now)...)
-		deliver(wakeups)
+		c.deliver(wakeups)
 		c.mu.Unlock()
 		c.retireLater(toClose)
 	default:
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -10,6 +10,8 @@
 	Permits int
 	// Queue is the wait queue; nil means a FairQueue.
 	Queue WaitQueue[W]
+	// Forecast, if set, lets waiters wait for a connection of their key that is expected back soon.
+	Forecast Forecast
 }
 
 // Pool holds connections of type C, within a limit, and waiters of type W; it is not safe for concurrent use.
@@ -19,6 +21,11 @@
 	idle    []idleConn[C]
 	queue   WaitQueue[W]
 	permits permits[W]
+	rates   keyRates
+	// forecast may be nil.
+	forecast Forecast
+	// deferred is the number of waiters of each key that wait for a connection in use, as of the last wake.
+	deferred map[string]int
 }
 
 // idleConn is an idle connection, and when it became idle.
@@ -33,7 +40,14 @@
 	if cfg.Queue == nil {
 		cfg.Queue = NewFairQueue[W]()
 	}
-	return &Pool[C, W]{limit: cfg.Limit, queue: cfg.Queue, permits: permits[W]{limit: cfg.Permits}}
+	return &Pool[C, W]{
+		limit:    cfg.Limit,
+		queue:    cfg.Queue,
+		permits:  permits[W]{limit: cfg.Permits},
+		rates:    keyRates{counts: map[string]decayedCount{}},
+		forecast: cfg.Forecast,
+		deferred: map[string]int{},
+	}
 }
 
 // Action is the kind of result of Acquire and ReacquirePermit.
@@ -86,7 +100,10 @@
 //
 // ReleasePermit releases the permit.
 func (p *Pool[C, W]) Acquire(req WaitRequest[W]) Grant[C] {
-	if p.queue.Len() == 0 && p.permits.free() {
+	p.rates.observe(req.Since, req.Key)
+	// Deferred waiters leave permits and connections that other requests can use.
+	unused := p.queue.Len() == 0 || len(p.deferred) > 0
+	if unused && p.permits.free() && p.servable(p.rates.now, req.Key) {
 		if g, ok := p.grant(req.Key); ok {
 			p.permits.inUse++
 			p.queue.Granted(req)
@@ -116,9 +133,10 @@
 		return Grant[C]{Action: ActionOpen}, true
 	}
 	if len(p.idle) > 0 {
-		oldest := p.idle[0]
-		p.idle = p.idle[1:]
-		return Grant[C]{Action: ActionOpen, Close: []C{oldest.conn}}, true
+		at := p.replaced()
+		replaced := p.idle[at]
+		p.idle = append(p.idle[:at], p.idle[at+1:]...)
+		return Grant[C]{Action: ActionOpen, Close: []C{replaced.conn}}, true
 	}
 	return Grant[C]{}, false
 }
@@ -149,10 +167,15 @@
 }
 
 // wake serves waiters while permits and connections are available.
+//
+// It takes only waiters from the queue that grant can serve: a connection is idle or
+// may be opened, and no other call changes that in between.
 func (p *Pool[C, W]) wake(now time.Time) []Wakeup[C, W] {
+	clear(p.deferred)
 	wakeups := p.wakeReacquiring()
 	for p.permits.free() && p.queue.Len() > 0 && (len(p.idle) > 0 || p.open < p.limit) {
-		req, ok := p.queue.PopIf(now, func(WaitRequest[W]) bool { return true })
+		clear(p.deferred)
+		req, ok := p.queue.PopIf(now, func(req WaitRequest[W]) bool { return p.servable(now, req.Key) })
 		if !ok {
 			break
 		}
--- a/pool/schedule.go
+++ b/pool/schedule.go
@@ -24,7 +24,7 @@
 // It simulates the queue in the order of service. When a request would start too
 // late, it evicts a request from those up to and including that request: the least
 // urgent; among equally urgent requests one of the account with the most service,
-// received beyond its share or planned; and within that account the longest (for a
+// received beyond its share or asked for; and within that account the longest (for a
 // single account, this is the Moore-Hodgson algorithm), so that as many requests as
 // possible are served in time. Waiters whose target has passed take no part in this;
 // they get the capacity that is left. When the queue is full, a waiter of the account
@@ -37,10 +37,11 @@
 	if len(q.waiters) > 0 && s.Now.Sub(q.evictedAt[sourceOf(req)]) < evictionBackoff {
 		return nil, true
 	}
-	p := plan[W]{next: s.Now.Add(s.NextPermit), accounts: map[string]*accountPlan[W]{}}
-	for _, r := range q.serviceOrder(q.inTime(s.Now, req), s.MeanServiceTime) {
-		r.service = r.cost / time.Duration(max(1, s.Permits))
-		for _, w := range p.add(r, q.shares) {
+	order := q.serviceOrder(q.inTime(s.Now, req), s.MeanServiceTime)
+	p := newPlan(s.Now.Add(s.NextPermit), order, q.shares)
+	for i := range order {
+		order[i].service = order[i].cost / time.Duration(max(1, s.Permits))
+		for _, w := range p.add(&order[i]) {
 			if w == req.Waiter {
 				refused = true
 				continue
@@ -49,7 +50,7 @@
 			q.recordEviction(s.Now, w)
 		}
 	}
-	if w, ok := q.makeRoom(&p, req, len(evicted)); ok && !refused {
+	if w, ok := q.makeRoom(p, req, len(evicted)); ok && !refused {
 		evicted = append(evicted, w)
 		q.recordEviction(s.Now, w)
 	}
@@ -105,27 +106,36 @@
 // accountPlan is the part of a plan for one account.
 type accountPlan[W comparable] struct {
 	account string
-	// use is the service that the account has received beyond its share, plus that of its planned requests.
+	// use is the service that the account has received beyond its share, plus that of its requests that are not evicted.
 	use      time.Duration
 	requests evictionHeap[W]
 }
 
+// newPlan returns an empty plan, which starts at next, for the accounts of requests.
+func newPlan[W comparable](next time.Time, requests []plannedRequest[W], shares *FairShares) *plan[W] {
+	p := &plan[W]{next: next, accounts: map[string]*accountPlan[W]{}}
+	for _, r := range requests {
+		own := p.accounts[r.req.Account]
+		if own == nil {
+			own = &accountPlan[W]{account: r.req.Account, use: shares.Excess(r.req.Account)}
+			p.accounts[r.req.Account] = own
+			p.order = append(p.order, own)
+		}
+		own.use += r.cost
+	}
+	return p
+}
+
 // add adds a request to the plan, and returns the waiters that are evicted so that the others start in time.
-func (p *plan[W]) add(r plannedRequest[W], shares *FairShares) (evicted []W) {
+func (p *plan[W]) add(r *plannedRequest[W]) (evicted []W) {
 	own := p.accounts[r.req.Account]
-	if own == nil {
-		own = &accountPlan[W]{account: r.req.Account, use: shares.Excess(r.req.Account)}
-		p.accounts[r.req.Account] = own
-		p.order = append(p.order, own)
-	}
-	own.use += r.cost
 	for p.next.After(r.req.Target) || p.next.After(r.req.Deadline) {
 		first := p.first()
 		if first == nil || !first.evictedBefore(own, r) {
 			own.use -= r.cost
 			return append(evicted, r.req.Waiter)
 		}
-		dropped := heap.Pop(&first.requests).(plannedRequest[W])
+		dropped := heap.Pop(&first.requests).(*plannedRequest[W])
 		first.use -= dropped.cost
 		p.next = p.next.Add(-dropped.service)
 		evicted = append(evicted, dropped.req.Waiter)
@@ -147,7 +157,7 @@
 }
 
 // evictedBefore reports whether the account's first request is evicted before r, a request of other.
-func (a *accountPlan[W]) evictedBefore(other *accountPlan[W], r plannedRequest[W]) bool {
+func (a *accountPlan[W]) evictedBefore(other *accountPlan[W], r *plannedRequest[W]) bool {
 	own := a.requests[0]
 	if own.req.Priority == r.req.Priority && a.use != other.use {
 		return a.use > other.use
@@ -181,7 +191,8 @@
 func (q *PriorityQueue[W]) serviceOrder(requests []WaitRequest[W], mean time.Duration) []plannedRequest[W] {
 	tags := map[string]time.Duration{}
 	order := make([]plannedRequest[W], 0, len(requests))
-	for _, r := range requests {
+	for i := range requests {
+		r := &requests[i]
 		tag, known := tags[r.Account]
 		if !known {
 			tag = q.shares.StartTag(r.Account)
@@ -198,7 +209,7 @@
 
 // plannedRequest is a request in a plan.
 type plannedRequest[W comparable] struct {
-	req WaitRequest[W]
+	req *WaitRequest[W]
 	// cost is the service time, and service that time divided by the number of permits.
 	cost    time.Duration
 	service time.Duration
@@ -207,7 +218,7 @@
 }
 
 // evictedBefore reports whether r is evicted before other, a request of the same account.
-func (r plannedRequest[W]) evictedBefore(other plannedRequest[W]) bool {
+func (r *plannedRequest[W]) evictedBefore(other *plannedRequest[W]) bool {
 	if r.req.Priority != other.req.Priority {
 		return r.req.Priority > other.req.Priority
 	}
@@ -215,7 +226,7 @@
 }
 
 // evictionHeap is a heap whose first element is the request to evict first.
-type evictionHeap[W comparable] []plannedRequest[W]
+type evictionHeap[W comparable] []*plannedRequest[W]
 
 func (h evictionHeap[W]) Len() int { return len(h) }
 
@@ -224,7 +235,7 @@
 func (h evictionHeap[W]) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
 
 // Push adds a request; heap.Push calls it.
-func (h *evictionHeap[W]) Push(x any) { *h = append(*h, x.(plannedRequest[W])) }
+func (h *evictionHeap[W]) Push(x any) { *h = append(*h, x.(*plannedRequest[W])) }
 
 // Pop removes and returns the last request; heap.Pop calls it.
 func (h *evictionHeap[W]) Pop() any {
