--- a/pool/doc.go
+++ b/pool/doc.go
@@ -3,7 +3,7 @@
 // A Pool holds connections of any type within a limit that may change while they
 // are in use. Requests that get no connection wait in a queue: a FairQueue serves
 // customers round robin and is bounded per customer; a PriorityQueue serves by
-// priority and target. Both drop waiters whose deadline has passed. A Pool can also
+// priority, recent service of the client account (FairShares), and target. Both drop waiters whose deadline has passed. A Pool can also
 // limit how many of its connections run a request at once: a running request holds
 // a permit. Shares divide an endpoint's connection limit between instances.
 //
--- a/pool/fair_load_test.go
+++ b/pool/fair_load_test.go
@@ -106,8 +106,8 @@
 	m.requests = append(m.requests, r)
 	target := r.at.Add(fairObjective)
 	req := pool.WaitRequest[int]{
-		Customer: "orders", Account: m.key(r), Key: m.key(r), Waiter: i, Priority: r.priority, Since: m.now, ServiceTime: r.demand.service,
-		Target: target.Add(-r.demand.service), Deadline: pool.LatestStart(m.now, target, target, r.demand.service),
+		Customer: "orders", Account: m.key(r), Key: m.key(r), Waiter: i, Priority: r.priority, Since: m.now,
+		ServiceTime: r.demand.service, Target: target.Add(-r.demand.service), Deadline: pool.LatestStart(m.now, target, target, r.demand.service),
 	}
 	if m.pool.Waiting() > 0 || !m.pool.HasFreePermit() {
 		mean := m.demands[0].service
