--- a/engine/dial_backoff.go
+++ b/engine/dial_backoff.go
@@ -68,7 +68,7 @@
 	}
 	// The limit stays above 0, so that the first link is dialed again.
 	wakeups, toClose := c.pool.SetLimit(clock.Now(), max(1, c.pool.Open()))
-	deliver(wakeups)
+	c.deliver(wakeups)
 	c.mu.Unlock()
 	c.retireLater(toClose)
 	return ctx.Err() == nil && clock.Now().Before(r.Deadline)
@@ -83,15 +83,16 @@
 	c.SetLimit(limit)
 }
 
-// dialFailed removes a link that could not be opened from the pool's count, and releases the permit if it is held.
-func (c *Connections[L]) dialFailed(permit bool) {
+// dialFailed removes a link that could not be opened for r from the pool's count, and releases the permit if it is held.
+func (c *Connections[L]) dialFailed(r AcquireRequest, permit bool) {
 	c.mu.Lock()
 	now := clock.Now()
+	c.charge(r.Account, r.Service, 0)
 	wakeups := c.pool.Discard(now)
 	if permit {
 		wakeups = append(wakeups, c.pool.ReleasePermit(now)...)
 	}
-	deliver(wakeups)
+	c.deliver(wakeups)
 	c.mu.Unlock()
 }
 
@@ -115,9 +116,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
+	dialedAt := clock.Now()
 	link, err = c.dial(ctx, r.Key)
 	if err == nil {
 		c.mu.Lock()
+		c.dialTime = updateMean(c.dialTime, clock.Since(dialedAt))
 		c.backoff = dialBackoff{}
 		c.mu.Unlock()
 	}
@@ -130,7 +133,7 @@
 func (c *Connections[L]) awaitDial(ctx context.Context, pause time.Duration, deadline time.Time) (permit bool, err error) {
 	c.mu.Lock()
 	wakeups := c.pool.ReleasePermit(clock.Now())
-	deliver(wakeups)
+	c.deliver(wakeups)
 	c.mu.Unlock()
 	if err := Sleep(ctx, pause); err != nil {
 		return false, err
--- a/engine/queue.go
+++ b/engine/queue.go
@@ -17,6 +17,9 @@
 	// permitSince is when the link acquired its permit, or zero while it holds none.
 	permitSince time.Time
 	customer    string
+	account     string
+	// charged is the part of the permit time for which the account has already been charged.
+	charged time.Duration
 }
 
 // meanDecay is the weight of the previous value in the moving averages of hold and permit times.
@@ -24,17 +27,15 @@
 
 // waiter is a request that waits for a connection or a permit; grant has room for its only grant.
 type waiter[L Link[L]] struct {
-	key   string
 	grant chan pool.Grant[L]
 }
 
-// Key returns the pool key of the connection that the waiter needs.
-func (w *waiter[L]) Key() string { return w.key }
-
 // AcquireRequest describes a request for a connection and how long it may wait.
 type AcquireRequest struct {
-	Customer   string
-	Key        string
+	Customer string
+	Key      string
+	// Account is the client account whose share of the endpoint the request uses, or empty where there are none.
+	Account    string
 	QueueLimit int
 	Deadline   time.Time
 	// MaxIdle is how long a link may have been idle to be used without a status request first.
@@ -49,7 +50,7 @@
 
 // acquire returns a connection at once, waits for one, or refuses the request if it could not start in time.
 func (c *Connections[L]) acquire(ctx context.Context, r AcquireRequest) (link L, err error) {
-	w := &waiter[L]{key: r.Key, grant: make(chan pool.Grant[L], 1)}
+	w := &waiter[L]{grant: make(chan pool.Grant[L], 1)}
 	now := clock.Now()
 	c.mu.Lock()
 	if mean := c.customerPermitTime[r.Customer]; mean > 0 {
@@ -61,6 +62,7 @@
 	waitRequest := pool.WaitRequest[*waiter[L]]{
 		Customer:    r.Customer,
 		Key:         r.Key,
+		Account:     r.Account,
 		Waiter:      w,
 		QueueLimit:  r.QueueLimit,
 		Deadline:    r.Deadline,
@@ -74,6 +76,7 @@
 		return link, c.overloadedError(wait)
 	}
 	g := c.pool.Acquire(waitRequest)
+	c.scheduleWake()
 	c.mu.Unlock()
 	switch g.Action {
 	case pool.ActionRefuse:
@@ -125,12 +128,14 @@
 
 // endUse ends the use of a link and of its permit, updates the mean times, and returns the wakeups for the free permit.
 func (c *Connections[L]) endUse(now time.Time, conn L) []pool.Wakeup[L, *waiter[L]] {
-	u, held := c.inUse[conn]
-	if !held {
+	u, ok := c.inUse[conn]
+	if !ok {
 		return nil
 	}
 	delete(c.inUse, conn)
-	c.holdTime = updateMean(c.holdTime, now.Sub(u.since))
+	held := now.Sub(u.since)
+	c.holdTime = updateMean(c.holdTime, held)
+	updateCustomerMean(c.customerHoldTime, u.customer, held)
 	if u.permitSince.IsZero() {
 		return nil
 	}
@@ -154,24 +159,36 @@
 		return
 	}
 	ended := u
-	u.permitSince = time.Time{}
+	u.permitSince, u.charged = time.Time{}, 0
 	c.inUse[conn] = u
-	wakeups := c.endPermit(clock.Now(), ended)
-	deliver(wakeups)
+	c.deliver(c.endPermit(clock.Now(), ended))
 	c.mu.Unlock()
 }
 
-// maxCustomerTimes bounds the size of customerPermitTime, which is cleared at this size.
+// maxCustomerTimes bounds the size of the mean times by customer, which are cleared at this size.
 const maxCustomerTimes = 4096
 
-// endPermit releases a permit and updates the mean permit times.
+// updateCustomerMean adds a sample to the mean of a customer.
+func updateCustomerMean(means map[string]time.Duration, customer string, sample time.Duration) {
+	if len(means) >= maxCustomerTimes {
+		clear(means)
+	}
+	means[customer] = updateMean(means[customer], sample)
+}
+
+// charge replaces the expected permit time that an account was charged by the measured one, or 0 without a use.
+func (c *Connections[L]) charge(account string, expected, measured time.Duration) {
+	if c.queue != nil {
+		c.queue.Shares().Finish(account, expected, measured)
+	}
+}
+
+// endPermit releases a permit, updates the mean permit times, and charges the account for the permit time.
 func (c *Connections[L]) endPermit(now time.Time, u linkUse) []pool.Wakeup[L, *waiter[L]] {
 	elapsed := now.Sub(u.permitSince)
 	c.permitTime = updateMean(c.permitTime, elapsed)
-	if len(c.customerPermitTime) >= maxCustomerTimes {
-		clear(c.customerPermitTime)
-	}
-	c.customerPermitTime[u.customer] = updateMean(c.customerPermitTime[u.customer], elapsed)
+	updateCustomerMean(c.customerPermitTime, u.customer, elapsed)
+	c.charge(u.account, u.charged, elapsed)
 	var wakeups []pool.Wakeup[L, *waiter[L]]
 	if c.paced.limit > 0 && u.permitSince.Before(c.paced.since) {
 		wakeups = c.applyPaced(now)
@@ -218,7 +235,7 @@
 	queued := c.pool.Cancel("", w)
 	c.mu.Unlock()
 	if !queued {
-		c.returnGrant(w)
+		c.returnGrant(w, AcquireRequest{})
 	}
 	return false
 }
@@ -240,7 +257,7 @@
 	queued := c.pool.Cancel(r.Customer, w)
 	c.mu.Unlock()
 	if !queued {
-		c.returnGrant(w)
+		c.returnGrant(w, r)
 	}
 	return link, c.timeoutError()
 }
@@ -262,8 +279,8 @@
 	})
 }
 
-// returnGrant returns a grant that was delivered just as its waiter timed out or was canceled.
-func (c *Connections[L]) returnGrant(w *waiter[L]) {
+// returnGrant returns a grant for r that was delivered just as its waiter timed out or was canceled.
+func (c *Connections[L]) returnGrant(w *waiter[L], r AcquireRequest) {
 	select {
 	case g := <-w.grant:
 		if g.Action == pool.ActionRefuse {
@@ -276,12 +293,14 @@
 		var toClose []L
 		switch g.Action {
 		case pool.ActionUse:
+			c.charge(r.Account, r.Service, 0)
 			wakeups, toClose = c.pool.Release(now, g.Conn, g.Conn.Key())
 		case pool.ActionOpen:
+			c.charge(r.Account, r.Service, 0)
 			wakeups = c.pool.Discard(now)
 		}
 		wakeups = append(wakeups, c.pool.ReleasePermit(now)...)
-		deliver(wakeups)
+		c.deliver(wakeups)
 		c.mu.Unlock()
 		c.retireLater(toClose)
 	default:
--- a/engine/session.go
+++ b/engine/session.go
@@ -250,6 +250,7 @@
 		AcquireRequest: AcquireRequest{
 			Customer:   c.Customer(),
 			Key:        s.cfg.Account,
+			Account:    s.cfg.Account,
 			QueueLimit: c.Limits().QueueLength(),
 			Deadline:   target,
 			MaxIdle:    noIdleCheck,
