--- a/fleet/config.go
+++ b/fleet/config.go
@@ -87,6 +87,9 @@
 	// linkIdleTimeout is how long a link may be unused: longer than the pauses between bursts, and shorter than the time for
 	// which an endpoint counts the links of a process that has stopped.
 	linkIdleTimeout = 2 * time.Second
+	// accountLinkIdleTimeout is that time where links belong to client accounts: a small account sends some requests a minute
+	// to each member, and a new link takes a slot of the endpoint for the time of a short request.
+	accountLinkIdleTimeout = 20 * time.Second
 	// promotionTime is the time from a promotion order until all instances know the new primary: the platform's 600 ms and
 	// two probes.
 	promotionTime = 800 * time.Millisecond
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -294,7 +294,7 @@
 		Limit:              m.share(name),
 		Sharers:            m.sharers(name),
 		Quarantine:         quarantine,
-		MaxLinkIdle:        linkIdleTimeout,
+		MaxLinkIdle:        m.linkIdle(),
 		Ordered:            true,
 		Outage:             estimatedOutage,
 		PromotionTime:      promotionTime,
@@ -310,6 +310,14 @@
 	return w
 }
 
+// linkIdle returns how long a link may be unused.
+func (m *members[L]) linkIdle() time.Duration {
+	if m.instance.directory.HasAccounts() {
+		return accountLinkIdleTimeout
+	}
+	return linkIdleTimeout
+}
+
 // all returns the watched groups.
 func (m *members[L]) all() []*engine.Group[L] {
 	m.mu.Lock()
--- a/fleet/quotas.go
+++ b/fleet/quotas.go
@@ -16,9 +16,10 @@
 const (
 	// quotaTick is the interval at which shares and shortages are updated.
 	quotaTick = 200 * time.Millisecond
-	// maxShareAge is the age of the proof of the keys from which this instance refills nothing: an instance that is cut off
-	// may believe that it holds the shares of others, which they refill too.
-	maxShareAge = 2500 * time.Millisecond
+	// maxShareAgeRatio is the fraction of the bound on the age of the proof of the keys from which this instance refills
+	// nothing: an instance that is cut off may believe that it holds the shares of others, which they refill too. Others
+	// detect its absence and take over its shares only after a part of that time.
+	maxShareAgeRatio = 0.75
 	// admissionPause is the wait of an operation without a token before it tries again: a call to another instance.
 	admissionPause = 5 * time.Millisecond
 	// maxAdmissionWaiters is the most operations of an account that wait for a token here; the others are refused at once.
@@ -80,7 +81,7 @@
 	}
 	q.applyLimits(now)
 	bound := i.freshness.Bound()
-	fresh := bound == 0 || i.freshness.Age(now) < min(bound, maxShareAge)
+	fresh := bound == 0 || i.freshness.Age(now) < time.Duration(maxShareAgeRatio*float64(bound))
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.ledger.SetShares(now, func(account string) float64 {
