--- a/experiment/fleet_network.go
+++ b/experiment/fleet_network.go
@@ -98,3 +98,6 @@
 func (fleetBackend) Evidence([]string) peer.LeaseEvidence        { return peer.LeaseEvidence{} }
 func (fleetBackend) Revoke(string, uint64)                       {}
 func (fleetBackend) PeerChanged()                                {}
+
+// LendTokens lends no quota tokens.
+func (fleetBackend) LendTokens(map[string]float64) map[string]float64 { return nil }
--- a/fleet/backend.go
+++ b/fleet/backend.go
@@ -74,3 +74,6 @@
 
 // Loans returns no loans.
 func (b *backend[L]) Loans(string) []peer.Loan { return nil }
+
+// LendTokens returns nothing, since this instance holds no quota tokens.
+func (b *backend[L]) LendTokens(map[string]float64) map[string]float64 { return nil }
--- a/instance/balancer.go
+++ b/instance/balancer.go
@@ -180,6 +180,9 @@
 // Evidence returns no evidence: each instance probes the endpoints itself.
 func (b *backend) Evidence([]string) peer.LeaseEvidence { return peer.LeaseEvidence{} }
 
+// LendTokens returns nothing, since this instance holds no quota tokens.
+func (b *backend) LendTokens(map[string]float64) map[string]float64 { return nil }
+
 // Revoke does nothing: a promotion waits until the leases have ended.
 func (b *backend) Revoke(string, uint64) {}
 
--- a/peer/doc.go
+++ b/peer/doc.go
@@ -5,5 +5,5 @@
 // configuration is current, and the connections that the sender has borrowed from
 // the receiver.
 // A Node also makes and serves the other calls between instances: views of a
-// primary, cancel requests, loans, lease evidence, lease revocations and explanations.
+// primary, cancel requests, loans of connections and quota tokens, lease evidence, lease revocations and explanations.
 package peer
--- a/peer/exchange_test.go
+++ b/peer/exchange_test.go
@@ -34,6 +34,9 @@
 func (emptyBackend) Revoke(string, uint64)                       {}
 func (emptyBackend) PeerChanged()                                {}
 
+// LendTokens lends no quota tokens.
+func (emptyBackend) LendTokens(map[string]float64) map[string]float64 { return nil }
+
 // startNode runs a node with the given seeds, which exchanges every 5 ms, until the test ends.
 func startNode(t *testing.T, name string, seeds ...string) *peer.Node {
 	t.Helper()
@@ -42,6 +45,17 @@
 
 // startNodeWithInterval runs a node with the given interval of exchanges and seeds until the test ends.
 func startNodeWithInterval(t *testing.T, name string, interval time.Duration, seeds ...string) *peer.Node {
+	t.Helper()
+	return startNodeWith(t, name, interval, emptyBackend{}, seeds...)
+}
+
+// startNodeWithBackend runs a node with the given backend until the test ends.
+func startNodeWithBackend(t *testing.T, name string, b peer.Backend) *peer.Node {
+	t.Helper()
+	return startNodeWith(t, name, 5*time.Millisecond, b)
+}
+
+func startNodeWith(t *testing.T, name string, interval time.Duration, b peer.Backend, seeds ...string) *peer.Node {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -50,7 +64,7 @@
 	n := peer.NewNode(peer.Config{
 		Self:     membership.NewIdentity(membership.IdentityConfig{Name: name, Incarnation: 1, PeerAddress: l.Addr().String()}),
 		Listener: l, Client: peer.NewClient(nil), Server: peer.NewServer(nil), Seeds: seeds, Interval: interval,
-		Backend: emptyBackend{}, Events: event.NewLog(event.LogConfig{}),
+		Backend: b, Events: event.NewLog(event.LogConfig{}),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
--- a/peer/node.go
+++ b/peer/node.go
@@ -36,6 +36,8 @@
 	Cancel(ctx context.Context, pid uint32, secret []byte) bool
 	// Lend lends the reporting incarnation of a peer connections to an endpoint and returns the number granted.
 	Lend(endpoint string, report pool.LoanReport) int
+	// LendTokens deducts quota tokens that a peer lacks, by account, and returns the amounts given up.
+	LendTokens(amounts map[string]float64) map[string]float64
 	// ApplyReport applies a peer's report of the connections that it has borrowed from this instance.
 	ApplyReport(endpoint string, report pool.LoanReport)
 	// Loans returns the connections that this incarnation of the instance has borrowed from a peer.
--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -174,7 +174,8 @@
 // The tokens of operations that took longer than returnTime, and borrowed ones, may be lost.
 func (b *Bucket) Return(now time.Time) {
 	b.advance(now)
-	b.owned += b.taken.remove(1)
+	returned := b.taken.remove(1)
+	b.owned += min(returned, max(0, b.room()))
 }
 
 // Lend deducts up to want tokens that this bucket's own demand does not need, and returns how many.
@@ -214,7 +215,7 @@
 	if held >= need {
 		return 0
 	}
-	return min(need-held, max(b.room(), 1-held, b.soonSpent()-b.borrowed.total()))
+	return min(need-held, max(0, b.room(), 1-held, b.soonSpent()-b.borrowed.total()))
 }
 
 // soonSpent returns how many borrowed tokens the demand almost certainly uses up before they expire.
