--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -9,7 +9,7 @@
 	// LoanTimeout is the longest time between a lender's deduction and the borrower's Receive. Answers that arrive later must
 	// be dropped. Instances answer within some 10 ms; 250 ms covers two pauses of a throttled process.
 	LoanTimeout = 250 * time.Millisecond
-	// minLife and maxLife bound the time after which borrowed tokens that exceed the borrower's own capacity expire: one
+	// minLife and maxLife bound the time after which borrowed tokens must fit into the borrower's own capacity: one
 	// round of borrowing, and some rounds, since tokens that wait longer are better kept by the lender.
 	minLife = 50 * time.Millisecond
 	maxLife = 250 * time.Millisecond
@@ -46,7 +46,7 @@
 	owned float64
 	lent  recent
 	taken recent
-	// borrowed are the tokens received beyond the capacity, which expire unless room for them appears.
+	// borrowed are the tokens received, which become owned after their time as far as there is room for them.
 	borrowed recent
 	demand   demand
 }
@@ -129,10 +129,8 @@
 	age := now.Sub(b.created)
 	b.lent.advance(age)
 	b.taken.advance(age)
-	b.borrowed.advance(age)
 	b.demand.advance(now)
-	b.owned += b.borrowed.remove(max(0, b.room()))
-	b.owned += max(0, min(b.refill*elapsed.Seconds(), b.room()))
+	b.owned += max(0, min(b.borrowed.advance(age)+b.refill*elapsed.Seconds(), b.room()))
 }
 
 // room returns how many tokens fit into the capacity; it is negative after a reduction.
@@ -197,10 +195,7 @@
 // Receive adds tokens that another bucket has lent no longer than LoanTimeout ago.
 func (b *Bucket) Receive(now time.Time, tokens float64) {
 	b.advance(now)
-	tokens = sanitize(tokens)
-	own := min(tokens, max(0, b.room()))
-	b.owned += own
-	b.borrowed.add(tokens - own)
+	b.borrowed.add(sanitize(tokens))
 }
 
 // Shortage returns the number of tokens worth borrowing now, from recent demand.
@@ -215,7 +210,7 @@
 	if held >= need {
 		return 0
 	}
-	return min(need-held, max(0, b.room(), 1-held, b.soonSpent()-b.borrowed.total()))
+	return min(need-held, max(0, 1-held, max(b.room(), b.soonSpent())-b.borrowed.total()))
 }
 
 // soonSpent returns how many borrowed tokens the demand almost certainly uses up before they expire.
--- a/quota/demand.go
+++ b/quota/demand.go
@@ -9,8 +9,9 @@
 	// horizon is the time for which a bucket provides: a call to a lender, and the 100 ms in which a lender without tokens is
 	// not asked again.
 	horizon = 250 * time.Millisecond
-	// deviations is the margin of the need, in standard deviations of the Poisson arrivals within the horizon.
-	deviations = 2
+	// deviations is the margin of the need, in standard deviations of the Poisson arrivals within the horizon. Tokens
+	// that a bucket holds beyond its use are missing at the others.
+	deviations = 1
 	// demandTime is the time constant of the mean demand. With 1 s, two operations of a small account in a row would count as
 	// a high rate, and the bucket would borrow tokens that expire.
 	demandTime = 3 * time.Second
--- a/quota/limits.go
+++ b/quota/limits.go
@@ -30,14 +30,14 @@
 
 const (
 	// reserve is the fraction of the slack that no bucket gets. It covers what the shares do not describe: allowances of
-	// restarted buckets (startAllowance, up to 3 restarts of the whole fleet in a window), shares that two instances hold
+	// restarted buckets (startAllowance, up to 4 restarts of the whole fleet in a window), shares that two instances hold
 	// until their views agree (about 2 s), and operations that wait between Take and the endpoint.
-	reserve = 0.3
-	// startAllowance is the fraction of the slack, times its share, that a fresh bucket holds: a third of the reserve.
-	startAllowance = 0.1
-	// capacityOverage is the fraction of the overage that is kept as capacity at least. The rest of it raises the refill, to
-	// make up for tokens that are lost with an answer or expire.
-	capacityOverage = 0.5
+	reserve = 0.2
+	// startAllowance is the fraction of the slack, times its share, that a fresh bucket holds: a quarter of the reserve.
+	startAllowance = 0.05
+	// refillOverage is the fraction of the overage that raises the refill, to make up for tokens that are lost with an answer
+	// or expire; the rest of it is capacity.
+	refillOverage = 0.25
 	// maxLimit bounds limits, so that sums of them remain finite.
 	maxLimit = 1e12
 )
@@ -56,13 +56,11 @@
 
 // divide returns the refill in tokens per second and the capacity in tokens of all buckets of an account together.
 //
-// capacity + refill x window is the bound less the reserve. The capacity holds at least a whole burst; the refill is the
-// limit of a window spread over the window as far as that leaves room for the capacity, and at least the rate.
+// capacity + refill x window is the bound less the reserve. The refill spreads the limit of a window, rate and burst, over
+// the window: an account above its limit would otherwise be refused operations while its windows are below it.
 func (t Tolerance) divide(l Limits) (refill, capacity float64) {
-	l = l.sanitized()
-	limit := t.limit(l)
-	window := max(l.Burst, t.Overage*capacityOverage*limit)
-	capacity = window + t.Slack*(1-reserve)
-	refill = (limit*(1+t.Overage) - window) / t.Window.Seconds()
+	limit := t.limit(l.sanitized())
+	refill = limit * (1 + t.Overage*refillOverage) / t.Window.Seconds()
+	capacity = limit*t.Overage*(1-refillOverage) + t.Slack*(1-reserve)
 	return refill, capacity
 }
--- a/quota/recent.go
+++ b/quota/recent.go
@@ -24,17 +24,16 @@
 	r.add(sum)
 }
 
-// advance drops the amounts whose time is over when elapsed has passed since the first slot began.
-func (r *recent) advance(elapsed time.Duration) {
+// advance drops the amounts whose time is over when elapsed has passed since the first slot began, and returns their sum.
+func (r *recent) advance(elapsed time.Duration) float64 {
 	index := int64(elapsed / r.length)
-	if index-r.index >= slots {
-		r.amounts = [slots]float64{}
-		r.index = index
-	}
-	for r.index < index {
-		r.index++
-		r.amounts[r.index%slots] = 0
+	dropped := 0.0
+	for k := max(r.index+1, index-slots+1); k <= index; k++ {
+		dropped += r.amounts[k%slots]
+		r.amounts[k%slots] = 0
 	}
+	r.index = max(r.index, index)
+	return dropped
 }
 
 // total returns the sum of the amounts kept.
