soak: client accounts with keys, faults of accounts and their checks

In half of the seeds callers use keys of a few accounts. Keys are removed and moved, limits are lowered and accounts become hot. A run fails if a request reaches a member under another account, runs with a removed key after the bound, or exceeds the limit of its account.

--- a/cmd/monsoonsoak/main.go
+++ b/cmd/monsoonsoak/main.go
@@ -25,6 +25,7 @@
 	Instances     int           `long:"instances" default:"4" description:"processes of the program for each seed"`
 	Clients       int           `long:"clients" default:"24" description:"callers for each seed"`
 	Connections   int           `long:"connections" default:"40" description:"connections that each endpoint takes; few make instances pass sessions on"`
+	Accounts      int           `long:"accounts" default:"-1" description:"accounts whose keys callers use, 0 for none; by default none or a few, drawn from the seed"`
 	PowerLosses   int           `long:"power-losses" description:"times that all instances lose power, besides the other faults, while the endpoints keep their connections"`
 	Severances    int           `long:"severances" description:"times that open connections to the endpoints, the store and the promoter go silent for good, besides the other faults"`
 	StoreRestores int           `long:"store-restores" description:"times that the store returns from an older copy, besides the other faults"`
@@ -74,6 +75,14 @@
 	return passed
 }
 
+// accounts returns the number of accounts for a seed.
+func (o options) accounts(seed uint64) int {
+	if o.Accounts < 0 {
+		return soak.DrawAccounts(seed)
+	}
+	return o.Accounts
+}
+
 // networkCount is the number of loopback networks; concurrent runs use different ones.
 const networkCount = 90
 
@@ -91,7 +100,7 @@
 	}
 	defer faults.Close()
 	report, err := soak.Run(ctx, soak.Config{
-		Seed: seed, Length: o.Length, Instances: o.Instances, Clients: o.Clients, Connections: o.Connections, PowerLosses: o.PowerLosses, Severances: o.Severances, StoreRestores: o.StoreRestores, Case: o.Case,
+		Seed: seed, Length: o.Length, Instances: o.Instances, Clients: o.Clients, Connections: o.Connections, Accounts: o.accounts(seed), PowerLosses: o.PowerLosses, Severances: o.Severances, StoreRestores: o.StoreRestores, Case: o.Case,
 		Network: 1 + int(seed%networkCount), Binary: o.Binary, Directory: directory, Output: io.Writer(faults),
 	})
 	if err != nil {
@@ -99,6 +108,9 @@
 		return false
 	}
 	fmt.Printf("seed %d: %d statements ran, %d writes acknowledged, %d violations\n", seed, report.Runs(), report.Acked(), len(report.Violations()))
+	if all, belowLimit := report.QuotaRefusals(); all > 0 {
+		fmt.Printf("   %d requests refused because of a quota, %d of them in calm time below the rate\n", all, belowLimit)
+	}
 	for _, v := range report.Violations() {
 		fmt.Println("  ", v)
 	}
--- a/soak/client.go
+++ b/soak/client.go
@@ -35,6 +35,7 @@
 	database    platformtest.Database
 	lastID      int
 	servedCount int
+	accounts    *accounts
 	session     *platformtest.Caller
 	values      map[string]string
 	prepared    map[string]string
@@ -42,10 +43,10 @@
 	lastWrite string
 }
 
-// NewClient returns a caller that connects each session to a random one of the addresses.
-func NewClient(number int, seed uint64, oracle *Oracle, addresses []string) *Client {
+// newClient returns a caller that connects each session to a random one of the addresses, with a key if there are accounts.
+func newClient(number int, seed uint64, oracle *Oracle, addresses []string, a *accounts) *Client {
 	return &Client{
-		number: number, oracle: oracle, addresses: addresses, database: databases[number%len(databases)],
+		number: number, oracle: oracle, addresses: addresses, accounts: a, database: databases[number%len(databases)],
 		random: rand.New(rand.NewPCG(seed, uint64(number))),
 	}
 }
@@ -64,7 +65,7 @@
 			c.closeSession()
 			continue
 		}
-		pause(ctx, time.Duration(c.random.Int64N(int64(maxClientPause))))
+		pause(ctx, time.Duration(c.random.Int64N(int64(c.accounts.maxPause(c.number)))))
 	}
 	if c.session != nil {
 		c.closeSession()
@@ -89,7 +90,9 @@
 // AwaitDatabase connects to a database until one connection is accepted or ctx ends, and reports whether one was.
 func (c *Client) AwaitDatabase(ctx context.Context, name string) bool {
 	for ctx.Err() == nil {
-		session, err := platformtest.Dial(ctx, platformtest.CallerConfig{Address: c.addresses[0], Database: name, Timeout: answerTimeout})
+		session, err := platformtest.Dial(ctx, platformtest.CallerConfig{
+			Address: c.addresses[0], Database: name, Key: c.accounts.key(c.number, c.random), Timeout: answerTimeout,
+		})
 		if err == nil {
 			session.Close()
 			return true
@@ -109,6 +112,7 @@
 func (c *Client) connect(ctx context.Context) bool {
 	session, err := platformtest.Dial(ctx, platformtest.CallerConfig{
 		Address: c.addresses[c.random.IntN(len(c.addresses))], Database: c.database.Name, Timeout: answerTimeout,
+		Key: c.accounts.key(c.number, c.random), Accounts: c.accounts.oracleOrNil(),
 	})
 	if err != nil {
 		return false
--- a/soak/doc.go
+++ b/soak/doc.go
@@ -4,5 +4,6 @@
 // The platform and the database groups are the fakes of platformtest. A seed determines a schedule of overlapping
 // faults: a proxy delays or resets connections, or holds back their bytes in one or both directions; signals terminate,
 // kill, pause and restart processes; endpoints crash, lag or leave; the store is down, loses answers or compacts its
-// history; the store's clock jumps.
+// history; the store's clock jumps. A run may have client accounts: keys are then removed and moved, limits are lowered, and
+// accounts become hot.
 package soak
--- a/soak/fixture.go
+++ b/soak/fixture.go
@@ -19,7 +19,10 @@
 
 // fixture holds the fake platform, the fake endpoints and the instances of one run.
 type fixture struct {
-	cfg       Config
+	cfg Config
+	// accounts is nil in a run without accounts.
+	accounts  *accounts
+	operator  *platformtest.Operator
 	store     *platformtest.StoreServer
 	group     *platformtest.Group
 	members   []*platformtest.Member
@@ -29,11 +32,11 @@
 	storeProxies    []*Proxy
 	promoterProxies []*Proxy
 	endpointProxies []*Proxy
-	// mu guards the fields below, which concurrent faults change: the newest version of the configuration, the rows that the
-	// operator and the members wrote last, and the copies of the store.
+	// mu guards the fields below, which concurrent faults change: the rows that the operator and the members wrote last, the
+	// accounts in the store's configuration, and the copies of the store.
 	mu      sync.Mutex
-	version int
 	written map[rowKey][]byte
+	tenants []platformtest.Tenant
 	copies  []storeCopy
 	done    []chan error
 }
@@ -56,7 +59,8 @@
 
 // newFixture starts the fake platform and the endpoints, and writes the instances' settings without starting them.
 func newFixture(ctx context.Context, cfg Config, oracle *Oracle) (*fixture, error) {
-	f := &fixture{cfg: cfg, written: map[rowKey][]byte{}}
+	f := &fixture{cfg: cfg, accounts: newAccounts(cfg), written: map[rowKey][]byte{}}
+	f.operator = f.newOperator()
 	var err error
 	if f.store, err = platformtest.NewStoreServer(); err != nil {
 		return nil, err
@@ -68,7 +72,12 @@
 	}
 	f.group.SetConnectionLimit(cfg.Connections)
 	f.members = f.group.Members()
-	f.group.Observe(oracle.RecordRun)
+	f.group.Observe(func(e platformtest.Execution) {
+		oracle.RecordRun(e)
+		if f.accounts != nil {
+			f.accounts.oracle.RecordRun(e)
+		}
+	})
 	promoter, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -141,6 +150,7 @@
 	p, err := NewProcess(ProcessConfig{
 		Name: name, Host: f.host(i), DataCentre: fmt.Sprintf("z%d", i%3), Binary: f.cfg.Binary,
 		Directory: filepath.Clean(f.cfg.Directory), Seeds: seeds, Store: store.Address(), Promoter: promotions.Address(),
+		Accounts: f.accountBounds(),
 	})
 	if err != nil {
 		return err
@@ -158,14 +168,34 @@
 
 // writeConfiguration writes the next version of the configuration, with a database that no caller uses.
 func (f *fixture) writeConfiguration() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.version += 3
-	all := append([]platformtest.Database{{Name: extraDatabase(f.version), Kind: platformtest.KindPrimary}}, databases...)
-	f.putLocked(platform.TableConfiguration, platform.KeyConfiguration, platformtest.Configuration{
-		Version: f.version, Group: groupName, Connections: f.cfg.Connections, Databases: all,
-		Timeout: requestTimeout, TargetLatency: targetLatency, MaxStaleness: maxStaleness, TransactionIdle: transactionIdle,
-	}.Text())
+	f.operator.Update(func(*platformtest.Configuration) {})
+}
+
+// newOperator returns the operator, which writes each version to the store with a database that no other version has.
+func (f *fixture) newOperator() *platformtest.Operator {
+	return platformtest.NewOperator(platformtest.OperatorConfig{
+		VersionStep: 3, Accounts: f.accounts.oracleOrNil(),
+		Configuration: platformtest.Configuration{
+			Group: groupName, Connections: f.cfg.Connections, Tenants: f.accounts.tenants(),
+			Timeout: requestTimeout, TargetLatency: targetLatency, MaxStaleness: maxStaleness, TransactionIdle: transactionIdle,
+		},
+		Write: func(c platformtest.Configuration) {
+			extra := platformtest.Database{Name: extraDatabase(c.Version), Kind: platformtest.KindPrimary}
+			c.Databases = append([]platformtest.Database{extra}, databases...)
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.putLocked(platform.TableConfiguration, platform.KeyConfiguration, c.Text())
+			f.tenants = c.Tenants
+		},
+	})
+}
+
+// accountBounds returns the bounds in the instances' settings, which have none in a run without accounts.
+func (f *fixture) accountBounds() (b platformtest.AccountBounds) {
+	if f.accounts != nil {
+		b = f.accounts.bounds
+	}
+	return b
 }
 
 // extraDatabase returns the name of the database that only one version of the configuration has.
@@ -173,9 +203,7 @@
 
 // newestExtraDatabase returns the name of the database that only the newest version has.
 func (f *fixture) newestExtraDatabase() string {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return extraDatabase(f.version)
+	return extraDatabase(f.operator.Configuration().Version)
 }
 
 // Limits of the contracts, within the range of the users' contracts.
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -11,6 +11,12 @@
 
 // inject starts a fault and ends it after its duration.
 func (f *fixture) inject(ctx context.Context, fault Fault) {
+	f.accounts.disturb(fault)
+	if injectAccounts, ok := accountFaults[fault.Kind]; ok {
+		injectAccounts(ctx, f, fault)
+		f.accounts.disturb(Fault{})
+		return
+	}
 	instance := f.instances[fault.Target%len(f.instances)]
 	switch fault.Kind {
 	case "kill":
--- a/soak/oracle_test.go
+++ b/soak/oracle_test.go
@@ -126,3 +126,29 @@
 		}
 	}
 }
+
+// Guards against accounts that only change the schedule of a run: faults of accounts are drawn separately, for half of the
+// seeds, and cover every kind.
+func TestAccountFaultsCoverEveryKind(t *testing.T) {
+	drawn := map[string]bool{}
+	without := 0
+	for seed := range uint64(60) {
+		if soak.DrawAccounts(seed) == 0 {
+			without++
+		}
+		for _, f := range soak.AccountFaults(seed, 20*time.Second) {
+			drawn[f.Kind] = true
+		}
+	}
+	if without != 30 {
+		t.Errorf("%d of 60 seeds have no accounts, want half", without)
+	}
+	for _, kind := range []string{"key_removed", "key_moved", "limit_lowered", "hot_account"} {
+		if !drawn[kind] {
+			t.Errorf("the schedules of sixty seeds contain no %s", kind)
+		}
+	}
+	if len(drawn) != 4 {
+		t.Errorf("the schedules contain %v", drawn)
+	}
+}
--- a/soak/process.go
+++ b/soak/process.go
@@ -42,13 +42,15 @@
 	// Store and Promoter are the addresses of the platform's services.
 	Store    string
 	Promoter string
+	// Accounts are the bounds on keys and quotas.
+	Accounts platformtest.AccountBounds
 }
 
 // NewProcess writes the settings file of an instance without starting it; it returns the error of the file system.
 func NewProcess(cfg ProcessConfig) (*Process, error) {
 	text := platformtest.Settings{
 		Instance: cfg.Name, DataCentre: cfg.DataCentre, Host: cfg.Host, SeedHosts: cfg.Seeds,
-		Store: cfg.Store, Promoter: cfg.Promoter, Grace: grace,
+		Store: cfg.Store, Promoter: cfg.Promoter, Grace: grace, Accounts: cfg.Accounts,
 	}.Text()
 	p := &Process{name: cfg.Name, host: cfg.Host, binary: cfg.Binary, settings: filepath.Join(cfg.Directory, cfg.Name+".toml")}
 	if err := os.WriteFile(p.settings, text, 0o600); err != nil {
--- a/soak/restore.go
+++ b/soak/restore.go
@@ -15,7 +15,9 @@
 // storeCopy is a copy of the store and the time at which it was taken.
 type storeCopy struct {
 	rows *storetest.Copy
-	at   time.Time
+	// tenants are the accounts in the configuration of the copy.
+	tenants []platformtest.Tenant
+	at      time.Time
 }
 
 const (
@@ -39,7 +41,7 @@
 	for ctx.Err() == nil {
 		f.mu.Lock()
 		now := time.Now()
-		f.copies = append(f.copies, storeCopy{rows: f.store.Rows.Copy(), at: now})
+		f.copies = append(f.copies, storeCopy{rows: f.store.Rows.Copy(), tenants: f.tenants, at: now})
 		for len(f.copies) > 1 && now.Sub(f.copies[1].at) >= copyAge {
 			f.copies = f.copies[1:]
 		}
@@ -79,7 +81,8 @@
 	}
 	f.store.Rows.SetDown(true)
 	pause(ctx, min(fault.Duration, maxStoreAbsence))
-	lost := f.restoreCopy()
+	var lost uint64
+	f.operator.Exclude(func() { lost = f.restoreCopy() })
 	if early {
 		f.rewrite()
 		f.writeConfiguration()
@@ -100,15 +103,24 @@
 	defer f.mu.Unlock()
 	older := f.copies[0]
 	lost = f.store.Rows.Version()
+	if f.accounts != nil {
+		f.accounts.oracle.Reinstate(older.tenants)
+	}
 	f.store.Rows.Restore(older.rows)
-	f.copies = []storeCopy{{rows: older.rows, at: time.Now()}}
+	f.tenants = older.tenants
+	f.copies = []storeCopy{{rows: older.rows, tenants: older.tenants, at: time.Now()}}
 	return lost
 }
 
 // rewrite writes the rows of the operator and the members again.
 func (f *fixture) rewrite() {
+	f.operator.Rewrite(f.rewriteRows)
+}
+
+func (f *fixture) rewriteRows(newest platformtest.Configuration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.tenants = newest.Tenants
 	for row, value := range f.written {
 		if value == nil {
 			f.store.Rows.Remove(row.table, row.key)
--- a/soak/run.go
+++ b/soak/run.go
@@ -22,6 +22,8 @@
 	Clients   int
 	// Connections is the connection limit of a member.
 	Connections int
+	// Accounts is the number of accounts, or 0 for a configuration without accounts.
+	Accounts int
 	// PowerLosses is the number of times that all instances lose power, in addition to the faults of the schedule.
 	PowerLosses int
 	// Severances is the number of times that open connections go silent, in addition to the faults of the schedule.
@@ -51,6 +53,9 @@
 	}
 	faults = slices.Concat(faults, PowerLosses(c.Seed, c.Length, c.PowerLosses), StoreRestores(c.Seed, c.Length, c.StoreRestores),
 		Severances(c.Seed, c.Length, c.Severances))
+	if c.Accounts > 0 {
+		faults = append(faults, AccountFaults(c.Seed, c.Length)...)
+	}
 	slices.SortStableFunc(faults, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return faults, nil
 }
@@ -60,6 +65,10 @@
 	violations []string
 	runs       int
 	acked      int
+	// quotaRefusals is the number of requests refused because of a quota, belowLimit the number of those that were refused in
+	// calm time although their account sent no more than its rate.
+	quotaRefusals int
+	belowLimit    int
 }
 
 // Violations returns the violated guarantees and failed recoveries, each as "kind: description".
@@ -71,6 +80,10 @@
 // Acked returns the number of acknowledged writes.
 func (r Report) Acked() int { return r.acked }
 
+// QuotaRefusals returns the number of requests refused because of a quota, and how many of them were refused in calm time
+// although their account sent no more than its rate; the latter are no violation.
+func (r Report) QuotaRefusals() (all, belowLimit int) { return r.quotaRefusals, r.belowLimit }
+
 // Time limits of a run's start and end.
 const (
 	// startTime is the time limit for all instances to become ready.
@@ -126,6 +139,10 @@
 	}
 	report.violations = append(oracle.Violations(), failures...)
 	report.runs, report.acked = oracle.Counts()
+	if f.accounts != nil {
+		report.violations = append(report.violations, f.accounts.oracle.Violations()...)
+		report.quotaRefusals, report.belowLimit = f.accounts.oracle.QuotaRefusals()
+	}
 	return report, nil
 }
 
@@ -154,7 +171,7 @@
 		wait.Add(1)
 		go func() {
 			defer wait.Done()
-			NewClient(i, f.cfg.Seed, oracle, f.addresses()).Run(loadCtx)
+			f.newClient(i, oracle, f.addresses()).Run(loadCtx)
 		}()
 	}
 	started := time.Now()
@@ -172,6 +189,10 @@
 	wait.Wait()
 }
 
+func (f *fixture) newClient(number int, oracle *Oracle, addresses []string) *Client {
+	return newClient(number, f.cfg.Seed, oracle, addresses, f.accounts)
+}
+
 func (f *fixture) addresses() []string {
 	out := make([]string, 0, len(f.instances))
 	for _, p := range f.instances {
@@ -188,7 +209,7 @@
 	results := make(chan string, len(f.instances))
 	for i, p := range f.instances {
 		go func() {
-			c := NewClient(f.cfg.Clients+i, f.cfg.Seed, oracle, []string{p.Address()})
+			c := f.newClient(f.cfg.Clients+i, oracle, []string{p.Address()})
 			if !c.AwaitWrite(ctx) {
 				// On SIGQUIT, the program writes the stacks of its goroutines to its output.
 				p.Signal(syscall.SIGQUIT)
