soak, platform: a run with accounts, hot accounts that exceed their limit without a quota

Callers of a hot account send for at least 3 s, since shorter ones stayed below the limit without any quota.

--- a/soak/accounts.go
+++ b/soak/accounts.go
@@ -17,13 +17,15 @@
 	// usualRate bounds the operations per second of a caller that is not hot: each takes more than the mean pause.
 	usualRate = float64(time.Second / (usualPause / 2))
 	// usualPause bounds the random pause between two operations of a caller with a key.
-	usualPause = 5 * maxClientPause
+	usualPause = 10 * maxClientPause
 	// hotPause bounds the pause of a caller whose account is hot.
 	hotPause = maxClientPause / 5
 	// rateToLoad is the rate of an account as a multiple of its usual load, as on the platform.
 	rateToLoad = 1.6
 	// burstSeconds is the burst of an account, in seconds of its rate.
 	burstSeconds = 0.5
+	// minHotTime is enough for the callers of a hot account to send more than its limit permits in a window.
+	minHotTime = 3 * time.Second
 	// meanAccountInterval is the mean time between two faults of accounts.
 	meanAccountInterval = 2 * time.Second
 	// settleTime is how long after a fault refusals because of a quota are not counted.
@@ -63,7 +65,7 @@
 	"hot_account": func(ctx context.Context, f *fixture, fault Fault) {
 		account := fault.Target % f.accounts.count
 		f.accounts.hot[account].Add(1)
-		pause(ctx, fault.Duration)
+		pause(ctx, fault.Duration+minHotTime)
 		f.accounts.hot[account].Add(-1)
 	},
 }
