--- a/engine/connections.go
+++ b/engine/connections.go
@@ -37,6 +37,7 @@
 	// limit is the configured limit; capped means that limitToOpen has lowered the pool's limit for a while.
 	limit   int
 	capped  bool
+	paced   pacedPermits
 	backoff dialBackoff
 	// generation is incremented by CloseAll; links of an earlier one are closed on release.
 	generation uint64
@@ -44,8 +45,13 @@
 	// holdTime is the mean time that a request holds a link, and permitTime that a link holds a permit; 0 until measured.
 	holdTime   time.Duration
 	permitTime time.Duration
-	// customerPermitTime is the mean permit time of each customer's requests.
+	// customerPermitTime is the mean permit time of each customer's requests, and customerHoldTime their mean hold time.
 	customerPermitTime map[string]time.Duration
+	customerHoldTime   map[string]time.Duration
+	// dialTime is the mean time to open a link, or 0 until measured.
+	dialTime time.Duration
+	// wakeScheduled means that wakeDeferred will be called.
+	wakeScheduled bool
 	// queue is the pool's wait queue if Ordered is set, or nil.
 	queue *pool.PriorityQueue[*waiter[L]]
 }
@@ -58,17 +64,21 @@
 		queue = pool.NewPriorityQueue[*waiter[L]](pool.PriorityQueueConfig{})
 		poolConfig.Queue = queue
 	}
-	return &Connections[L]{
+	c := &Connections[L]{
 		queue:              queue,
 		customerPermitTime: map[string]time.Duration{},
+		customerHoldTime:   map[string]time.Duration{},
 		endpoint:           cfg.Endpoint,
 		dial:               cfg.Dial,
 		terminator:         cfg.Terminator,
 		quarantine:         cfg.Quarantine,
 		limit:              cfg.Limit,
-		pool:               pool.New[L](poolConfig),
+		paced:              pacedPermits{share: cfg.Permits},
 		inUse:              map[L]linkUse{},
 	}
+	poolConfig.Forecast = forecast[L]{connections: c}
+	c.pool = pool.New[L](poolConfig)
+	return c
 }
 
 // Acquire returns a connection for the request, together with a permit.
@@ -104,7 +114,7 @@
 	if g.Action == pool.ActionOpen {
 		opened, permit, err := c.open(ctx, r)
 		if err != nil {
-			c.dialFailed(permit)
+			c.dialFailed(r, permit)
 			return conn, err
 		}
 		opened.SetAnsweredAt(clock.Now())
@@ -112,7 +122,9 @@
 	}
 	c.mu.Lock()
 	now := clock.Now()
-	c.inUse[conn] = linkUse{generation: generation, since: now, permitSince: now, customer: r.Customer}
+	c.inUse[conn] = linkUse{
+		generation: generation, since: now, permitSince: now, customer: r.Customer, account: r.Account, charged: r.Service,
+	}
 	c.mu.Unlock()
 	return conn, nil
 }
@@ -146,7 +158,7 @@
 	now := clock.Now()
 	wakeups, toClose := c.pool.Release(now, conn, conn.Key())
 	wakeups = append(wakeups, c.endUse(now, conn)...)
-	deliver(wakeups)
+	c.deliver(wakeups)
 	c.mu.Unlock()
 	c.retireLater(toClose)
 }
@@ -163,7 +175,7 @@
 		suspect = c.pool.TakeIdleBefore(use.since, 0)
 	}
 	wakeups := c.endUse(clock.Now(), conn)
-	deliver(wakeups)
+	c.deliver(wakeups)
 	c.mu.Unlock()
 	for _, idle := range suspect {
 		c.Discard(idle)
@@ -178,7 +190,7 @@
 func (c *Connections[L]) uncount() {
 	c.mu.Lock()
 	wakeups := c.pool.Discard(clock.Now())
-	deliver(wakeups)
+	c.deliver(wakeups)
 	c.mu.Unlock()
 }
 
@@ -241,19 +253,40 @@
 		limit = c.pool.Limit()
 	}
 	wakeups, toClose := c.pool.SetLimit(clock.Now(), limit)
-	deliver(wakeups)
+	c.deliver(wakeups)
 	c.mu.Unlock()
 	c.retireLater(toClose)
 }
 
 // SetPermits changes the number of links that may have a request running at the same time; 0 means no limit.
-func (c *Connections[L]) SetPermits(limit int) {
+func (c *Connections[L]) SetPermits(limit int) { c.setPaced(pacedPermits{share: limit}) }
+
+// setPaced changes the number of links that may have a request running at the same time, and the pace that restricts it.
+func (c *Connections[L]) setPaced(p pacedPermits) {
 	c.mu.Lock()
-	wakeups := c.pool.SetPermits(clock.Now(), limit)
-	deliver(wakeups)
+	c.paced = p
+	c.deliver(c.applyPaced(clock.Now()))
 	c.mu.Unlock()
 }
 
+// applyPaced sets the pool's permits, and returns the wakeups of the waiters that are served.
+//
+// Requests that were running at the restart come on top of the limit: they may be lost
+// and hold their permits until they time out.
+func (c *Connections[L]) applyPaced(now time.Time) []pool.Wakeup[L, *waiter[L]] {
+	permits := c.paced.share
+	if c.paced.limit > 0 {
+		permits = c.paced.limit
+		for _, u := range c.inUse {
+			if !u.permitSince.IsZero() && u.permitSince.Before(c.paced.since) {
+				permits++
+			}
+		}
+		permits = c.paced.atMostShare(permits)
+	}
+	return c.pool.SetPermits(now, permits)
+}
+
 // Shrink lowers the limit towards limit by closing idle connections, and returns the limit reached.
 //
 // The endpoint has closed the connections that the result no longer counts; a connection that
@@ -267,7 +300,7 @@
 		return reached
 	}
 	wakeups, toClose := c.pool.SetLimit(clock.Now(), reached)
-	deliver(wakeups)
+	c.deliver(wakeups)
 	c.mu.Unlock()
 	return reached + c.retireAndCount(toClose)
 }
@@ -327,10 +360,11 @@
 // A waiter that is no longer queued therefore finds its grant in the channel, unless
 // the queue dropped it because its deadline had passed. Sending never blocks: each
 // waiter gets at most one grant, and its channel is buffered.
-func deliver[L Link[L]](wakeups []pool.Wakeup[L, *waiter[L]]) {
+func (c *Connections[L]) deliver(wakeups []pool.Wakeup[L, *waiter[L]]) {
 	for _, w := range wakeups {
 		w.Waiter.grant <- w.Grant
 	}
+	c.scheduleWake()
 }
 
 // retireAll retires connections one after the other.
