quota: tests of loans, moves and returns that are under way

The property test now lets the demand take all tokens at the end, which finds a loan that is not deducted.

--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -88,6 +88,15 @@
 	}
 }
 
+// drainWindow takes all tokens of all buckets during a window.
+func (f *fleet) drainWindow() {
+	for until := f.now.Add(tolerance.Window); f.now.Before(until); f.now = f.now.Add(tick) {
+		for k := range f.buckets {
+			f.drain(k)
+		}
+	}
+}
+
 // returnLast gives back the token of the last operation if it is younger than 100 ms.
 func (f *fleet) returnLast() {
 	last := len(f.admitted) - 1
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -23,6 +23,15 @@
 	until  time.Time
 }
 
+// receive lets answers arrive, unless they are too late.
+func (f *fleet) receive(loans []loan) {
+	for _, l := range loans {
+		if !f.now.After(l.until) {
+			f.buckets[l.to].Receive(f.now, l.tokens)
+		}
+	}
+}
+
 // Load: random takes, returns, loans, lost and late answers, restarts, moves of shares and changes of limits, with shares
 // that add up to 1. No order of these may admit more than the bound in any window; tokens would be spent twice otherwise.
 func TestWindowsStayWithinBound(t *testing.T) {
@@ -31,8 +40,10 @@
 			return quota.Limits{Rate: rapid.Float64Range(0.5, 60).Draw(t, "rate"), Burst: rapid.Float64Range(0, 60).Draw(t, "burst")}
 		}
 		f := newFleet(t, rapid.IntRange(1, 4).Draw(t, "buckets"), limits())
+		f.now = f.now.Add(10 * time.Second)
 		// Windows in which the limits change are bound by the greatest ones.
 		greatest := f.limits
+		changing := rapid.Bool().Draw(t, "changing")
 		shares := make([]float64, len(f.buckets))
 		for k := range shares {
 			shares[k] = 1 / float64(len(shares))
@@ -52,11 +63,10 @@
 				loans = append(loans, loan{to: bucket.Draw(t, "to"), tokens: tokens, until: f.now.Add(quota.LoanTimeout)})
 			},
 			"receive": func(*rapid.T) {
-				if len(loans) > 0 && !f.now.After(loans[0].until) {
-					f.buckets[loans[0].to].Receive(f.now, loans[0].tokens)
-				}
+				f.receive(loans[:min(1, len(loans))])
 				loans = loans[min(1, len(loans)):]
 			},
+			"lose": func(*rapid.T) { loans = loans[min(1, len(loans)):] },
 			"restart": func(t *rapid.T) {
 				k := bucket.Draw(t, "at")
 				if restarts += shares[k]; restarts <= 4 {
@@ -72,6 +82,9 @@
 				f.buckets[to].SetShare(f.now, shares[to])
 			},
 			"limits": func(t *rapid.T) {
+				if !changing {
+					return
+				}
 				f.limits = limits()
 				for _, b := range f.buckets {
 					b.SetLimits(f.now, f.limits)
@@ -79,6 +92,9 @@
 				greatest.Rate, greatest.Burst = max(greatest.Rate, f.limits.Rate), max(greatest.Burst, f.limits.Burst)
 			},
 		})
+		// The demand takes all that there is during a whole window.
+		f.receive(loans)
+		f.drainWindow()
 		f.check(greatest, time.Time{})
 	})
 }
@@ -154,6 +170,48 @@
 	f.check(l, time.Time{})
 }
 
+// Load: an account of 200 operations a second. Its tokens are lent and received at the last moment, or its share moves
+// meanwhile, or its operations return after the refill. Each would admit the refill of the time in between twice.
+func TestTokensUnderWayAreNotRefilled(t *testing.T) {
+	l := quota.Limits{Rate: 200, Burst: 200}
+	cases := map[string]func(f *fleet){
+		"late answer": func(f *fleet) {
+			lent := f.buckets[0].Lend(f.now, 1000)
+			f.now = f.now.Add(quota.LoanTimeout)
+			f.buckets[1].Receive(f.now, lent)
+		},
+		"moved share": func(f *fleet) {
+			lent := f.buckets[0].Lend(f.now, 1000)
+			f.buckets[0].SetShare(f.now, 0)
+			f.buckets[1].SetShare(f.now, 1)
+			f.now = f.now.Add(quota.LoanTimeout)
+			f.buckets[0].Receive(f.now, lent)
+		},
+		"late return": func(f *fleet) {
+			for range 19 {
+				f.take(0)
+			}
+			f.reset()
+			f.now = f.now.Add(99 * time.Millisecond)
+			f.drain(0)
+			for range 19 {
+				f.buckets[0].Return(f.now)
+			}
+		},
+	}
+	for name, prepare := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 2, l)
+			f.buckets[0].SetShare(f.now, 1)
+			f.buckets[1].SetShare(f.now, 0)
+			f.now = f.now.Add(10 * time.Second)
+			prepare(f)
+			f.drainWindow()
+			f.check(l, time.Time{})
+		})
+	}
+}
+
 // Load: two instances refill each share for 2 s, since their views of the fleet differ, with the demand at the usual rate.
 func TestDuplicateSharesAtUsualRate(t *testing.T) {
 	l := quota.Limits{Rate: 40, Burst: 10}
