--- a/cmd/monsoonload/main.go
+++ b/cmd/monsoonload/main.go
@@ -31,6 +31,7 @@
 	Run      runCommand      `command:"run" description:"Play a workload over sockets and check the answers"`
 	Policies policiesCommand `command:"policies" description:"Compare routing policies in virtual time"`
 	Fleet    fleetCommand    `command:"fleet" description:"Start fleets of several sizes in virtual time, and show what they send each other"`
+	Quota    quotaCommand    `command:"quota" description:"Limit accounts over fleets of several sizes in virtual time, with faults"`
 	Paired   pairedCommand   `command:"paired" description:"Run a command for two builds over the same cases and seeds, and compare the reports"`
 }
 
--- a/experiment/doc.go
+++ b/experiment/doc.go
@@ -8,6 +8,8 @@
 // RunGroup drives the router, the pools and the queues of one instance with a simulated group
 // of few slots under load, while replicas are behind, the primary changes or a partition lasts.
 //
+// RunQuota drives the quota ledgers of a fleet under faults, and checks every sliding window of every account.
+//
 // RunPaired compares two builds of the program: it runs a command for both over the same
 // cases and seeds, and Compare gives the paired differences with their confidence intervals.
 package experiment
