--- a/experiment/doc.go
+++ b/experiment/doc.go
@@ -10,6 +10,8 @@
 //
 // RunPace compares ways to limit the requests at an endpoint that has just started.
 //
+// RunQuota drives the quota ledgers of a fleet under faults, and checks every sliding window of every account.
+//
 // RunPaired compares two builds of the program: it runs a command for both over the same
 // cases and seeds, and Compare gives the paired differences with their confidence intervals.
 package experiment
--- a/fleet/quotas.go
+++ b/fleet/quotas.go
@@ -80,16 +80,18 @@
 		return
 	}
 	q.applyLimits(now)
-	bound := i.freshness.Bound()
-	fresh := bound == 0 || i.freshness.Age(now) < time.Duration(maxShareAgeRatio*float64(bound))
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.ledger.SetShares(now, func(account string) float64 {
-		if !fresh {
-			return 0
-		}
-		return i.accountShare(account)
-	})
+	q.ledger.SetShares(now, q.share(now))
+}
+
+// share returns the shares that this instance refills at now, by account.
+func (q *quotas[L]) share(now time.Time) func(account string) float64 {
+	bound := q.instance.freshness.Bound()
+	if bound > 0 && q.instance.freshness.Age(now) >= time.Duration(maxShareAgeRatio*float64(bound)) {
+		return func(string) float64 { return 0 }
+	}
+	return q.instance.accountShare
 }
 
 // applyLimits takes over the limits of a new version of the configuration.
@@ -108,6 +110,7 @@
 		limits[name] = quota.Limits{Rate: l.Rate, Burst: l.Burst}
 	}
 	q.ledger.Apply(now, limits)
+	q.ledger.SetShares(now, q.share(now))
 	q.lenders.Retain(names)
 }
 
