--- a/fleet/export_test.go
+++ b/fleet/export_test.go
@@ -206,3 +206,6 @@
 
 // NewLenders gives tests access to the choice of the instances from which quota tokens are borrowed.
 var NewLenders = newLenders
+
+// ProofDue gives tests access to the decision whether to confirm the keys with the store.
+var ProofDue = proofDue
--- a/fleet/key_proof.go
+++ b/fleet/key_proof.go
@@ -24,7 +24,7 @@
 	// each instance has a cost.
 	maxKeyProofPause = 2 * time.Second
 	// keyProofTimeout bounds a call; a proof counts from the time at which the call was sent.
-	keyProofTimeout = 1500 * time.Millisecond
+	keyProofTimeout = 600 * time.Millisecond
 )
 
 // configurationRow is the row of the store that holds a version of the configuration.
@@ -54,8 +54,9 @@
 //
 // Instances that follow the store confirm the version of the configuration's row with a
 // transaction that only has a condition: unlike a list of changes, it is never answered
-// from an older state. The others receive the proof with the evidence that they
-// fetch, and confirm the version themselves when that proof becomes old.
+// from an older state. The others receive the proof with heartbeats and with the
+// evidence that they fetch. When it becomes old all the same, they confirm the version
+// themselves, and ask peers in turn while the store does not answer.
 type keyProof[L Link[L]] struct {
 	instance *Instance[L]
 	triedAt  time.Time
@@ -70,6 +71,7 @@
 func (p *keyProof[L]) Run(ctx context.Context) error {
 	for engine.Sleep(ctx, keyProofTick/2+rand.N(keyProofTick)) == nil {
 		now := clock.Now()
+		p.instance.takeGossipedProof(now)
 		if p.due(now) {
 			p.triedAt = now
 			p.renew(ctx)
@@ -85,23 +87,50 @@
 	if i.freshness.Bound() == 0 || !i.directory.HasAccounts() {
 		return false
 	}
-	pause := min(keyProofInterval<<min(p.failures, maxBackoffs), maxKeyProofPause)
-	if p.failures == 0 && !i.followsStore() {
-		return i.freshness.Age(now) >= time.Duration(ownProofShare*float64(i.freshness.Bound()))
+	old := i.freshness.Age(now) >= time.Duration(ownProofShare*float64(i.freshness.Bound()))
+	return proofDue(now.Sub(p.triedAt), i.followsStore(), old, p.failures)
+}
+
+// proofDue reports whether an instance asks the store, given the time since its last call, whether it follows the store,
+// whether its proof is old, and the number of calls that failed since the last success.
+func proofDue(sinceLast time.Duration, follows, old bool, failures int) bool {
+	if !follows && !old {
+		return false
+	}
+	pause := min(keyProofInterval<<min(failures, maxBackoffs), maxKeyProofPause)
+	if old && failures < 2 {
+		pause /= 2
 	}
-	return now.Sub(p.triedAt) >= pause-keyProofTick/2
+	return sinceLast >= pause-keyProofTick/2
 }
 
 // renew asks the store whether the version in force is the newest one, and applies a newer one.
 func (p *keyProof[L]) renew(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, keyProofTimeout)
+	storeCtx, cancel := context.WithTimeout(ctx, keyProofTimeout)
 	defer cancel()
-	err := p.instance.confirmKeys(ctx)
+	if err := p.instance.confirmKeys(storeCtx); err == nil {
+		p.failures = 0
+		return
+	}
+	p.failures++
+	p.askPeer(ctx)
+}
+
+// askPeer takes over the proof of a random instance, if that is newer.
+func (p *keyProof[L]) askPeer(ctx context.Context) {
+	others := p.instance.node.Others()
+	if len(others) == 0 {
+		return
+	}
+	other := others[rand.IntN(len(others))]
+	evidence, err := p.instance.node.Evidence(ctx, other, nil)
 	if err != nil {
-		p.failures++
 		return
 	}
-	p.failures = 0
+	if version, _ := p.instance.directory.Version(); evidence.Configuration > version {
+		p.instance.node.Exchange(ctx, other)
+	}
+	p.instance.confirmRelayed(evidence)
 }
 
 // logValidity logs when callers with keys are refused for lack of a proof, and when they are served again.
@@ -133,7 +162,7 @@
 		Table: i.cfg.Adapter.ConfigurationTable, Key: i.cfg.Adapter.ConfigurationKey, Version: at.Version(),
 	}}})
 	if err == nil {
-		i.freshness.Confirm(sentAt)
+		i.confirm(sentAt)
 		return nil
 	}
 	if fault.KindOf(err) != fault.KindConflict {
@@ -143,12 +172,25 @@
 	version, _ = i.directory.Version()
 	row, found := s.Row(i.cfg.Adapter.ConfigurationKey)
 	if at, known := i.configurationRow.Position(version); found && known && at == store.NewPosition(s.Era, row.Version) {
-		i.freshness.Confirm(sentAt)
+		i.confirm(sentAt)
 		return nil
 	}
 	return i.readConfiguration(ctx)
 }
 
+// confirm records that the configuration in force was the newest one as of a time, and lets the heartbeats spread the proof.
+func (i *Instance[L]) confirm(asOf time.Time) {
+	i.freshness.Confirm(asOf)
+	i.node.TableRead(asOf, nil)
+}
+
+// takeGossipedProof takes over the proof that heartbeats have brought.
+func (i *Instance[L]) takeGossipedProof(now time.Time) {
+	if age, ok := i.node.ProofAge(now); ok {
+		i.freshness.Confirm(now.Add(-age))
+	}
+}
+
 // readConfiguration reads the configuration, which may be answered from an older state and so proves nothing by itself.
 func (i *Instance[L]) readConfiguration(ctx context.Context) error {
 	s, err := i.cfg.Store.All(ctx, i.cfg.Adapter.ConfigurationTable)
@@ -162,6 +204,6 @@
 func (i *Instance[L]) confirmRelayed(evidence peer.LeaseEvidence) {
 	version, _ := i.directory.Version()
 	if !evidence.ConfirmedAsOf.IsZero() && evidence.Configuration <= version {
-		i.freshness.Confirm(evidence.ConfirmedAsOf)
+		i.confirm(evidence.ConfirmedAsOf)
 	}
 }
