--- a/soak/run.go
+++ b/soak/run.go
@@ -174,6 +174,8 @@
 			f.newClient(i, oracle, f.addresses()).Run(loadCtx)
 		}()
 	}
+	// The quota of an account fills from empty after a start.
+	f.accounts.disturb(Fault{})
 	started := time.Now()
 	for _, fault := range faults {
 		pause(ctx, fault.At-time.Since(started))
