pool, engine: a request starts only while it can end within its time limit

The latency objective of progress-sync (1,500 ms) is longer than its time limit (1,000 ms), and the queue ordered and started requests by the objective alone. Requests were started when their limit had almost passed, were broken off at the primary after 1,000 ms (1,261 logged as lost between 9 s and 16 s), and each cost its connection and a new one (5,752 in 16 s). The target is now within the time limit, with 15% left for the request itself.

--- a/engine/execution.go
+++ b/engine/execution.go
@@ -161,6 +161,9 @@
 	request := e.cfg.AcquireRequest
 	if minDeadline := g.cfg.Clock().Add(e.cfg.Grace); e.cfg.Grace > 0 && request.Deadline.Before(minDeadline) {
 		request.Deadline = minDeadline
+		if request.Deadline.After(e.cfg.Deadline) {
+			request.Deadline = e.cfg.Deadline
+		}
 	}
 	g.View(func(t *route.Tracker) {
 		request.Service = t.ServiceTime(h.Endpoint)
--- a/engine/session.go
+++ b/engine/session.go
@@ -7,6 +7,7 @@
 	"github.com/monsoontiller/monsoontiller/contract"
 	"github.com/monsoontiller/monsoontiller/fault"
 	"github.com/monsoontiller/monsoontiller/group"
+	"github.com/monsoontiller/monsoontiller/pool"
 	"github.com/monsoontiller/monsoontiller/retry"
 	"github.com/monsoontiller/monsoontiller/route"
 )
@@ -240,7 +241,7 @@
 // serve executes a job.
 func (s *Session[L]) serve(ctx context.Context, j *job[L]) (HeldLink[L], *Execution[L], error) {
 	c := s.terms.Contract
-	target := j.receivedAt.Add(c.Objectives().Latency())
+	target := pool.Target(j.receivedAt, c.Objectives().Latency(), c.Limits().RequestTimeout())
 	if err := s.admit(ctx, j.receivedAt); err != nil {
 		return HeldLink[L]{}, nil, err
 	}
--- a/pool/latest_start.go
+++ b/pool/latest_start.go
@@ -19,3 +19,15 @@
 	}
 	return deadline
 }
+
+// limitShare is the fraction of a request's time limit after which it starts no more: the rest is for the request itself.
+const limitShare = 0.85
+
+// Target returns the time by which a request must be answered to be of full use, given its latency objective and its time
+// limit.
+//
+// Where the objective is longer than the limit, a request that started just before the
+// objective would be broken off at the limit, and its connection closed with it.
+func Target(receivedAt time.Time, objective, limit time.Duration) time.Time {
+	return receivedAt.Add(min(objective, time.Duration(limitShare*float64(limit))))
+}
