--- a/fleet/homes.go
+++ b/fleet/homes.go
@@ -62,6 +62,7 @@
 	count, _ := homeCount(settings.Connections, slots, len(presumed))
 	computed := homeSet{connections: settings.Connections, slots: slots, homes: membership.Homes("home/"+group, presumed, count), byAccount: map[string][]membership.Identity{}}
 	i.homesByGroup[group] = computed
+	i.homesGeneration++
 	return computed.homes
 }
 
--- a/fleet/instance.go
+++ b/fleet/instance.go
@@ -48,6 +48,8 @@
 	// homesByGroup caches the homes of each group for the presences with the digest homesDigest.
 	homesByGroup map[string]homeSet
 	homesDigest  membership.Digest
+	// homesGeneration is incremented whenever homes are computed.
+	homesGeneration uint64
 	// deadSince is when this instance first saw each dead instance as dead.
 	deadSince map[string]time.Time
 	// lostSources are the instances that last failed to return evidence, and sourceLost receives a value when one fails.
--- a/fleet/quotas.go
+++ b/fleet/quotas.go
@@ -36,6 +36,8 @@
 	lenders  *lenders
 	// revision is the version of the configuration whose limits the ledger holds.
 	revision uint64
+	// sharesOf describes the state from which the shares in the ledger were computed.
+	sharesOf shareState
 	waiting  map[string]int
 }
 
@@ -46,6 +48,15 @@
 	}
 }
 
+// shareState is what the shares of an instance depend on.
+type shareState struct {
+	homes    uint64
+	revision uint64
+	joined   bool
+	// fresh reports that the proof of the keys is recent enough to refill a share.
+	fresh bool
+}
+
 // Name returns the service's name.
 func (q *quotas[L]) Name() string { return "quotas" }
 
@@ -80,15 +91,35 @@
 		return
 	}
 	q.applyLimits(now)
+	state := q.shareState(now)
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.ledger.SetShares(now, q.share(now))
+	if state == q.sharesOf {
+		return
+	}
+	q.sharesOf = state
+	q.ledger.SetShares(now, q.share(state.fresh))
+}
+
+// shareState returns what the shares depend on at now.
+func (q *quotas[L]) shareState(now time.Time) shareState {
+	i := q.instance
+	for _, group := range i.directory.GroupNames() {
+		i.homes(group)
+	}
+	bound := i.freshness.Bound()
+	state := shareState{joined: i.knowsFleet()}
+	state.fresh = bound == 0 || i.freshness.Age(now) < time.Duration(maxShareAgeRatio*float64(bound))
+	_, state.revision = i.directory.AccountsOf()
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	state.homes = i.homesGeneration
+	return state
 }
 
-// share returns the shares that this instance refills at now, by account.
-func (q *quotas[L]) share(now time.Time) func(account string) float64 {
-	bound := q.instance.freshness.Bound()
-	if bound > 0 && q.instance.freshness.Age(now) >= time.Duration(maxShareAgeRatio*float64(bound)) {
+// share returns the shares that this instance refills, by account.
+func (q *quotas[L]) share(fresh bool) func(account string) float64 {
+	if !fresh {
 		return func(string) float64 { return 0 }
 	}
 	return q.instance.accountShare
@@ -110,7 +141,7 @@
 		limits[name] = quota.Limits{Rate: l.Rate, Burst: l.Burst}
 	}
 	q.ledger.Apply(now, limits)
-	q.ledger.SetShares(now, q.share(now))
+	q.ledger.SetShares(now, q.share(q.sharesOf.fresh))
 	q.lenders.Retain(names)
 }
 
