route, engine: reads of an account stay with an endpoint at which it has a link

The earliest answer now includes the measured time to open a link where the account has no idle one. Without accounts nothing changes.

--- a/engine/execution.go
+++ b/engine/execution.go
@@ -300,8 +300,10 @@
 // decideOnce routes the request once, without waiting.
 func (e *Execution[L]) decideOnce(op Operation[L]) (d route.Decision, r route.Request, err error) {
 	now := e.cfg.Group.cfg.Clock()
+	connect := e.cfg.Group.connectTimes(e.cfg.AcquireRequest.Account)
 	e.cfg.Group.View(func(t *route.Tracker) {
 		if r, err = op.Route(now, t); err == nil {
+			r.ConnectTime = connect
 			d = e.cfg.Policy.Decide(now, t, r)
 		}
 	})
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -239,5 +239,16 @@
 // Limit returns the current connection limit.
 func (p *Pool[C, W]) Limit() int { return p.limit }
 
+// IdleWith returns the number of idle connections with key.
+func (p *Pool[C, W]) IdleWith(key string) int {
+	n := 0
+	for _, c := range p.idle {
+		if c.key == key {
+			n++
+		}
+	}
+	return n
+}
+
 // Waiting returns the number of queued requests, including those that hold a connection and wait for a permit.
 func (p *Pool[C, W]) Waiting() int { return p.queue.Len() + len(p.permits.reacquiring) }
--- a/route/decide.go
+++ b/route/decide.go
@@ -25,6 +25,9 @@
 	MaxStaleness time.Duration
 	// WaitBudget is how long a read may wait for a replica to catch up.
 	WaitBudget time.Duration
+	// ConnectTime is the expected time to open a connection to an endpoint at which no idle one is usable; endpoints that are
+	// not listed need none.
+	ConnectTime map[string]time.Duration
 }
 
 // Target is the kind of endpoint that a decision names.
--- a/route/earliest_answer.go
+++ b/route/earliest_answer.go
@@ -5,8 +5,9 @@
 // EarliestAnswer is the policy that sends a read to the member whose answer is expected first.
 //
 // The expected time is a member's mean service time, increased by the requests that
-// this instance has in flight there. A penalty is added for a member in another data
-// centre and for the primary, which writes need.
+// this instance has in flight there, and by the time to open a connection where none is
+// usable. A penalty is added for a member in another data centre and for the primary,
+// which writes need.
 type EarliestAnswer struct{}
 
 const (
@@ -46,7 +47,7 @@
 
 // evaluate returns the decision for a member and its expected cost; ok is false when the member cannot serve r.
 func (t *Tracker) evaluate(now time.Time, name string, m *member, r Request) (d Decision, cost time.Duration, ok bool) {
-	cost = m.expectedTime()
+	cost = m.expectedTime() + r.ConnectTime[name]
 	if name == t.primary {
 		return t.evaluatePrimary(now, name, m, cost+primaryPenalty)
 	}
