fleet: read the proof of the keys before the keys

Cause: Identify looked up the key and then checked the proof. An instance without a recent proof that applied a newer version and its proof in between accepted a key which that version had removed. Change: the proof is read first; keys that are read later are at least as new as the version that it proves.

--- a/fleet/accounts.go
+++ b/fleet/accounts.go
@@ -14,17 +14,19 @@
 // It fails with KindUnauthorized if no account holds the key, and with KindStale if
 // this instance cannot prove that it knows the newest keys.
 func (i *Instance[L]) Identify(database string, key account.Key) (name string, err error) {
+	// The proof is read before the keys: one that arrives in between may be the proof of a newer version.
+	proved := i.freshness.Valid(clock.Now())
 	registry, public := i.directory.Accounts(database)
 	if registry == nil {
 		return "", nil
 	}
 	name, known := registry.Lookup(key)
 	switch {
-	case known && i.freshness.Valid(clock.Now()):
+	case known && proved:
 		return name, nil
 	case public:
 		return "", nil
-	case known || !i.freshness.Valid(clock.Now()):
+	case !proved:
 		return "", fault.New(fault.Config{
 			Kind:    fault.KindStale,
 			Message: "this instance cannot prove that it knows the newest keys; nothing ran",
--- a/fleet/export_test.go
+++ b/fleet/export_test.go
@@ -7,6 +7,7 @@
 	"github.com/go-kit/log"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/monsoontiller/monsoontiller/account"
 	"github.com/monsoontiller/monsoontiller/engine"
 	"github.com/monsoontiller/monsoontiller/group"
 	"github.com/monsoontiller/monsoontiller/membership"
@@ -206,3 +207,22 @@
 
 // NewLenders gives tests access to the choice of the instances from which quota tokens are borrowed.
 var NewLenders = newLenders
+
+// Keys gives tests access to the identification of client accounts.
+type Keys[L Link[L]] struct{ instance *Instance[L] }
+
+// NewKeys returns the identification of client accounts with a bound on the age of the proof, without a configuration.
+func NewKeys[L Link[L]](bound time.Duration) Keys[L] {
+	return Keys[L]{instance: &Instance[L]{directory: &directory[L]{}, freshness: account.NewFreshness(bound)}}
+}
+
+// Apply puts a configuration into force, and records the proof that it was the newest one as of a time.
+func (k Keys[L]) Apply(doc Document, asOf time.Time) {
+	k.instance.directory.Apply(doc)
+	k.instance.freshness.Confirm(asOf)
+}
+
+// Identify returns the account that holds a key.
+func (k Keys[L]) Identify(database string, key account.Key) (string, error) {
+	return k.instance.Identify(database, key)
+}
