fleet: compute the order of an account's homes from the set that caches it

Cause: accountHomes read the homes, and then put their order into the cache of the set in force, which a new configuration or membership may have replaced in between. The account kept the earlier homes until the next change: its sessions tried instances that are no homes, and the shares of its quota no longer added up to 1. Change: the order is computed from the homes of the set that caches it.

--- a/fleet/accounts.go
+++ b/fleet/accounts.go
@@ -60,7 +60,8 @@
 	if ordered, cached := set.byAccount[name]; cached {
 		return ordered
 	}
-	ordered := membership.Homes("account/"+group+"/"+name, homes, len(homes))
+	// The homes may have been computed again since; the order of earlier ones would remain in the cache of the new set.
+	ordered := membership.Homes("account/"+group+"/"+name, set.homes, len(set.homes))
 	if len(set.byAccount) < maxCachedAccounts {
 		set.byAccount[name] = ordered
 	}
--- a/fleet/export_test.go
+++ b/fleet/export_test.go
@@ -226,3 +226,21 @@
 func (k Keys[L]) Identify(database string, key account.Key) (string, error) {
 	return k.instance.Identify(database, key)
 }
+
+// SetAccountHomes makes an instance expect others, which are homes of its groups from then on.
+func SetAccountHomes[L Link[L]](i *Instance[L], doc Document, expected []membership.Identity) {
+	i.directory.Apply(doc)
+	i.expectations = expectations{identities: expected, until: time.Now().Add(time.Hour)}
+	i.homesByGroup = nil
+}
+
+// ApplyDocument puts a configuration into force.
+func ApplyDocument[L Link[L]](i *Instance[L], doc Document) { i.directory.Apply(doc) }
+
+// AccountHomes returns the homes of a group in the order in which an account prefers them.
+func AccountHomes[L Link[L]](i *Instance[L], group, account string) []membership.Identity {
+	return i.accountHomes(group, account)
+}
+
+// HomesOf returns the homes of a group.
+func HomesOf[L Link[L]](i *Instance[L], group string) []membership.Identity { return i.homes(group) }
