quota, fleet: retries of an operation are not demand

Cause: an operation without a token is tried every 5 ms for 15% of its latency objective, and each try counted as an operation in the bucket's estimate of demand. With 12 tries, a bucket that had refused one operation borrowed 1.94 tokens instead of 0.83; tokens beyond the demand expire. A concurrent reader of an earlier configuration could also replace the limits of a newer one. Change: Bucket.Retry takes a token without counting the operation again, and limits are applied only from a newer version. Result: TestRetriesAreNotDemand fails with Take in place of Retry (1.94 instead of 0.83), and passes.

--- a/fleet/quotas.go
+++ b/fleet/quotas.go
@@ -99,7 +99,7 @@
 	registry, version := q.instance.directory.AccountsOf()
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if version == q.revision || registry == nil {
+	if registry == nil || version <= q.revision {
 		return
 	}
 	q.revision = version
@@ -123,7 +123,7 @@
 	}
 	now := clock.Now()
 	q.applyLimits(now)
-	wait, ok := q.take(now, account)
+	wait, ok := q.take(now, account, q.ledger.Take)
 	if ok {
 		return nil
 	}
@@ -135,18 +135,18 @@
 		if engine.Sleep(ctx, admissionPause) != nil {
 			return engine.ErrDraining()
 		}
-		if wait, ok = q.take(clock.Now(), account); ok {
+		if wait, ok = q.take(clock.Now(), account, q.ledger.Retry); ok {
 			return nil
 		}
 	}
 	return quotaError(account, wait)
 }
 
-// take takes a token; if there is none, it starts to borrow.
-func (q *quotas[L]) take(now time.Time, account string) (wait time.Duration, ok bool) {
+// take takes a token by a method of the ledger; if there is none, it starts to borrow.
+func (q *quotas[L]) take(now time.Time, account string, method func(time.Time, string) (time.Duration, bool)) (wait time.Duration, ok bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	wait, ok = q.ledger.Take(now, account)
+	wait, ok = method(now, account)
 	if !ok {
 		select {
 		case q.shortage <- struct{}{}:
--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -143,11 +143,19 @@
 
 // Take takes a token for an operation; if there is none, it returns the time until the next token is due.
 func (b *Bucket) Take(now time.Time) (wait time.Duration, ok bool) {
+	b.advance(now)
+	if !b.limits.Unlimited() {
+		b.demand.add(now)
+	}
+	return b.Retry(now)
+}
+
+// Retry is like Take for an operation that Take has refused: it does not count as demand again.
+func (b *Bucket) Retry(now time.Time) (wait time.Duration, ok bool) {
 	b.advance(now)
 	if b.limits.Unlimited() {
 		return 0, true
 	}
-	b.demand.add(now)
 	missing := 1 - b.owned - b.borrowed.total()
 	if missing > tokenError {
 		return b.due(missing), false
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -47,6 +47,15 @@
 	return b.Take(now)
 }
 
+// Retry takes a token for an operation that Take has refused, as Bucket.Retry.
+func (l *Ledger) Retry(now time.Time, account string) (wait time.Duration, ok bool) {
+	b := l.buckets[account]
+	if b == nil {
+		return 0, true
+	}
+	return b.Retry(now)
+}
+
 // Return gives back the token of an operation that has reached no endpoint.
 func (l *Ledger) Return(now time.Time, account string) {
 	if b := l.buckets[account]; b != nil {
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -258,3 +259,28 @@
 		t.Error("a removed account still has a bucket")
 	}
 }
+
+// Load: an operation of a small account that waits for a token and is tried every 5 ms. Each try would count as an operation
+// otherwise, and the bucket would borrow tokens that expire.
+func TestRetriesAreNotDemand(t *testing.T) {
+	now := time.Unix(1000, 0)
+	config := quota.Config{Limits: quota.Limits{Rate: 2, Burst: 2}, Tolerance: tolerance, Share: 0.125, Now: now}
+	once, retried := quota.New(config), quota.New(config)
+	now = now.Add(settle)
+	for _, b := range []*quota.Bucket{once, retried} {
+		for admitted := true; admitted; {
+			_, admitted = b.Take(now)
+		}
+	}
+	for range 12 {
+		now = now.Add(tick)
+		once.Shortage(now)
+		if _, ok := retried.Retry(now); ok {
+			t.Fatal("a retry was admitted before a token was due")
+		}
+	}
+	now = now.Add(200 * time.Millisecond)
+	if want, got := once.Shortage(now), retried.Shortage(now); math.Abs(got-want) > 1e-6 {
+		t.Errorf("shortage %v after 12 retries, want %v as without them", got, want)
+	}
+}
