fleet: read the clock for homes only while instances are missing

Cause: each lookup of the homes of a group read the boot-time clock, which is a system call. The update of the quota's shares looks them up 640 times (80 accounts, 8 groups) with the quotas locked, five times per second. Change: the clock is read only while instances are expected.

--- a/fleet/homes.go
+++ b/fleet/homes.go
@@ -77,15 +77,15 @@
 // invalidateHomesLocked drops the cached homes if the set of presences has changed since they were computed, or if
 // instances are no longer expected.
 func (i *Instance[L]) invalidateHomesLocked(digest membership.Digest) {
-	now := clock.Now()
-	givenUp := len(i.missing) > 0 && !now.Before(i.expectations.until)
+	// The clock is a system call, and most statements look up homes several times.
+	givenUp := len(i.missing) > 0 && !clock.Now().Before(i.expectations.until)
 	if i.homesDigest == digest && i.homesByGroup != nil && !givenUp {
 		return
 	}
 	i.homesByGroup = map[string]homeSet{}
 	i.homesDigest = digest
 	i.updateDeadSinceLocked()
-	i.updateMissingLocked(now)
+	i.updateMissingLocked(clock.Now())
 }
 
 const (
