--- a/fleet/export_test.go
+++ b/fleet/export_test.go
@@ -7,6 +7,7 @@
 	"github.com/go-kit/log"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/monsoontiller/monsoontiller/account"
 	"github.com/monsoontiller/monsoontiller/engine"
 	"github.com/monsoontiller/monsoontiller/group"
 	"github.com/monsoontiller/monsoontiller/membership"
@@ -209,3 +210,74 @@
 
 // ProofDue gives tests access to the decision whether to confirm the keys with the store.
 var ProofDue = proofDue
+
+// Keys gives tests access to the identification of client accounts.
+type Keys[L Link[L]] struct{ instance *Instance[L] }
+
+// NewKeys returns the identification of client accounts with a bound on the age of the proof, without a configuration.
+func NewKeys[L Link[L]](bound time.Duration) Keys[L] {
+	return Keys[L]{instance: &Instance[L]{directory: &directory[L]{}, freshness: account.NewFreshness(bound)}}
+}
+
+// Apply puts a configuration into force, and records the proof that it was the newest one as of a time.
+func (k Keys[L]) Apply(doc Document, asOf time.Time) {
+	k.instance.directory.Apply(doc)
+	k.instance.freshness.Confirm(asOf)
+}
+
+// Identify returns the account that holds a key.
+func (k Keys[L]) Identify(database string, key account.Key) (string, error) {
+	return k.instance.Identify(database, key)
+}
+
+// SetAccountHomes makes an instance expect others, which are homes of its groups from then on.
+func SetAccountHomes[L Link[L]](i *Instance[L], doc Document, expected []membership.Identity) {
+	i.directory.Apply(doc)
+	i.expectations = expectations{identities: expected, until: time.Now().Add(time.Hour)}
+	i.homesByGroup = nil
+}
+
+// ApplyDocument puts a configuration into force.
+func ApplyDocument[L Link[L]](i *Instance[L], doc Document) { i.directory.Apply(doc) }
+
+// AccountHomes returns the homes of a group in the order in which an account prefers them.
+func AccountHomes[L Link[L]](i *Instance[L], group, account string) []membership.Identity {
+	return i.accountHomes(group, account)
+}
+
+// HomesOf returns the homes of a group.
+func HomesOf[L Link[L]](i *Instance[L], group string) []membership.Identity { return i.homes(group) }
+
+// KeyProof gives tests access to the proof of the keys of an instance.
+type KeyProof[L Link[L]] struct {
+	instance *Instance[L]
+	service  *keyProof[L]
+}
+
+// NewKeyProof returns the proof of the keys of an instance.
+func NewKeyProof[L Link[L]](i *Instance[L]) KeyProof[L] {
+	return KeyProof[L]{instance: i, service: &keyProof[L]{instance: i}}
+}
+
+// Tick asks the store if that is due at now.
+func (k KeyProof[L]) Tick(ctx context.Context, now time.Time) {
+	if k.service.due(now) {
+		k.service.triedAt = now
+		k.service.renew(ctx)
+	}
+}
+
+// Confirm asks the store once.
+func (k KeyProof[L]) Confirm(ctx context.Context) { k.instance.confirmKeys(ctx) }
+
+// Read reads the configuration from the store.
+func (k KeyProof[L]) Read(ctx context.Context) error { return k.instance.readConfiguration(ctx) }
+
+// FollowsStore reports whether the instance follows the store.
+func (k KeyProof[L]) FollowsStore() bool { return k.instance.followsStore() }
+
+// Times of the proofs of keys.
+const (
+	KeyProofTick     = keyProofTick
+	KeyProofInterval = keyProofInterval
+)
--- a/fleet/key_proof.go
+++ b/fleet/key_proof.go
@@ -105,12 +105,21 @@
 }
 
 // renew asks the store whether the version in force is the newest one, and applies a newer one.
+//
+// A version that has just been read is confirmed at once. A store without a version that this instance can apply counts
+// as a failure, since each tick would read it again otherwise.
 func (p *keyProof[L]) renew(ctx context.Context) {
 	storeCtx, cancel := context.WithTimeout(ctx, keyProofTimeout)
 	defer cancel()
-	if err := p.instance.confirmKeys(storeCtx); err == nil {
-		p.failures = 0
-		return
+	for range 2 {
+		confirmed, err := p.instance.confirmKeys(storeCtx)
+		if err != nil {
+			break
+		}
+		if confirmed {
+			p.failures = 0
+			return
+		}
 	}
 	p.failures++
 	p.askPeer(ctx)
@@ -150,32 +159,38 @@
 		"bound_ms", i.freshness.Bound().Milliseconds())
 }
 
-// confirmKeys confirms the version in force, or applies the newer one that the store holds; it fails with the store's error.
-func (i *Instance[L]) confirmKeys(ctx context.Context) error {
+// confirmKeys confirms the version in force, or applies the newer one that the store holds.
+//
+// It reports whether the version then in force is confirmed, and fails with the store's error.
+func (i *Instance[L]) confirmKeys(ctx context.Context) (confirmed bool, err error) {
 	version, _ := i.directory.Version()
 	at, known := i.configurationRow.Position(version)
 	if era, _ := i.era.Current(); !known || at.Era() != era {
-		return i.readConfiguration(ctx)
+		return false, i.readConfiguration(ctx)
 	}
 	sentAt := clock.Now()
 	s, err := i.cfg.Store.Commit(ctx, store.Tx{Expect: []store.Row{{
 		Table: i.cfg.Adapter.ConfigurationTable, Key: i.cfg.Adapter.ConfigurationKey, Version: at.Version(),
 	}}})
-	if err == nil {
+	if err == nil && s.Era <= at.Era() {
 		i.confirm(sentAt)
-		return nil
+		return true, nil
+	}
+	if err == nil {
+		// The store has returned from an older copy, and may have assigned the version of the row again.
+		return false, i.readConfiguration(ctx)
 	}
 	if fault.KindOf(err) != fault.KindConflict {
-		return err
+		return false, err
 	}
 	i.applyConfiguration(s)
 	version, _ = i.directory.Version()
 	row, found := s.Row(i.cfg.Adapter.ConfigurationKey)
 	if at, known := i.configurationRow.Position(version); found && known && at == store.NewPosition(s.Era, row.Version) {
 		i.confirm(sentAt)
-		return nil
+		return true, nil
 	}
-	return i.readConfiguration(ctx)
+	return false, i.readConfiguration(ctx)
 }
 
 // confirm records that the configuration in force was the newest one as of a time, and lets the heartbeats spread the proof.
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -47,6 +47,15 @@
 	return b.Take(now)
 }
 
+// Retry takes a token for an operation that Take has refused, as Bucket.Retry.
+func (l *Ledger) Retry(now time.Time, account string) (wait time.Duration, ok bool) {
+	b := l.buckets[account]
+	if b == nil {
+		return 0, true
+	}
+	return b.Retry(now)
+}
+
 // Return gives back the token of an operation that has reached no endpoint.
 func (l *Ledger) Return(now time.Time, account string) {
 	if b := l.buckets[account]; b != nil {
@@ -88,3 +97,12 @@
 	}
 	return short
 }
+
+// Shortage returns the tokens of an account that are worth borrowing now, or 0.
+func (l *Ledger) Shortage(now time.Time, account string) float64 {
+	b := l.buckets[account]
+	if b == nil {
+		return 0
+	}
+	return b.Shortage(now)
+}
