--- a/engine/session.go
+++ b/engine/session.go
@@ -68,6 +68,8 @@
 	Session  string
 	Request  string
 	Database string
+	// Account is the client account of the session, or "".
+	Account  string
 	Group    string
 	Op       Op
 	Endpoint string
@@ -318,6 +320,7 @@
 		Session:   s.cfg.ID,
 		Request:   j.statement.ID,
 		Database:  s.cfg.Database,
+		Account:   s.cfg.Account,
 		Group:     s.terms.Group.Name(),
 		Op:        j.statement.Op,
 		Endpoint:  j.endpoint,
--- a/engine/session_test.go
+++ b/engine/session_test.go
@@ -129,7 +129,7 @@
 	f.cluster.with("a", func(m *member) { m.lose[engine.OpWrite] = 1 })
 	r := &recorder{}
 	sess := engine.NewSession(engine.SessionConfig[*fakeLink]{
-		ID: "7", Database: "orders", Source: f, Policy: route.EarliestAnswer{}, Recorder: r, Clock: clock.Now,
+		ID: "7", Database: "orders", Account: "harbour", Source: f, Policy: route.EarliestAnswer{}, Recorder: r, Clock: clock.Now,
 	})
 	t.Cleanup(sess.Close)
 	mustRefuse(t, (&session{Session: sess}).do(engine.OpWrite, "i1", "x"), engine.ReasonInDoubt)
@@ -137,7 +137,7 @@
 		t.Fatalf("%d records, want 1", len(r.records))
 	}
 	got := r.records[0]
-	if got.Request != "q1" || got.Session != "7" || got.Group != "orders" || got.Endpoint != "a" || got.Revision != 1 || got.Refusal == nil || len(got.Failures) != 1 {
+	if got.Request != "q1" || got.Session != "7" || got.Account != "harbour" || got.Group != "orders" || got.Endpoint != "a" || got.Revision != 1 || got.Refusal == nil || len(got.Failures) != 1 {
 		t.Errorf("recorded %+v", got)
 	}
 }
--- a/engine/statement.go
+++ b/engine/statement.go
@@ -123,6 +123,8 @@
 	Text   string
 	// Code is the endpoint's error code, passed on unchanged if set.
 	Code string
+	// Unproven means that the instance could not prove that it knows the newest keys of the client accounts.
+	Unproven bool
 }
 
 // Answer is the answer to one statement.
--- a/event/trace.go
+++ b/event/trace.go
@@ -18,6 +18,8 @@
 	Group    string    `json:"group"`
 	Subject  string    `json:"subject"`
 	Endpoint string    `json:"endpoint"`
+	// Account is the client account of a request or decision, if any.
+	Account string `json:"account"`
 	// Text is the line from its opening brace to its end.
 	Text string `json:"-"`
 }
@@ -71,7 +73,8 @@
 // Explain returns the lines of a request and the decisions that may have affected it, ordered by time.
 //
 // These are, within traceWindow, the decisions of any instance about the request's
-// group and the decisions without a group or subject of the instances that handled it.
+// group and the decisions without a group or subject of the instances that handled it,
+// except those about another client account.
 // Explain returns nil if no line has the request's id.
 func (t *Trace) Explain(id string) []Line {
 	var requestLines []Line
@@ -99,6 +102,9 @@
 		if d := l.At.Sub(requestLine.At); d > traceWindow || d < -traceWindow {
 			continue
 		}
+		if l.Account != "" && l.Account != requestLine.Account {
+			continue
+		}
 		group := requestLine.Group
 		if group == "" {
 			group = t.groupByEndpoint[requestLine.Endpoint]
--- a/fleet/record.go
+++ b/fleet/record.go
@@ -22,18 +22,29 @@
 	served  [3]tally.Counter
 	refused tally.Counter
 	late    tally.Counter
-	latency tally.Histogram
-	mu      sync.Mutex
-	second  int64
-	logged  int
-	omitted int
+	// unauthenticated counts the sessions refused or ended because no account holds their key, and unproven the refusals for lack
+	// of a recent proof that this instance knows the newest keys.
+	unauthenticated tally.Counter
+	unproven        tally.Counter
+	latency         tally.Histogram
+	mu              sync.Mutex
+	second          int64
+	logged          int
+	omitted         int
 }
 
 // latencyBuckets span 250 µs to 8 s.
 var latencyBuckets = tally.MustMakeExponentialDurationBuckets(250*time.Microsecond, 2, 16)
 
 func newRecorder(logger log.Logger, scope tally.Scope) *recorder {
-	r := &recorder{logger: logger, refused: scope.Counter("refused_total"), late: scope.Counter("late_total"), latency: scope.Histogram("request_seconds", latencyBuckets)}
+	r := &recorder{
+		logger:          logger,
+		refused:         scope.Counter("refused_total"),
+		late:            scope.Counter("late_total"),
+		unauthenticated: scope.Counter("unauthenticated_total"),
+		unproven:        scope.Counter("unproven_total"),
+		latency:         scope.Histogram("request_seconds", latencyBuckets),
+	}
 	for target, name := range map[route.Target]string{route.TargetNone: "none", route.TargetPrimary: "primary", route.TargetReplica: "replica"} {
 		r.served[target] = scope.Tagged(map[string]string{"target": name}).Counter("served_total")
 	}
@@ -52,6 +63,12 @@
 		return
 	}
 	r.refused.Inc(1)
+	switch {
+	case rec.Refusal.Unproven:
+		r.unproven.Inc(1)
+	case rec.Refusal.Reason == engine.ReasonUnauthenticated:
+		r.unauthenticated.Inc(1)
+	}
 	r.log("statement_refused", rec, rec.Refusal.Reason.String(), rec.Refusal.Text)
 }
 
@@ -61,7 +78,7 @@
 		return
 	}
 	logLine(r.logger, "level", "info", "msg", message, "id", rec.Request, "session", rec.Session,
-		"database", rec.Database, "group", rec.Group, "op", rec.Op.String(), "endpoint", rec.Endpoint, "floor", rec.Floor.String(),
+		"database", rec.Database, "account", rec.Account, "group", rec.Group, "op", rec.Op.String(), "endpoint", rec.Endpoint, "floor", rec.Floor.String(),
 		"retries", rec.Retries, "attempts", strings.Join(rec.Failures, "; "), "took_ms", rec.Duration.Milliseconds(),
 		"objective_ms", rec.Objective.Milliseconds(), "revision", rec.Revision, "reason", reason, "text", text, "lines_left_out", omitted)
 }
--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -86,6 +86,9 @@
 	}
 }
 
+// Share returns the share of the account's limits that this bucket has.
+func (b *Bucket) Share() float64 { return b.share }
+
 // setLife derives from the limits how long loans exist: as long as the refill of all buckets takes to fill them. Lenders
 // then never run out of capacity for loans, whatever part of the demand comes to one bucket.
 //
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -38,6 +38,14 @@
 	}
 }
 
+// Share returns this instance's share of an account, 0 if the account is not in the configuration.
+func (l *Ledger) Share(account string) float64 {
+	if b := l.buckets[account]; b != nil {
+		return b.Share()
+	}
+	return 0
+}
+
 // Take takes a token of an account, as Bucket.Take; an account that is not in the configuration is not limited.
 func (l *Ledger) Take(now time.Time, account string) (wait time.Duration, ok bool) {
 	b := l.buckets[account]
