fleet, account: metrics and log lines of quotas

Nothing showed which account a home refuses, or whether instances lend to each other. The counters of an account are added up under the lock that its bucket needs anyway, without an allocation, and reported once a second. Only ten accounts have a label at a time, and 40 in the life of a process, which bounds the series. TestRefusalsOfAccountsAreCountedAndLogged fails without the account in the records and without the count of refusals.

--- a/fleet/instance.go
+++ b/fleet/instance.go
@@ -237,6 +237,7 @@
 		return d.Version, false
 	}
 	i.meters.configuration.Update(float64(d.Version))
+	i.meters.accounts.Update(float64(len(d.AccountNames())))
 	logLine(i.cfg.Logger, "level", "info", "msg", "configuration_applied", "version", d.Version, "before", before,
 		"source", source, "contracts", len(d.Contracts), "groups", len(d.Groups), "accounts", len(d.AccountNames()))
 	i.members.UpdateGroups()
--- a/fleet/key_proof.go
+++ b/fleet/key_proof.go
@@ -75,6 +75,7 @@
 			p.renew(ctx)
 		}
 		p.logValidity(now)
+		p.meterAge(clock.Now())
 	}
 	return nil
 }
@@ -121,6 +122,16 @@
 		"bound_ms", i.freshness.Bound().Milliseconds())
 }
 
+// meterAge updates the gauge of the proof's age.
+func (p *keyProof[L]) meterAge(now time.Time) {
+	i := p.instance
+	age := time.Duration(0)
+	if i.freshness.Bound() > 0 && i.directory.HasAccounts() {
+		age = min(i.freshness.Age(now), now.Sub(i.startedAt))
+	}
+	i.meters.keyProofAge.Update(float64(age.Milliseconds()))
+}
+
 // confirmKeys confirms the version in force, or applies the newer one that the store holds; it fails with the store's error.
 func (i *Instance[L]) confirmKeys(ctx context.Context) error {
 	version, _ := i.directory.Version()
--- a/fleet/quotas.go
+++ b/fleet/quotas.go
@@ -37,12 +37,13 @@
 	// revision is the version of the configuration whose limits the ledger holds.
 	revision uint64
 	waiting  map[string]int
+	usage    *quotaUsage
 }
 
 func newQuotas[L Link[L]](i *Instance[L]) *quotas[L] {
 	return &quotas[L]{
 		instance: i, shortage: make(chan struct{}, 1), ledger: quota.NewLedger(i.cfg.QuotaTolerance), lenders: newLenders(),
-		waiting: map[string]int{},
+		waiting: map[string]int{}, usage: newQuotaUsage(i.cfg.Scope, i.cfg.Logger),
 	}
 }
 
@@ -53,6 +54,8 @@
 func (q *quotas[L]) Run(ctx context.Context) error {
 	ticker := time.NewTicker(quotaTick)
 	defer ticker.Stop()
+	reports := time.NewTicker(usageInterval)
+	defer reports.Stop()
 	var calls sync.WaitGroup
 	defer calls.Wait()
 	for {
@@ -60,6 +63,8 @@
 		case <-ticker.C:
 			q.update(clock.Now())
 		case <-q.shortage:
+		case <-reports.C:
+			q.report()
 		case <-ctx.Done():
 			return nil
 		}
@@ -128,7 +133,7 @@
 		return nil
 	}
 	if !q.mayWait(account) {
-		return quotaError(account, wait)
+		return q.refuse(account, wait)
 	}
 	defer q.endWait(account)
 	for clock.Now().Add(admissionPause).Before(until) {
@@ -139,6 +144,14 @@
 			return nil
 		}
 	}
+	return q.refuse(account, wait)
+}
+
+// refuse counts the refusal of an operation and returns its error.
+func (q *quotas[L]) refuse(account string, wait time.Duration) error {
+	q.mu.Lock()
+	q.usage.accounts.Refuse(account)
+	q.mu.Unlock()
 	return quotaError(account, wait)
 }
 
@@ -147,7 +160,9 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	wait, ok = q.ledger.Take(now, account)
-	if !ok {
+	if ok {
+		q.usage.accounts.Admit(account)
+	} else {
 		select {
 		case q.shortage <- struct{}{}:
 		default:
@@ -198,7 +213,9 @@
 func (q *quotas[L]) Lend(amounts map[string]float64) map[string]float64 {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.ledger.Lend(clock.Now(), amounts)
+	lent := q.ledger.Lend(clock.Now(), amounts)
+	q.usage.lent.add(lent)
+	return lent
 }
 
 // planLoans returns the amounts to borrow now from each instance, by account.
@@ -220,6 +237,8 @@
 		answer, err := q.instance.node.BorrowTokens(ctx, identity, amounts)
 		if err == nil && clock.Since(sentAt) <= quota.LoanTimeout {
 			lent = answer
+		} else {
+			q.usage.failedCalls.Inc(1)
 		}
 	}
 	now := clock.Now()
@@ -227,6 +246,7 @@
 	defer q.mu.Unlock()
 	q.lenders.Answered(now, lender, amounts, lent)
 	q.ledger.Receive(now, lent)
+	q.usage.borrowed.add(lent)
 }
 
 // findInstance returns the identity of another live instance.
