--- a/engine/session.go
+++ b/engine/session.go
@@ -69,6 +69,8 @@
 	Session  string
 	Request  string
 	Database string
+	// Account is the client account of the session, or "".
+	Account  string
 	Group    string
 	Op       Op
 	Endpoint string
@@ -273,8 +275,9 @@
 	return h, e, err
 }
 
-// admissionShare is the fraction of the latency objective for which an operation may wait for its admission.
-const admissionShare = 0.15
+// admissionShare is the fraction of the latency objective for which an operation may wait for its admission: a caller that
+// is refused by then can still try again within the objective.
+const admissionShare = 0.22
 
 // admit takes the admission of an operation that arrived at receivedAt.
 func (s *Session[L]) admit(ctx context.Context, receivedAt time.Time) error {
@@ -319,6 +322,7 @@
 		Session:   s.cfg.ID,
 		Request:   j.statement.ID,
 		Database:  s.cfg.Database,
+		Account:   s.cfg.Account,
 		Group:     s.terms.Group.Name(),
 		Op:        j.statement.Op,
 		Endpoint:  j.endpoint,
--- a/fleet/quotas.go
+++ b/fleet/quotas.go
@@ -23,7 +23,7 @@
 	// admissionPause is the wait of an operation without a token before it tries again: a call to another instance.
 	admissionPause = 5 * time.Millisecond
 	// maxAdmissionWaiters is the most operations of an account that wait for a token here; the others are refused at once.
-	maxAdmissionWaiters = 4
+	maxAdmissionWaiters = 8
 )
 
 // quotas admits the operations of client accounts within their quotas; it is safe for concurrent use.
@@ -41,12 +41,13 @@
 	// sharesOf describes the state from which the shares in the ledger were computed.
 	sharesOf shareState
 	waiting  map[string]int
+	usage    *quotaUsage
 }
 
 func newQuotas[L Link[L]](i *Instance[L]) *quotas[L] {
 	return &quotas[L]{
 		instance: i, shortage: make(chan struct{}, 1), ledger: quota.NewLedger(i.cfg.QuotaTolerance), lenders: newLenders(),
-		waiting: map[string]int{}, short: map[string]bool{},
+		waiting: map[string]int{}, short: map[string]bool{}, usage: newQuotaUsage(i.cfg.Scope, i.cfg.Logger),
 	}
 }
 
@@ -66,6 +67,8 @@
 func (q *quotas[L]) Run(ctx context.Context) error {
 	ticker := time.NewTicker(quotaTick)
 	defer ticker.Stop()
+	reports := time.NewTicker(usageInterval)
+	defer reports.Stop()
 	var calls sync.WaitGroup
 	defer calls.Wait()
 	for {
@@ -76,6 +79,8 @@
 			plan = q.planLoans(clock.Now())
 		case <-q.shortage:
 			plan = q.planShort(clock.Now())
+		case <-reports.C:
+			q.report()
 		case <-ctx.Done():
 			return nil
 		}
@@ -164,7 +169,7 @@
 		return nil
 	}
 	if !q.mayWait(account) {
-		return quotaError(account, wait)
+		return q.refuse(account, wait)
 	}
 	defer q.endWait(account)
 	for clock.Now().Add(admissionPause).Before(until) {
@@ -175,6 +180,14 @@
 			return nil
 		}
 	}
+	return q.refuse(account, wait)
+}
+
+// refuse counts the refusal of an operation and returns its error.
+func (q *quotas[L]) refuse(account string, wait time.Duration) error {
+	q.mu.Lock()
+	q.usage.accounts.Refuse(account)
+	q.mu.Unlock()
 	return quotaError(account, wait)
 }
 
@@ -183,7 +196,9 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	wait, ok = method(now, account)
-	if !ok {
+	if ok {
+		q.usage.accounts.Admit(account)
+	} else {
 		q.short[account] = true
 		select {
 		case q.shortage <- struct{}{}:
@@ -235,7 +250,9 @@
 func (q *quotas[L]) Lend(amounts map[string]float64) map[string]float64 {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.ledger.Lend(clock.Now(), amounts)
+	lent := q.ledger.Lend(clock.Now(), amounts)
+	q.usage.lent.add(lent)
+	return lent
 }
 
 // planLoans returns the amounts to borrow now from each instance, by account.
@@ -279,6 +296,8 @@
 		answer, err := q.instance.node.BorrowTokens(ctx, identity, amounts)
 		if err == nil && clock.Since(sentAt) <= quota.LoanTimeout {
 			lent = answer
+		} else {
+			q.usage.failedCalls.Inc(1)
 		}
 	}
 	now := clock.Now()
@@ -286,6 +305,7 @@
 	defer q.mu.Unlock()
 	q.lenders.Answered(now, lender, amounts, lent)
 	q.ledger.Receive(now, lent)
+	q.usage.borrowed.add(lent)
 }
 
 // findInstance returns the identity of another live instance.
