fleet: read an unreadable configuration with a pause

Cause: an instance that does not follow the store asked it again at every tick of 200 ms as long as the store held no version that it could apply, since such a call counted as a success. Change: a call that confirms nothing counts as a failure, after which the pause is 2 s; a version that has just been read is confirmed by a second call at once instead of at the next tick.

--- a/fleet/export_test.go
+++ b/fleet/export_test.go
@@ -244,3 +244,37 @@
 
 // HomesOf returns the homes of a group.
 func HomesOf[L Link[L]](i *Instance[L], group string) []membership.Identity { return i.homes(group) }
+
+// KeyProof gives tests access to the proof of the keys of an instance.
+type KeyProof[L Link[L]] struct {
+	instance *Instance[L]
+	service  *keyProof[L]
+}
+
+// NewKeyProof returns the proof of the keys of an instance.
+func NewKeyProof[L Link[L]](i *Instance[L]) KeyProof[L] {
+	return KeyProof[L]{instance: i, service: &keyProof[L]{instance: i}}
+}
+
+// Tick asks the store if that is due at now.
+func (k KeyProof[L]) Tick(ctx context.Context, now time.Time) {
+	if k.service.due(now) {
+		k.service.triedAt = now
+		k.service.renew(ctx)
+	}
+}
+
+// Confirm asks the store once.
+func (k KeyProof[L]) Confirm(ctx context.Context) { k.instance.confirmKeys(ctx) }
+
+// Read reads the configuration from the store.
+func (k KeyProof[L]) Read(ctx context.Context) error { return k.instance.readConfiguration(ctx) }
+
+// FollowsStore reports whether the instance follows the store.
+func (k KeyProof[L]) FollowsStore() bool { return k.instance.followsStore() }
+
+// Times of the proofs of keys.
+const (
+	KeyProofTick     = keyProofTick
+	KeyProofInterval = keyProofInterval
+)
--- a/fleet/key_proof.go
+++ b/fleet/key_proof.go
@@ -93,15 +93,23 @@
 }
 
 // renew asks the store whether the version in force is the newest one, and applies a newer one.
+//
+// A version that has just been read is confirmed at once. A store without a version that this instance can apply counts
+// as a failure, since each tick would read it again otherwise.
 func (p *keyProof[L]) renew(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, keyProofTimeout)
 	defer cancel()
-	err := p.instance.confirmKeys(ctx)
-	if err != nil {
-		p.failures++
-		return
+	for range 2 {
+		confirmed, err := p.instance.confirmKeys(ctx)
+		if err != nil {
+			break
+		}
+		if confirmed {
+			p.failures = 0
+			return
+		}
 	}
-	p.failures = 0
+	p.failures++
 }
 
 // logValidity logs when callers with keys are refused for lack of a proof, and when they are served again.
@@ -121,12 +129,14 @@
 		"bound_ms", i.freshness.Bound().Milliseconds())
 }
 
-// confirmKeys confirms the version in force, or applies the newer one that the store holds; it fails with the store's error.
-func (i *Instance[L]) confirmKeys(ctx context.Context) error {
+// confirmKeys confirms the version in force, or applies the newer one that the store holds.
+//
+// It reports whether the version then in force is confirmed, and fails with the store's error.
+func (i *Instance[L]) confirmKeys(ctx context.Context) (confirmed bool, err error) {
 	version, _ := i.directory.Version()
 	at, known := i.configurationRow.Position(version)
 	if era, _ := i.era.Current(); !known || at.Era() != era {
-		return i.readConfiguration(ctx)
+		return false, i.readConfiguration(ctx)
 	}
 	sentAt := clock.Now()
 	s, err := i.cfg.Store.Commit(ctx, store.Tx{Expect: []store.Row{{
@@ -134,19 +144,19 @@
 	}}})
 	if err == nil {
 		i.freshness.Confirm(sentAt)
-		return nil
+		return true, nil
 	}
 	if fault.KindOf(err) != fault.KindConflict {
-		return err
+		return false, err
 	}
 	i.applyConfiguration(s)
 	version, _ = i.directory.Version()
 	row, found := s.Row(i.cfg.Adapter.ConfigurationKey)
 	if at, known := i.configurationRow.Position(version); found && known && at == store.NewPosition(s.Era, row.Version) {
 		i.freshness.Confirm(sentAt)
-		return nil
+		return true, nil
 	}
-	return i.readConfiguration(ctx)
+	return false, i.readConfiguration(ctx)
 }
 
 // readConfiguration reads the configuration, which may be answered from an older state and so proves nothing by itself.
