fleet: confirm keys only within the era of the configuration's row

Cause: a store that has returned from an older copy may assign the version of the configuration's row to a newer configuration. If the conditional read was the first call after the return, it confirmed the configuration that the store had lost. Change: an answer of a later era confirms nothing; the configuration is read again. Result: TestProofEndsWithEraOfStore failed before (configuration 6 was confirmed while the store held 7), and passes.

--- a/fleet/key_proof.go
+++ b/fleet/key_proof.go
@@ -142,10 +142,14 @@
 	s, err := i.cfg.Store.Commit(ctx, store.Tx{Expect: []store.Row{{
 		Table: i.cfg.Adapter.ConfigurationTable, Key: i.cfg.Adapter.ConfigurationKey, Version: at.Version(),
 	}}})
-	if err == nil {
+	if err == nil && s.Era <= at.Era() {
 		i.freshness.Confirm(sentAt)
 		return true, nil
 	}
+	if err == nil {
+		// The store has returned from an older copy, and may have assigned the version of the row again.
+		return false, i.readConfiguration(ctx)
+	}
 	if fault.KindOf(err) != fault.KindConflict {
 		return false, err
 	}
--- a/fleet/key_proof_test.go
+++ b/fleet/key_proof_test.go
@@ -41,6 +41,31 @@
 	})
 }
 
+// Guards against a proof of an old configuration. Load: the store returns from a copy that lacks the newest configuration,
+// and assigns the version of its row to another one before the instance has seen the new era.
+func TestProofEndsWithEraOfStore(t *testing.T) {
+	s := storetest.New()
+	s.SetEra(1)
+	i := proofInstance(t, s)
+	proof := fleet.NewKeyProof(i)
+	s.Put("configuration", "current", []byte("5"))
+	earlier := s.Copy()
+	s.Put("configuration", "current", []byte("6"))
+	if err := proof.Read(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	s.Restore(earlier)
+	s.Put("configuration", "current", []byte("7"))
+	proof.Confirm(t.Context())
+	if _, confirmed := i.ConfirmedAsOf(); confirmed && i.AccountsRevision() != 7 {
+		t.Errorf("configuration %d is confirmed, the store holds 7", i.AccountsRevision())
+	}
+	proof.Tick(t.Context(), clock.Now())
+	if _, confirmed := i.ConfirmedAsOf(); !confirmed || i.AccountsRevision() != 7 {
+		t.Errorf("configuration %d, confirmed %t, want 7 to be confirmed", i.AccountsRevision(), confirmed)
+	}
+}
+
 // Guards against a store that each instance of a fleet reads at every tick. Load: an operator writes a configuration that
 // cannot be decoded, and the instance does not follow the store itself.
 func TestUnreadableConfigurationIsNotReadAtEachTick(t *testing.T) {
