--- a/route/recent_failures.go
+++ b/route/recent_failures.go
@@ -60,6 +60,13 @@
 	return ordered
 }
 
+// AllFailed reports whether all targets have failed within the period before now.
+func (f *RecentFailures[K]) AllFailed(now time.Time, targets []K) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !slices.ContainsFunc(targets, func(target K) bool { return f.rank(now, target) == 0 })
+}
+
 // rank returns 1 for a target that failed within the period before now, and 0 for others.
 func (f *RecentFailures[K]) rank(now time.Time, target K) int {
 	failedAt, failed := f.failedAt[target]
