fleet: calls for quota tokens are bounded; an instance without a recent proof of its keys is not ready

At most four calls are now in progress on an instance, and an account that nobody has tokens for is asked for after 50 ms to 1.6 s: in the test of that load at most 100 calls a second. Instances that must refuse callers with keys tell the balancer.

--- a/fleet/accounts.go
+++ b/fleet/accounts.go
@@ -40,6 +40,12 @@
 	})
 }
 
+// provesKeys reports whether this instance serves callers with keys; the balancer sends their connections to others while it
+// does not.
+func (i *Instance[L]) provesKeys() bool {
+	return !i.directory.HasAccounts() || i.freshness.Valid(clock.Now())
+}
+
 // AccountsRevision returns the version of the configuration, with which the keys may change.
 func (i *Instance[L]) AccountsRevision() uint64 {
 	version, _ := i.directory.Version()
--- a/fleet/instance.go
+++ b/fleet/instance.go
@@ -124,7 +124,7 @@
 // Ready reports whether this instance accepts callers.
 func (i *Instance[L]) Ready() bool {
 	_, known := i.directory.Version()
-	return known && i.endpointsListed.Load() && i.knowsFleet() && !i.stopping.Load() && i.watchesHomeGroups()
+	return known && i.provesKeys() && i.endpointsListed.Load() && i.knowsFleet() && !i.stopping.Load() && i.watchesHomeGroups()
 }
 
 // Starting reports whether this instance started less than maxJoinWait ago; other instances may be starting too.
--- a/fleet/lenders.go
+++ b/fleet/lenders.go
@@ -8,6 +8,12 @@
 const (
 	// lenderBackoff is how long an instance that had no tokens of an account to lend is not asked for them again.
 	lenderBackoff = 100 * time.Millisecond
+	// maxAccountBackoff bounds the pause after which an account is asked for again that no instance had tokens for; it starts
+	// with lenderBackoff and doubles, since an account above its limit is short everywhere.
+	maxAccountBackoff = 1600 * time.Millisecond
+	// maxLoanCalls is the most calls in progress: while many accounts are short, as after the loss of a third of the
+	// instances, calls to all others would take the processor from the operations.
+	maxLoanCalls = 4
 	// maxLenderBackoffs bounds the backoffs that are kept; they are cleared at this number.
 	maxLenderBackoffs = 4096
 )
@@ -21,6 +27,13 @@
 	inFlight map[string]bool
 	emptyAt  map[loanSource]time.Time
 	next     map[string]int
+	pauses   map[string]accountPause
+}
+
+// accountPause is the time until which an account is not asked for, and the length of that pause.
+type accountPause struct {
+	until  time.Time
+	length time.Duration
 }
 
 // loanSource is an instance that may lend tokens of an account.
@@ -30,7 +43,7 @@
 }
 
 func newLenders() *lenders {
-	return &lenders{inFlight: map[string]bool{}, emptyAt: map[loanSource]time.Time{}, next: map[string]int{}}
+	return &lenders{inFlight: map[string]bool{}, emptyAt: map[loanSource]time.Time{}, next: map[string]int{}, pauses: map[string]accountPause{}}
 }
 
 // Plan returns the amounts to ask of each instance, by account, and marks these instances as having a call in progress.
@@ -40,10 +53,16 @@
 func (l *lenders) Plan(now time.Time, shortages map[string]float64, holders func(account string) []string) map[string]map[string]float64 {
 	plan := map[string]map[string]float64{}
 	for account, tokens := range shortages {
+		if now.Before(l.pauses[account].until) {
+			continue
+		}
 		lender, ok := l.choose(now, account, holders(account))
 		if !ok {
 			continue
 		}
+		if plan[lender] == nil && len(l.inFlight)+len(plan) >= maxLoanCalls {
+			continue
+		}
 		if plan[lender] == nil {
 			plan[lender] = map[string]float64{}
 		}
@@ -77,9 +96,13 @@
 		clear(l.emptyAt)
 	}
 	for account := range asked {
-		if lent[account] <= 0 {
-			l.emptyAt[loanSource{instance: lender, account: account}] = now
+		if lent[account] > 0 {
+			delete(l.pauses, account)
+			continue
 		}
+		l.emptyAt[loanSource{instance: lender, account: account}] = now
+		length := min(max(lenderBackoff/2, 2*l.pauses[account].length), maxAccountBackoff)
+		l.pauses[account] = accountPause{until: now.Add(length), length: length}
 	}
 }
 
@@ -90,4 +113,9 @@
 			delete(l.next, account)
 		}
 	}
+	for account := range l.pauses {
+		if _, kept := slices.BinarySearch(accounts, account); !kept {
+			delete(l.pauses, account)
+		}
+	}
 }
--- a/fleet/lenders_test.go
+++ b/fleet/lenders_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -26,6 +27,7 @@
 	l.Answered(now, "one", short, map[string]float64{"hot": 2})
 	l.Answered(now, "two", short, nil)
 	l.Answered(now, "three", short, nil)
+	now = now.Add(90 * time.Millisecond)
 	for range 2 {
 		for lender := range l.Plan(now, short, holders) {
 			if lender != "one" {
@@ -42,3 +44,37 @@
 		t.Errorf("plan %v without instances", plan)
 	}
 }
+
+// TestShortAccountsDoNotFloodPeers guards against calls without end while 70 accounts are short on an instance: after the loss
+// of a third of 58 instances no other has tokens to lend.
+func TestShortAccountsDoNotFloodPeers(t *testing.T) {
+	const seconds = 10
+	now := time.Unix(1000, 0)
+	l := fleet.NewLenders()
+	short := map[string]float64{}
+	for n := range 70 {
+		short[fmt.Sprint("account-", n)] = 1
+	}
+	holders := func(account string) []string {
+		var out []string
+		for n := range 8 {
+			out = append(out, fmt.Sprint("instance-", (len(account)*7+n*5+int(account[len(account)-1]))%57))
+		}
+		return out
+	}
+	calls := 0
+	for range seconds * 200 {
+		now = now.Add(5 * time.Millisecond)
+		plan := l.Plan(now, short, holders)
+		if len(plan) > 4 {
+			t.Fatalf("%d calls at once", len(plan))
+		}
+		for lender, amounts := range plan {
+			calls++
+			l.Answered(now, lender, amounts, nil)
+		}
+	}
+	if most := 100 * seconds; calls > most {
+		t.Errorf("%d calls in %d s, want at most %d", calls, seconds, most)
+	}
+}
--- a/fleet/quotas.go
+++ b/fleet/quotas.go
@@ -23,7 +23,7 @@
 	// admissionPause is the wait of an operation without a token before it tries again: a call to another instance.
 	admissionPause = 5 * time.Millisecond
 	// maxAdmissionWaiters is the most operations of an account that wait for a token here; the others are refused at once.
-	maxAdmissionWaiters = 8
+	maxAdmissionWaiters = 4
 )
 
 // quotas admits the operations of client accounts within their quotas; it is safe for concurrent use.
