--- a/check/accounts.go
+++ b/check/accounts.go
@@ -38,7 +38,7 @@
 	if account.RatePerS == nil {
 		r.warn(p, "a burst is set without a rate and has no effect", "set a rate or remove the burst")
 	} else if rate && *account.RatePerS == 0 {
-		r.warn(p, fmt.Sprintf("the rate is 0 with a burst of %s", formatNumber(*account.Burst)), "set a rate above 0, or remove the burst to refuse all operations")
+		r.warn(p, fmt.Sprintf("the rate is 0 with a burst of %s", formatNumber(*account.Burst)), "set a rate above 0; without rate and burst the account is not limited")
 	}
 }
 
--- a/check/configuration.go
+++ b/check/configuration.go
@@ -45,8 +45,8 @@
 	TimeLimitMs float64
 	// LatencyObjectiveMs is the objective for the latency of a request, in milliseconds; 0 means the default.
 	LatencyObjectiveMs float64
-	// MaxStalenessMs limits the staleness of bounded reads, in milliseconds.
-	MaxStalenessMs float64
+	// StalenessLimitMs limits the staleness of bounded reads, in milliseconds.
+	StalenessLimitMs float64
 	Priority       float64
 }
 
--- a/check/difference.go
+++ b/check/difference.go
@@ -153,7 +153,7 @@
 		{"public", strconv.FormatBool(r.Public)},
 		{"time_limit_ms", formatNumber(r.TimeLimitMs)},
 		{"latency_objective_ms", formatNumber(r.LatencyObjectiveMs)},
-		{"max_staleness_ms", formatNumber(r.MaxStalenessMs)},
+		{"max_staleness_ms", formatNumber(r.StalenessLimitMs)},
 		{"priority", formatNumber(r.Priority)},
 	}
 }
--- a/check/finding_test.go
+++ b/check/finding_test.go
@@ -19,7 +19,7 @@
 	return check.Configuration{
 		Version: 8,
 		Routes: []check.Route{
-			{Name: "r1", Database: "orders", Group: "g1", Type: "b", Consistency: check.ConsistencyBounded, TimeLimitMs: 1000, LatencyObjectiveMs: 400, MaxStalenessMs: 2500},
+			{Name: "r1", Database: "orders", Group: "g1", Type: "b", Consistency: check.ConsistencyBounded, TimeLimitMs: 1000, LatencyObjectiveMs: 400, StalenessLimitMs: 2500},
 			{Name: "r2", Database: "bookings", Group: "g2", Type: "p", Consistency: check.ConsistencyPrimary, TimeLimitMs: 900, LatencyObjectiveMs: 900},
 		},
 		Groups:          []check.Group{{Name: "g1", Connections: 27}, {Name: "g2", Connections: 66, SyncReplicas: 1}},
@@ -61,7 +61,7 @@
 	{"undefined group", func(c *check.Configuration) { c.Groups = c.Groups[:1] }, []string{`error: route "r2": group "g2" is not defined`}},
 	{"unknown type", func(c *check.Configuration) { c.Routes[1].Consistency = check.ConsistencyUnknown }, []string{`error: route "r2": the type "p" is unknown`}},
 	{"objective above time limit", func(c *check.Configuration) { c.Routes[0].LatencyObjectiveMs = 1001 }, []string{`warning: route "r1": the latency objective (1001 ms) is above`}},
-	{"staleness 0", func(c *check.Configuration) { c.Routes[0].MaxStalenessMs = 0 }, []string{`warning: route "r1": the staleness of a bounded route is 0`}},
+	{"staleness 0", func(c *check.Configuration) { c.Routes[0].StalenessLimitMs = 0 }, []string{`warning: route "r1": the staleness of a bounded route is 0`}},
 	{"idle limit", func(c *check.Configuration) { c.TransactionIdleMs = 1001 }, []string{"warning: configuration: the idle limit of transactions (1001 ms) is above"}},
 	{"idle limit with a default time limit", func(c *check.Configuration) { c.TransactionIdleMs, c.Routes[0].TimeLimitMs = 1001, 0 }, nil},
 	{"group without routes", func(c *check.Configuration) { c.Groups = append(c.Groups, check.Group{Name: "g3", Connections: 27}) }, []string{`warning: group "g3": no route`}},
@@ -80,7 +80,7 @@
 	{"key that cannot be sent", func(c *check.Configuration) { c.Accounts[1] = account("b", 10, 0, "", "key b1", "key\n") },
 		[]string{`warning: account "b": key 1 can never`, `warning: account "b": key 2 can never`, `warning: account "b": key 3 can never`}},
 	{"errors before warnings", func(c *check.Configuration) {
-		c.Accounts[0].Keys, c.Accounts[1].Name, c.Routes[0].MaxStalenessMs = nil, "", 0
+		c.Accounts[0].Keys, c.Accounts[1].Name, c.Routes[0].StalenessLimitMs = nil, "", 0
 	},
 		[]string{`error: account 2: the name`, `warning: route "r1": the staleness`, `warning: account "a": it has no keys`}},
 }
@@ -119,7 +119,7 @@
 	times := map[string]*float64{
 		`route "r1": the time limit`:                    &c.Routes[0].TimeLimitMs,
 		`route "r1": the latency objective`:             &c.Routes[0].LatencyObjectiveMs,
-		`route "r1": the staleness`:                     &c.Routes[0].MaxStalenessMs,
+		`route "r1": the staleness`:                     &c.Routes[0].StalenessLimitMs,
 		`configuration: the idle limit of transactions`: &c.TransactionIdleMs,
 	}
 	fields := map[string]*float64{
--- a/check/rules.go
+++ b/check/rules.go
@@ -62,13 +62,13 @@
 	}
 	limit := r.milliseconds(p, "the time limit", route.TimeLimitMs)
 	objective := r.milliseconds(p, "the latency objective", route.LatencyObjectiveMs)
-	staleness := r.milliseconds(p, "the staleness", route.MaxStalenessMs)
+	staleness := r.milliseconds(p, "the staleness", route.StalenessLimitMs)
 	r.number(p, "the priority", route.Priority)
 	if limit && objective && route.TimeLimitMs > 0 && route.LatencyObjectiveMs > route.TimeLimitMs {
 		r.warn(p, fmt.Sprintf("the latency objective (%s ms) is above the time limit (%s ms), which ends a request first",
 			formatNumber(route.LatencyObjectiveMs), formatNumber(route.TimeLimitMs)), "lower the objective or raise the time limit")
 	}
-	if staleness && route.Consistency == ConsistencyBounded && route.MaxStalenessMs == 0 {
+	if staleness && route.Consistency == ConsistencyBounded && route.StalenessLimitMs == 0 {
 		r.warn(p, "the staleness of a bounded route is 0; replicas can hardly serve its reads", "set the staleness that readers accept")
 	}
 }
