--- a/fleet/export_test.go
+++ b/fleet/export_test.go
@@ -281,3 +281,6 @@
 	KeyProofTick     = keyProofTick
 	KeyProofInterval = keyProofInterval
 )
+
+// FleetRestarted gives tests access to the detection of a restart of all instances.
+var FleetRestarted = fleetRestarted
--- a/fleet/lenders_test.go
+++ b/fleet/lenders_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/monsoontiller/monsoontiller/fleet"
+	"github.com/monsoontiller/monsoontiller/membership"
 )
 
 // TestLendersTakeTurns guards against a burst of one account that asks the same instance again and again while others hold
@@ -78,3 +79,28 @@
 		t.Errorf("%d calls in %d s, want at most %d", calls, seconds, most)
 	}
 }
+
+// TestFleetRestarted guards against an instance that restarts alone and refills what others have already lent, and against
+// a restart of all after which accounts wait for loans that nobody holds.
+func TestFleetRestarted(t *testing.T) {
+	start := uint64(time.Unix(1000, 0).UnixNano())
+	at := func(d time.Duration) membership.Identity {
+		return membership.NewIdentity(membership.IdentityConfig{Name: "i", Incarnation: start + uint64(d)})
+	}
+	self := at(0)
+	together := []membership.Identity{at(-time.Second), at(500 * time.Millisecond)}
+	for _, tc := range []struct {
+		name string
+		age  time.Duration
+		live []membership.Identity
+		want bool
+	}{
+		{"all together", time.Second, together, true},
+		{"one is older", time.Second, append([]membership.Identity{at(-time.Minute)}, together...), false},
+		{"long ago", time.Minute, together, false},
+	} {
+		if got := fleet.FleetRestarted(self, tc.age, tc.live); got != tc.want {
+			t.Errorf("%s: %v, want %v", tc.name, got, tc.want)
+		}
+	}
+}
--- a/fleet/quotas.go
+++ b/fleet/quotas.go
@@ -58,6 +58,8 @@
 	joined   bool
 	// fresh reports that the proof of the keys is recent enough to refill a share.
 	fresh bool
+	// restarted reports that all live instances have just started.
+	restarted bool
 }
 
 // Name returns the service's name.
@@ -109,6 +111,9 @@
 	}
 	q.sharesOf = state
 	q.ledger.SetShares(now, q.share(state.fresh))
+	if state.restarted {
+		q.ledger.ForgetHolders(now)
+	}
 }
 
 // shareState returns what the shares depend on at now.
@@ -121,12 +126,35 @@
 	state := shareState{joined: i.knowsFleet()}
 	state.fresh = bound == 0 || i.freshness.Age(now) < time.Duration(maxShareAgeRatio*float64(bound))
 	_, state.revision = i.directory.AccountsOf()
+	live, _ := i.node.LiveInstances()
+	state.restarted = fleetRestarted(i.node.Self(), clock.Since(i.startedAt), live)
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	state.homes = i.homesGeneration
 	return state
 }
 
+const (
+	// restartAge is the age up to which an instance counts as just started.
+	restartAge = 3 * time.Second
+	// restartSpread is the largest difference between the start times of instances that are restarted together.
+	restartSpread = 2 * time.Second
+)
+
+// fleetRestarted reports whether this instance, of the given age, and all live ones have started together: none of them can
+// hold tokens from before.
+func fleetRestarted(self membership.Identity, age time.Duration, live []membership.Identity) bool {
+	if age >= restartAge {
+		return false
+	}
+	for _, other := range live {
+		if other.Incarnation()+uint64(restartSpread) < self.Incarnation() {
+			return false
+		}
+	}
+	return true
+}
+
 // share returns the shares that this instance refills, by account.
 func (q *quotas[L]) share(fresh bool) func(account string) float64 {
 	if !fresh {
--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -45,7 +45,9 @@
 
 	owned float64
 	lent  recent
-	taken recent
+	// assumed are the tokens that an earlier holder of the share may have lent.
+	assumed recent
+	taken   recent
 	// borrowed are the tokens received, which become owned after their time as far as there is room for them.
 	borrowed recent
 	demand   demand
@@ -82,10 +84,18 @@
 	if b.share > 0 && !b.started {
 		b.started = true
 		allowance := min(startAllowance*b.tolerance.Slack*b.share, b.capacity)
-		b.owned += b.lent.remove(allowance)
+		b.owned += b.assumed.remove(allowance)
 	}
 }
 
+// ForgetHolders records that no other instance can have lent tokens of this share: all instances have restarted.
+//
+// The refill is then available at once, rather than after the longest time for which lent tokens exist.
+func (b *Bucket) ForgetHolders(now time.Time) {
+	b.advance(now)
+	b.assumed.remove(b.assumed.total())
+}
+
 // Share returns the share of the account's limits that this bucket has.
 func (b *Bucket) Share() float64 { return b.share }
 
@@ -102,12 +112,13 @@
 	}
 	age := b.at.Sub(b.created)
 	b.lent.setLength((LoanTimeout+life)/(slots-1), age)
+	b.assumed.setLength((LoanTimeout+life)/(slots-1), age)
 	b.borrowed.setLength(life/slots, age)
 }
 
 // resize derives the refill and the capacity from the limits and the share.
 //
-// Added capacity counts as lent at first: another instance may have held that share and lent its tokens.
+// Added capacity is occupied at first: another instance may have held that share and lent its tokens.
 func (b *Bucket) resize() {
 	refill, capacity := b.tolerance.divide(b.limits)
 	if b.limits.Unlimited() {
@@ -116,7 +127,7 @@
 	b.refill = refill * b.share
 	capacity *= b.share
 	if added := capacity - b.capacity; added > 0 {
-		b.lent.add(added)
+		b.assumed.add(added)
 	}
 	b.capacity = capacity
 	b.owned = min(b.owned, max(0, b.owned+b.room()))
@@ -131,6 +142,7 @@
 	b.at = now
 	age := now.Sub(b.created)
 	b.lent.advance(age)
+	b.assumed.advance(age)
 	b.taken.advance(age)
 	b.demand.advance(now)
 	b.owned += max(0, min(b.borrowed.advance(age)+b.refill*elapsed.Seconds(), b.room()))
@@ -138,7 +150,7 @@
 
 // room returns how many tokens fit into the capacity; it is negative after a reduction.
 func (b *Bucket) room() float64 {
-	return b.capacity - b.owned - b.lent.total() - b.taken.total()
+	return b.capacity - b.owned - b.lent.total() - b.assumed.total() - b.taken.total()
 }
 
 // tokenError is the error of sums of fractions of a token that add up to a whole one.
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -46,6 +46,13 @@
 	return 0
 }
 
+// ForgetHolders records that no other instance can have lent tokens: all instances have restarted.
+func (l *Ledger) ForgetHolders(now time.Time) {
+	for _, b := range l.buckets {
+		b.ForgetHolders(now)
+	}
+}
+
 // Take takes a token of an account, as Bucket.Take; an account that is not in the configuration is not limited.
 func (l *Ledger) Take(now time.Time, account string) (wait time.Duration, ok bool) {
 	b := l.buckets[account]
