--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -286,17 +286,17 @@
 }
 
 // TestRefillAfterRestartOfAllInstances guards against operations below the limit that are refused after all instances lost
-// power: accounts send their usual load, 1/1.6 of their rate, from 0.5 s after the shares are known.
+// power: accounts send their usual load, 1/1.6 of their rate, from 0.1 s after the shares are known.
 func TestRefillAfterRestartOfAllInstances(t *testing.T) {
 	const buckets = 8
-	limits := quota.Limits{Rate: 30, Burst: 30}
+	limits := quota.Limits{Rate: 200, Burst: 200}
 	now := time.Unix(1000, 0)
 	all := make([]*quota.Bucket, buckets)
 	for n := range all {
 		all[n] = quota.New(quota.Config{Limits: limits, Tolerance: tolerance, Share: 1.0 / buckets, Now: now})
 		all[n].ForgetHolders(now)
 	}
-	now = now.Add(500 * time.Millisecond)
+	now = now.Add(100 * time.Millisecond)
 	refused, tried := 0, 0
 	interval := time.Duration(1.6 / limits.Rate * float64(time.Second))
 	for range int(2 * time.Second / interval) {
