--- a/check/configuration.go
+++ b/check/configuration.go
@@ -47,7 +47,7 @@
 	LatencyObjectiveMs float64
 	// StalenessLimitMs limits the staleness of bounded reads, in milliseconds.
 	StalenessLimitMs float64
-	Priority       float64
+	Priority         float64
 }
 
 // Group describes a group of endpoints.
