--- a/cmd/monsoontiller/node.go
+++ b/cmd/monsoontiller/node.go
@@ -19,7 +19,8 @@
 
 // nodeCommand runs one instance on a machine of the platform until SIGTERM.
 type nodeCommand struct {
-	MetricsPort int `long:"metrics-port" value-name:"PORT" default:"0" description:"Port on which the machine's address serves the counters alone; 0 for none"`
+	MetricsPort int  `long:"metrics-port" value-name:"PORT" default:"0" description:"Port on which the machine's address serves the counters alone; 0 for none"`
+	Pace        bool `long:"pace" description:"Limit the requests at an endpoint that has just started, come back or become primary by how it answers"`
 }
 
 const (
@@ -66,6 +67,7 @@
 		ForwardPort:   forwardPort,
 		Capacity:      n.Capacity,
 		KeyBound:      n.KeyBound,
+		Pace:          c.Pace,
 		QuotaTolerance: quota.Tolerance{
 			Window: n.Quota.Window, Overage: n.Quota.Overage, Slack: n.Quota.Slack,
 		},
