--- a/fleet/key_proof.go
+++ b/fleet/key_proof.go
@@ -29,7 +29,8 @@
 
 // configurationRow is the row of the store that holds a version of the configuration.
 type configurationRow struct {
-	mu       sync.Mutex
+	mu sync.Mutex
+	// document is the version in the configuration itself, and at the position of its row in the store.
 	document uint64
 	at       store.Position
 }
@@ -59,9 +60,11 @@
 // themselves, and ask peers in turn while the store does not answer.
 type keyProof[L Link[L]] struct {
 	instance *Instance[L]
+	// triedAt is when the store was last asked, and failures the number of calls that failed since the last success.
 	triedAt  time.Time
 	failures int
-	lost     bool
+	// lost reports that the last logged state is that callers with keys are refused.
+	lost bool
 }
 
 // Name returns the service's name.
--- a/fleet/quotas.go
+++ b/fleet/quotas.go
@@ -40,7 +40,8 @@
 	revision uint64
 	// sharesOf describes the state from which the shares in the ledger were computed.
 	sharesOf shareState
-	waiting  map[string]int
+	// waiting is the number of operations of each account that wait for a token.
+	waiting map[string]int
 	usage    *quotaUsage
 }
 
@@ -53,9 +54,11 @@
 
 // shareState is what the shares of an instance depend on.
 type shareState struct {
+	// homes counts the computations of homes, and revision is the version of the configuration.
 	homes    uint64
 	revision uint64
-	joined   bool
+	// joined reports that this instance knows the fleet well enough to act as a home.
+	joined bool
 	// fresh reports that the proof of the keys is recent enough to refill a share.
 	fresh bool
 	// restarted reports that all live instances have just started.
