--- a/fleet/quotas.go
+++ b/fleet/quotas.go
@@ -42,7 +42,7 @@
 	sharesOf shareState
 	// waiting is the number of operations of each account that wait for a token.
 	waiting map[string]int
-	usage    *quotaUsage
+	usage   *quotaUsage
 }
 
 func newQuotas[L Link[L]](i *Instance[L]) *quotas[L] {
