fleet: the test of the lenders checks again who is not asked

The clock of TestLendersTakeTurns had been moved into the pause of the account, so that its loop never ran and an instance without tokens could have been asked again unnoticed. It now shows the pause, and that exactly the instances with tokens are asked after it; without the backoff of a lender it fails. The comments on the pause and on the plan say what the code does.

--- a/fleet/lenders.go
+++ b/fleet/lenders.go
@@ -8,8 +8,8 @@
 const (
 	// lenderBackoff is how long an instance that had no tokens of an account to lend is not asked for them again.
 	lenderBackoff = 100 * time.Millisecond
-	// maxAccountBackoff bounds the pause after which an account is asked for again that no instance had tokens for; it starts
-	// with lenderBackoff and doubles, since an account above its limit is short everywhere.
+	// maxAccountBackoff bounds the pause in which an account is not asked for after an answer without tokens. The pause starts
+	// with half of lenderBackoff and doubles until an instance lends some: an account above its limit is short everywhere.
 	maxAccountBackoff = 1600 * time.Millisecond
 	// maxLoanCalls is the most calls in progress: while many accounts are short, as after the loss of a third of the
 	// instances, calls to all others would take the processor from the operations.
--- a/fleet/lenders_test.go
+++ b/fleet/lenders_test.go
@@ -26,13 +26,20 @@
 		t.Fatalf("asked %v, want each of three instances once while the calls are in progress", asked)
 	}
 	l.Answered(now, "one", short, map[string]float64{"hot": 2})
+	l.Answered(now, "three", short, map[string]float64{"hot": 2})
 	l.Answered(now, "two", short, nil)
-	l.Answered(now, "three", short, nil)
-	now = now.Add(90 * time.Millisecond)
-	for range 2 {
-		for lender := range l.Plan(now, short, holders) {
-			if lender != "one" {
-				t.Errorf("asked %s, which has just had nothing to lend", lender)
+	if plan := l.Plan(now.Add(49*time.Millisecond), short, holders); len(plan) != 0 {
+		t.Errorf("plan %v within the pause after an answer without tokens", plan)
+	}
+	now = now.Add(60 * time.Millisecond)
+	for range 6 {
+		plan := l.Plan(now, short, holders)
+		if len(plan) != 1 {
+			t.Fatalf("plan %v, want one instance to be asked after the pause", plan)
+		}
+		for lender := range plan {
+			if lender == "two" {
+				t.Error("asked two, which had nothing to lend 60 ms ago")
 			}
 			l.Answered(now, lender, short, map[string]float64{"hot": 1})
 		}
--- a/fleet/quotas.go
+++ b/fleet/quotas.go
@@ -296,8 +296,8 @@
 
 // planShort is like planLoans for the accounts of which an operation has found no token since the last plan.
 //
-// An account above its limit calls for it up to once per try of each waiting operation, 800 times per second, and the
-// shortages of all accounts take some 20 us.
+// Every try of a waiting operation of an account above its limit calls for it, which is too often to compute the shortages
+// of all accounts.
 func (q *quotas[L]) planShort(now time.Time) map[string]map[string]float64 {
 	q.mu.Lock()
 	defer q.mu.Unlock()
