route, engine: reads leave a primary that fails requests, and retries another member

A primary that answers each request with an error at once looked idle and fast, so that reads came to it: the ejection was not applied to the primary, each write that it answered with a failure counted as a success and ended the ejection, and the short time of a failure lowered its service time. A retry could go to the member that had just failed the request.

An ejected primary serves reads only where no other member can, reported failures count as failures, and a retry prefers members that have not failed the request.

--- a/engine/execution.go
+++ b/engine/execution.go
@@ -40,7 +40,9 @@
 type Outcome struct {
 	// Answered means that the answer is complete; Attempt is then unused.
 	Answered bool
-	Attempt  retry.Attempt
+	// Failed means that the complete answer is the endpoint's report of a failure.
+	Failed  bool
+	Attempt retry.Attempt
 	// Reusable means that the link of a failed attempt is in its initial state.
 	Reusable bool
 	// Err, if set, ends the request without a retry.
@@ -71,6 +73,8 @@
 	target   route.Target
 	// failures describes each failed attempt, for the log.
 	failures []string
+	// failed are the endpoints at which attempts have failed.
+	failed []string
 }
 
 // NewExecution returns the execution of one request.
@@ -104,6 +108,9 @@
 		}
 		e.releaseFailed(h, o)
 		e.failures = append(e.failures, describeFailure(h, o))
+		if o.Attempt.Failure == retry.FailureLost {
+			e.failed = append(e.failed, h.Endpoint)
+		}
 		if o.Err != nil {
 			return HeldLink[L]{}, o.Err
 		}
@@ -184,12 +191,12 @@
 	g.View(func(t *route.Tracker) {
 		t.AddLoad(h.Endpoint, -1)
 		switch {
-		case o.Answered:
+		case o.Answered && !o.Failed:
 			t.RecordSuccess(h.Endpoint)
 			t.RecordServiceTime(h.Endpoint, now.Sub(started))
 		case o.Attempt.Failure == retry.FailureBehind:
 			t.RecordBehind(h.Endpoint, now, h.Request.Floor)
-		case o.Attempt.Failure == retry.FailureLost && o.Err == nil:
+		case o.Failed, o.Attempt.Failure == retry.FailureLost && o.Err == nil:
 			t.RecordFailure(h.Endpoint, now)
 		}
 		g.recordPaceLocked(h.Endpoint, o, h.Request.Class, now.Sub(started))
@@ -303,7 +310,7 @@
 	connect := e.cfg.Group.connectTimes(e.cfg.AcquireRequest.Account)
 	e.cfg.Group.View(func(t *route.Tracker) {
 		if r, err = op.Route(now, t); err == nil {
-			r.ConnectTime = connect
+			r.ConnectTime, r.Failed = connect, e.failed
 			d = e.cfg.Policy.Decide(now, t, r)
 		}
 	})
--- a/engine/failure_test.go
+++ b/engine/failure_test.go
@@ -46,6 +46,23 @@
 	mustRefuse(t, f.session(t).do(engine.OpWrite, "i1", "x"), engine.ReasonFailed)
 }
 
+// Guards against an ejection that each answer to a write ended. Load: a primary that answers every statement with an error, at
+// once, while its replicas are slower.
+func TestWritesThatFailCountAgainstTheirMember(t *testing.T) {
+	f := newFixture(t, contract.ConsistencySession)
+	f.cluster.with("a", func(m *member) {
+		m.refuse[engine.OpWrite] = []engine.Reason{engine.ReasonFailed, engine.ReasonFailed, engine.ReasonFailed}
+	})
+	for range 3 {
+		mustRefuse(t, f.session(t).do(engine.OpWrite, "i1", "x"), engine.ReasonFailed)
+	}
+	f.group.View(func(tr *route.Tracker) {
+		if !tr.Ejected("a", clock.Now()) {
+			t.Error("the member is not ejected after three failures")
+		}
+	})
+}
+
 func TestLostCommitIsInDoubt(t *testing.T) {
 	f := newFixture(t, contract.ConsistencySession)
 	sess := f.session(t)
--- a/engine/job.go
+++ b/engine/job.go
@@ -93,7 +93,7 @@
 			return o
 		}
 		j.answer = a
-		return Outcome{Answered: true}
+		return Outcome{Answered: true, Failed: a.Refusal.Reason == ReasonFailed}
 	}
 	if !h.OnReplica && !j.session.remainsPrimary(h.Endpoint, j.deadline) {
 		return Outcome{Attempt: retry.Attempt{Failure: retry.FailureLeaseLapsed, SentBytes: true}, Reusable: true}
--- a/engine/transaction.go
+++ b/engine/transaction.go
@@ -133,7 +133,7 @@
 		}
 	}
 	j.answer = a
-	return Outcome{Answered: true}
+	return Outcome{Answered: true, Failed: a.Refusal != nil && a.Refusal.Reason == ReasonFailed}
 }
 
 // beginFailed returns the failed attempt of a refused BEGIN.
--- a/route/decide.go
+++ b/route/decide.go
@@ -28,6 +28,8 @@
 	// ConnectTime is the expected time to open a connection to an endpoint at which no idle one is usable; endpoints that are
 	// not listed need none.
 	ConnectTime map[string]time.Duration
+	// Failed names the endpoints that have failed this request; they serve it only where no other member can.
+	Failed []string
 }
 
 // Target is the kind of endpoint that a decision names.
--- a/route/earliest_answer.go
+++ b/route/earliest_answer.go
@@ -1,6 +1,9 @@
 package route
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // EarliestAnswer is the policy that sends a read to the member whose answer is expected first.
 //
@@ -42,21 +45,21 @@
 	return best
 }
 
-// ejectedPenalty is added for an ejected member, so that it is used only where no other member can serve.
+// ejectedPenalty is added for an ejected member, and for one that has failed the request, so that it is used only where no other member can serve.
 const ejectedPenalty = 500 * time.Millisecond
 
 // evaluate returns the decision for a member and its expected cost; ok is false when the member cannot serve r.
 func (t *Tracker) evaluate(now time.Time, name string, m *member, r Request) (d Decision, cost time.Duration, ok bool) {
 	cost = m.expectedTime() + r.ConnectTime[name]
+	if m.ejection.active(now) || slices.Contains(r.Failed, name) {
+		cost += ejectedPenalty
+	}
 	if name == t.primary {
 		return t.evaluatePrimary(now, name, m, cost+primaryPenalty)
 	}
 	if !t.usable(m) || m.isBehind(now, r.Floor) {
 		return d, 0, false
 	}
-	if m.ejection.active(now) {
-		cost += ejectedPenalty
-	}
 	wait, satisfied := t.readyIn(now, m, r)
 	if !satisfied || wait > r.WaitBudget {
 		return d, 0, false
--- a/route/ejection.go
+++ b/route/ejection.go
@@ -2,14 +2,14 @@
 
 import "time"
 
-// The consecutive failures that eject a replica, and the bounds of an ejection.
+// The consecutive failures that eject a member from reads, and the bounds of an ejection.
 const (
 	ejectAfterFailures = 3
 	minEjection        = 500 * time.Millisecond
 	maxEjection        = 3 * time.Second
 )
 
-// ejection prevents a replica that answers probes but fails requests from attracting all reads.
+// ejection prevents a member that answers probes but fails requests from attracting all reads, also if it is the primary.
 //
 // Least-loaded routing favours an endpoint that fails fast, because it is always
 // idle. GridBot avoids such black holes by the failure rate of hosts (Silberstein,
@@ -23,7 +23,7 @@
 
 // recordFailure counts a consecutive failure.
 //
-// The failure with which the count reaches ejectAfterFailures ejects the replica;
+// The failure with which the count reaches ejectAfterFailures ejects the member;
 // each later one doubles the ejection, up to maxEjection.
 func (e *ejection) recordFailure(now time.Time) {
 	e.failures++
@@ -37,7 +37,7 @@
 // reset ends the ejection and clears the count of failures.
 func (e *ejection) reset() { *e = ejection{} }
 
-// active reports whether the replica is ejected at now.
+// active reports whether the member is ejected at now.
 func (e *ejection) active(now time.Time) bool { return now.Before(e.until) }
 
 // Ejected reports whether an endpoint is ejected at now.
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -100,6 +100,33 @@
 	}
 }
 
+// Guards against reads at a primary that fails them at once, which made it look idle and fast. Load: a primary whose health
+// check is good and that answers each request with an error.
+func TestEarliestAnswerLeavesPrimaryThatFails(t *testing.T) {
+	tr := newTracker()
+	for _, name := range []string{"b", "c"} {
+		tr.RecordServiceTime(name, 100*time.Millisecond)
+	}
+	for range 3 {
+		tr.RecordFailure("a", start)
+	}
+	if got := (route.EarliestAnswer{}).Decide(start, tr, read(10)).Endpoint(); got != "b" {
+		t.Errorf("went to %s, want a replica that serves", got)
+	}
+	if got := (route.EarliestAnswer{}).Decide(start, tr, read(100)).Endpoint(); got != "a" {
+		t.Errorf("went to %s, want the primary, which alone holds the floor", got)
+	}
+}
+
+// Guards against a retry at the member that has just failed the request, before its failures eject it.
+func TestEarliestAnswerTriesAnotherMember(t *testing.T) {
+	r := read(10)
+	r.Failed = []string{"b"}
+	if got := (route.EarliestAnswer{}).Decide(start, newTracker(), r).Endpoint(); got == "b" {
+		t.Error("went to the member that has failed the request")
+	}
+}
+
 // A replica that is partitioned from a new primary drops its promise when the promotion takes effect, and confirms
 // the old term again; here, the new primary does not answer.
 func TestLeaseNeedsAllReplicasWherePromisesAreDropped(t *testing.T) {
