quota, fleet: shares refill from the restart of all instances on, and operations wait while they start

After a restart of all instances, the operations of the time without service arrive at once, while the buckets are empty: their shares refilled only from the next tick after the proof of the keys, up to 0.2 s late. Operations beyond four of an account were refused at once, and their clients' retries were refused in the next tenths of a second.

A bucket now holds what its share has refilled since the last instance started, plus 100 ms for the difference of clocks: no earlier holder can have spent it. The property test of all windows restarts all instances up to four times, with shares that become known up to 0.9 s later. Shares are updated every 20 ms while an instance starts, and operations wait for a token for up to 0.45 of their time limit then.

--- a/engine/session.go
+++ b/engine/session.go
@@ -47,14 +47,21 @@
 
 // Admission limits the operations of client accounts; it must be safe for concurrent use.
 type Admission interface {
-	// Admit takes the admission of one operation, and may wait for it until the given time.
+	// Admit takes the admission of one operation, and may wait for it until the given times.
 	//
 	// It fails with KindOverloaded; the remedy of the error names the time after which to try again.
-	Admit(ctx context.Context, account string, until time.Time) error
+	Admit(ctx context.Context, account string, wait AdmissionWait) error
 	// Return gives back the admission of an operation that was sent to no endpoint.
 	Return(account string)
 }
 
+// AdmissionWait bounds how long an operation waits for its admission.
+type AdmissionWait struct {
+	Until time.Time
+	// UntilAtStart is the bound on an instance that has just started.
+	UntilAtStart time.Time
+}
+
 // SessionRecorder records the outcome of each statement that needs an endpoint; it must be safe for concurrent use.
 //
 // Statements that are refused before they are routed, for example because the
@@ -284,12 +291,16 @@
 	if s.cfg.Admission == nil {
 		return nil
 	}
-	wait := time.Duration(admissionShare * float64(s.terms.Contract.Objectives().Latency()))
-	return s.cfg.Admission.Admit(ctx, s.cfg.Account, receivedAt.Add(wait))
+	c := s.terms.Contract
+	return s.cfg.Admission.Admit(ctx, s.cfg.Account, AdmissionWait{
+		Until:        receivedAt.Add(time.Duration(admissionShare * float64(c.Objectives().Latency()))),
+		UntilAtStart: receivedAt.Add(time.Duration(leaseShare * float64(c.Limits().RequestTimeout()))),
+	})
 }
 
 const (
-	// leaseShare is the fraction of the request timeout that a request may wait for a primary. The rest is left for
+	// leaseShare is the fraction of the request timeout that a request may wait for a primary, or for its admission on an
+	// instance that has just started. The rest is left for
 	// the request itself, or for the caller to retry after a refusal.
 	leaseShare = 0.45
 	// graceShare is the fraction of the latency objective that is allowed for acquiring a link, however long the
--- a/fleet/quotas.go
+++ b/fleet/quotas.go
@@ -16,6 +16,8 @@
 const (
 	// quotaTick is the interval at which shares and shortages are updated.
 	quotaTick = 200 * time.Millisecond
+	// startTick is the interval at which shares are updated while an instance starts: callers wait until it knows them.
+	startTick = 20 * time.Millisecond
 	// maxShareAgeRatio is the fraction of the bound on the age of the proof of the keys from which this instance refills
 	// nothing: an instance that is cut off may believe that it holds the shares of others, which they refill too. Others
 	// detect its absence and take over its shares only after a part of that time.
@@ -24,6 +26,9 @@
 	admissionPause = 5 * time.Millisecond
 	// maxAdmissionWaiters is the most operations of an account that wait for a token here; the others are refused at once.
 	maxAdmissionWaiters = 4
+	// maxAdmissionWaitersAtStart is that number while the instance starts. The operations of the time without service arrive at
+	// once then; the refill serves them within a second, while a refusal would use up their clients' retries.
+	maxAdmissionWaitersAtStart = 64
 )
 
 // quotas admits the operations of client accounts within their quotas; it is safe for concurrent use.
@@ -61,8 +66,10 @@
 	joined bool
 	// fresh reports that the proof of the keys is recent enough to refill a share.
 	fresh bool
-	// restarted reports that all live instances have just started.
-	restarted bool
+	// restarted reports that all live instances have just started, and restartedAt when the last of them did; it is zero until
+	// most of the fleet is known.
+	restarted   bool
+	restartedAt time.Time
 }
 
 // Name returns the service's name.
@@ -72,6 +79,10 @@
 func (q *quotas[L]) Run(ctx context.Context) error {
 	ticker := time.NewTicker(quotaTick)
 	defer ticker.Stop()
+	start := time.NewTicker(startTick)
+	defer start.Stop()
+	started := time.AfterFunc(maxJoinWait, start.Stop)
+	defer started.Stop()
 	reports := time.NewTicker(usageInterval)
 	defer reports.Stop()
 	var calls sync.WaitGroup
@@ -82,6 +93,8 @@
 		case <-ticker.C:
 			q.update(clock.Now())
 			plan = q.planLoans(clock.Now())
+		case <-start.C:
+			q.update(clock.Now())
 		case <-q.shortage:
 			plan = q.planShort(clock.Now())
 		case <-reports.C:
@@ -115,7 +128,7 @@
 	q.sharesOf = state
 	q.ledger.SetShares(now, q.share(state.fresh))
 	if state.restarted {
-		q.ledger.ForgetHolders(now)
+		q.ledger.ForgetHolders(now, state.restartedAt)
 	}
 }
 
@@ -130,7 +143,10 @@
 	state.fresh = bound == 0 || i.freshness.Age(now) < time.Duration(maxShareAgeRatio*float64(bound))
 	_, state.revision = i.directory.AccountsOf()
 	live, _ := i.node.LiveInstances()
-	state.restarted = fleetRestarted(i.node.Self(), clock.Since(i.startedAt), live)
+	state.restarted = fleetRestarted(i.node.Self(), now.Sub(i.startedAt), live)
+	if state.restarted && i.joined() {
+		state.restartedAt = i.startedAt.Add(startedLater(i.node.Self(), live))
+	}
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	state.homes = i.homesGeneration
@@ -158,6 +174,18 @@
 	return true
 }
 
+// clockError covers the difference between the clocks of two instances, by which their start times are compared.
+const clockError = 100 * time.Millisecond
+
+// startedLater returns how long after this instance the last of the live ones has started, at most.
+func startedLater(self membership.Identity, live []membership.Identity) time.Duration {
+	last := self.Incarnation()
+	for _, other := range live {
+		last = max(last, other.Incarnation())
+	}
+	return time.Duration(last-self.Incarnation()) + clockError
+}
+
 // share returns the shares that this instance refills, by account.
 func (q *quotas[L]) share(fresh bool) func(account string) float64 {
 	if !fresh {
@@ -186,32 +214,41 @@
 	q.lenders.Retain(names)
 }
 
-// Admit takes a token for an operation of an account, and may wait for it until the given time.
+// Admit takes a token for an operation of an account, and may wait for it until the given times.
 //
 // It fails with KindOverloaded; nothing ran.
-func (q *quotas[L]) Admit(ctx context.Context, account string, until time.Time) error {
+func (q *quotas[L]) Admit(ctx context.Context, account string, wait engine.AdmissionWait) error {
 	if account == "" {
 		return nil
 	}
+	until := wait.Until
+	starting := q.instance.Starting()
+	if starting {
+		until = wait.UntilAtStart
+	}
 	now := clock.Now()
 	q.applyLimits(now)
-	wait, ok := q.take(now, account, q.ledger.Take)
+	due, ok := q.take(now, account, q.ledger.Take)
 	if ok {
 		return nil
 	}
-	if !q.mayWait(account) {
-		return q.refuse(account, wait)
+	limit := maxAdmissionWaiters
+	if starting {
+		limit = maxAdmissionWaitersAtStart
+	}
+	if !q.mayWait(account, limit) {
+		return q.refuse(account, due)
 	}
 	defer q.endWait(account)
 	for clock.Now().Add(admissionPause).Before(until) {
 		if engine.Sleep(ctx, admissionPause) != nil {
 			return engine.ErrDraining()
 		}
-		if wait, ok = q.take(clock.Now(), account, q.ledger.Retry); ok {
+		if due, ok = q.take(clock.Now(), account, q.ledger.Retry); ok {
 			return nil
 		}
 	}
-	return q.refuse(account, wait)
+	return q.refuse(account, due)
 }
 
 // refuse counts the refusal of an operation and returns its error.
@@ -239,11 +276,11 @@
 	return wait, ok
 }
 
-// mayWait reports whether another operation of an account may wait, and counts it.
-func (q *quotas[L]) mayWait(account string) bool {
+// mayWait reports whether another operation of an account may wait beside fewer than limit others, and counts it.
+func (q *quotas[L]) mayWait(account string, limit int) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if q.waiting[account] >= maxAdmissionWaiters {
+	if q.waiting[account] >= limit {
 		return false
 	}
 	q.waiting[account]++
@@ -365,8 +402,8 @@
 }
 
 // Admit admits an operation of a client account within its quota; it fails with KindOverloaded.
-func (i *Instance[L]) Admit(ctx context.Context, account string, until time.Time) error {
-	return i.quotas.Admit(ctx, account, until)
+func (i *Instance[L]) Admit(ctx context.Context, account string, wait engine.AdmissionWait) error {
+	return i.quotas.Admit(ctx, account, wait)
 }
 
 // Return gives back the admission of an operation that was sent to no endpoint.
--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -38,8 +38,10 @@
 	// refill is in tokens per second.
 	refill   float64
 	capacity float64
-	// started is set once the bucket has received its allowance.
-	started bool
+	// started is set once the bucket has received its allowance, and backdated once it has received the refill of the time
+	// before sharedAt, when its first share became known.
+	started, backdated bool
+	sharedAt           time.Time
 	created time.Time
 	at      time.Time
 
@@ -82,18 +84,27 @@
 	b.share = min(sanitize(share), 1)
 	b.resize()
 	if b.share > 0 && !b.started {
-		b.started = true
+		b.started, b.sharedAt = true, b.at
 		allowance := min(startAllowance*b.tolerance.Slack*b.share, b.capacity)
 		b.owned += b.assumed.remove(allowance)
 	}
 }
 
-// ForgetHolders records that no other instance can have lent tokens of this share: all instances have restarted.
+// ForgetHolders records that no other instance can hold or have lent tokens of this share: all instances have restarted, the
+// last one at since, or at an unknown time if that is zero.
 //
-// The refill is then available at once, rather than after the longest time for which lent tokens exist.
-func (b *Bucket) ForgetHolders(now time.Time) {
+// The refill is then available at once, rather than after the longest time for which lent tokens exist. The bucket also holds
+// what its share would have refilled from since on, once in its lifetime: the shares become known only some time after the
+// restart, while the operations of the clients wait.
+func (b *Bucket) ForgetHolders(now, since time.Time) {
 	b.advance(now)
 	b.assumed.remove(b.assumed.total())
+	if b.backdated || b.share == 0 || since.IsZero() {
+		return
+	}
+	b.backdated = true
+	missed := max(0, b.sharedAt.Sub(since))
+	b.owned += max(0, min(b.refill*missed.Seconds(), b.room()))
 }
 
 // Share returns the share of the account's limits that this bucket has.
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -74,6 +74,21 @@
 					f.buckets[k] = f.fresh(shares[k])
 				}
 			},
+			"restart all": func(t *rapid.T) {
+				if restarts++; restarts > 4 {
+					return
+				}
+				since := f.now
+				loans = nil
+				for k := range f.buckets {
+					f.buckets[k] = f.fresh(0)
+				}
+				f.now = f.now.Add(time.Duration(rapid.IntRange(0, 900).Draw(t, "until the shares are known, ms")) * time.Millisecond)
+				for k, b := range f.buckets {
+					b.SetShare(f.now, shares[k])
+					b.ForgetHolders(f.now, since)
+				}
+			},
 			"move": func(t *rapid.T) {
 				from, to := bucket.Draw(t, "from"), bucket.Draw(t, "to")
 				part := shares[from] * rapid.SampledFrom([]float64{0.5, 1}).Draw(t, "part")
@@ -294,7 +309,7 @@
 	all := make([]*quota.Bucket, buckets)
 	for n := range all {
 		all[n] = quota.New(quota.Config{Limits: limits, Tolerance: tolerance, Share: 1.0 / buckets, Now: now})
-		all[n].ForgetHolders(now)
+		all[n].ForgetHolders(now, now)
 	}
 	now = now.Add(100 * time.Millisecond)
 	refused, tried := 0, 0
@@ -310,3 +325,29 @@
 		t.Errorf("%d of %d operations were refused below the limit", refused, tried)
 	}
 }
+
+// TestRefillSinceRestartOfAllInstances guards against operations that are refused for half a second after all instances lost
+// power: the callers' operations of that time arrive at once when the shares become known, 0.5 s after the restart.
+func TestRefillSinceRestartOfAllInstances(t *testing.T) {
+	const buckets, late = 8, 500 * time.Millisecond
+	limits := quota.Limits{Rate: 200, Burst: 200}
+	restarted := time.Unix(1000, 0)
+	now := restarted.Add(late)
+	all := make([]*quota.Bucket, buckets)
+	for n := range all {
+		all[n] = quota.New(quota.Config{Limits: limits, Tolerance: tolerance, Now: restarted})
+		all[n].SetShare(now, 1.0/buckets)
+		all[n].ForgetHolders(now, restarted)
+		all[n].ForgetHolders(now, restarted)
+	}
+	refused := 0
+	waiting := int(usualLoad * limits.Rate * late.Seconds())
+	for n := range waiting {
+		if _, ok := all[n%buckets].Take(now); !ok {
+			refused++
+		}
+	}
+	if refused > 0 {
+		t.Errorf("%d of %d operations were refused that waited for the restart", refused, waiting)
+	}
+}
