fleet, platform: fewer calls to the store for keys, checks and the first start

The first of the instances that follow the store confirms the keys; the others that follow it rely on its proof up to an age of 1.9 s, which reaches them with evidence twice a second. An instance with a recent proof of the keys does not check the configuration, since the proof is the stronger statement. At the first start of the system no list of instances is read.

--- a/cmd/monsoontiller/node.go
+++ b/cmd/monsoontiller/node.go
@@ -67,6 +67,7 @@
 		ForwardPort:   forwardPort,
 		Capacity:      n.Capacity,
 		KeyBound:      n.KeyBound,
+		FirstStart:    n.FirstStart,
 		Pace:          c.Pace,
 		QuotaTolerance: quota.Tolerance{
 			Window: n.Quota.Window, Overage: n.Quota.Overage, Slack: n.Quota.Slack,
--- a/fleet/accounts.go
+++ b/fleet/accounts.go
@@ -40,6 +40,11 @@
 	})
 }
 
+// needsKeyProof reports whether callers with keys are served only with a proof that the keys are the newest.
+func (i *Instance[L]) needsKeyProof() bool {
+	return i.freshness.Bound() > 0 && i.directory.HasAccounts()
+}
+
 // keysProved reports whether the keys are proved to be the newest at now, by this instance's own proof or by one that
 // heartbeats have brought since it was last checked.
 func (i *Instance[L]) keysProved(now time.Time) bool {
--- a/fleet/config.go
+++ b/fleet/config.go
@@ -25,6 +25,8 @@
 	// Capacity is the instance's CPU share in thousandths of a core; the number of groups of which the instance is a home is
 	// proportional to it.
 	Capacity uint32
+	// FirstStart reports that the whole fleet starts for the first time, so that no instance can be registered from before.
+	FirstStart bool
 	// KeyBound is the age from which the proof that this instance knows the newest keys is too old to serve callers with keys;
 	// 0 means that no proof is needed.
 	KeyBound time.Duration
--- a/fleet/export_test.go
+++ b/fleet/export_test.go
@@ -212,6 +212,9 @@
 // ProofDue gives tests access to the decision whether to confirm the keys with the store.
 var ProofDue = proofDue
 
+// RenewalAge gives tests access to the age at which an instance that follows the store renews the proof.
+var RenewalAge = renewalAge
+
 // Keys gives tests access to the identification of client accounts.
 type Keys[L Link[L]] struct{ instance *Instance[L] }
 
--- a/fleet/key_proof.go
+++ b/fleet/key_proof.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -16,7 +17,7 @@
 const (
 	// keyProofTick is the interval at which the age of the proof is checked.
 	keyProofTick = 200 * time.Millisecond
-	// keyProofInterval is the interval at which an instance that follows the store renews the proof for all.
+	// keyProofInterval is the interval at which the first instance that follows the store renews the proof for all.
 	keyProofInterval = time.Second
 	// ownProofShare is the fraction of the bound at which an instance whose proof is relayed asks the store itself.
 	ownProofShare = 0.5
@@ -53,11 +54,12 @@
 
 // keyProof renews the proof that the keys which this instance holds are the newest.
 //
-// Instances that follow the store confirm the version of the configuration's row with a
-// transaction that only has a condition: unlike a list of changes, it is never answered
-// from an older state. The others receive the proof with heartbeats and with the
-// evidence that they fetch. When it becomes old all the same, they confirm the version
-// themselves, and ask peers in turn while the store does not answer.
+// The first instance that follows the store confirms the version of the configuration's row
+// with a transaction that only has a condition: unlike a list of changes, it is never
+// answered from an older state. The others receive the proof with heartbeats and with the
+// evidence that they fetch. When it becomes old all the same, the others that follow the
+// store confirm the version, and later each instance does; they ask peers in turn while the
+// store does not answer.
 type keyProof[L Link[L]] struct {
 	instance *Instance[L]
 	// triedAt is when the store was last asked, and failures the number of calls that failed since the last success.
@@ -88,11 +90,54 @@
 // due reports whether to ask the store at now.
 func (p *keyProof[L]) due(now time.Time) bool {
 	i := p.instance
-	if i.freshness.Bound() == 0 || !i.directory.HasAccounts() {
+	if !i.needsKeyProof() {
 		return false
 	}
-	old := i.freshness.Age(now) >= time.Duration(ownProofShare*float64(i.freshness.Bound()))
-	return proofDue(now.Sub(p.triedAt), i.followsStore(), old, p.failures)
+	old := !i.keysProvedRecently(now)
+	follows := i.followsStore() && i.freshness.Age(now) >= renewalAge(i.followerRank())
+	return proofDue(now.Sub(p.triedAt), follows, old, p.failures)
+}
+
+// keysProvedRecently reports whether there is a proof of the keys that is younger than ownProofShare of its bound.
+func (i *Instance[L]) keysProvedRecently(now time.Time) bool {
+	return i.needsKeyProof() && i.freshness.Age(now) < time.Duration(ownProofShare*float64(i.freshness.Bound()))
+}
+
+const (
+	// relayedProofAge is the age up to which the instances that follow the store, other than the first of them, rely on a proof
+	// that they receive: the interval of the first one and two relays.
+	relayedProofAge = 1900 * time.Millisecond
+	// relayedProofStep is added for each rank, so that a proof that one of them renews reaches the others first.
+	relayedProofStep = 50 * time.Millisecond
+)
+
+// renewalAge returns the age of the proof at which the instance of a rank among those that follow the store renews it.
+func renewalAge(rank int) time.Duration {
+	if rank == 0 {
+		return 0
+	}
+	return relayedProofAge + time.Duration(rank)*relayedProofStep
+}
+
+// followerRank returns the rank of this instance among those that follow the store for the others, from 0; it is their number
+// for an instance that does not.
+func (i *Instance[L]) followerRank() int {
+	followers := i.followers()
+	if rank := slices.Index(followers, i.cfg.Name); rank >= 0 {
+		return rank
+	}
+	return len(followers)
+}
+
+// followers returns the names of the instances that follow the store for the others, sorted by their first group.
+func (i *Instance[L]) followers() []string {
+	var names []string
+	for _, group := range i.directory.GroupNames() {
+		if homes := i.homes(group); len(homes) > 0 && !slices.Contains(names, homes[0].Name()) {
+			names = append(names, homes[0].Name())
+		}
+	}
+	return names
 }
 
 // proofDue reports whether an instance asks the store, given the time since its last call, whether it follows the store,
@@ -167,7 +212,7 @@
 func (p *keyProof[L]) meterAge(now time.Time) {
 	i := p.instance
 	age := time.Duration(0)
-	if i.freshness.Bound() > 0 && i.directory.HasAccounts() {
+	if i.needsKeyProof() {
 		age = min(i.freshness.Age(now), now.Sub(i.startedAt))
 	}
 	i.meters.keyProofAge.Update(float64(age.Milliseconds()))
@@ -182,7 +227,7 @@
 
 // keyCondition returns the condition that proves the keys, unless there is a recent proof at now.
 func (i *Instance[L]) keyCondition(now time.Time) keyCondition {
-	if i.freshness.Bound() == 0 || !i.directory.HasAccounts() || i.freshness.Age(now) < keyProofInterval {
+	if !i.needsKeyProof() || i.freshness.Age(now) < keyProofInterval {
 		return keyCondition{}
 	}
 	version, _ := i.directory.Version()
--- a/fleet/key_proof_test.go
+++ b/fleet/key_proof_test.go
@@ -160,3 +160,46 @@
 		t.Errorf("confirmed %t with configuration %d, want no proof and configuration 6", confirmed, i.AccountsRevision())
 	}
 }
+
+// Guards against a store that each of the instances that follow it asks every second for the same proof. Load: eight
+// instances follow the store, and the first of them relays its proof to the others twice a second; later it is cut off.
+func TestFollowersRelyOnProofOfFirst(t *testing.T) {
+	const (
+		followers = 8
+		relay     = 400 * time.Millisecond
+		bound     = 4700 * time.Millisecond
+		cutAt     = time.Minute
+	)
+	start := time.Unix(1000, 0)
+	var asOf, tried [followers]time.Time
+	for n := range followers {
+		asOf[n], tried[n] = start, start
+	}
+	calls, oldest := 0, time.Duration(0)
+	for at := time.Duration(0); at < cutAt+time.Minute; at += fleet.KeyProofTick / 2 {
+		now := start.Add(at)
+		cut := at >= cutAt
+		for n := range followers {
+			if at%relay == 0 && !cut && asOf[0].After(asOf[n]) {
+				asOf[n] = asOf[0]
+			}
+			age := now.Sub(asOf[n])
+			if cut && n == 0 {
+				continue
+			}
+			oldest = max(oldest, age)
+			if fleet.ProofDue(now.Sub(tried[n]), age >= fleet.RenewalAge(n), age >= bound/2, 0) {
+				tried[n], asOf[n] = now, now
+				if !cut {
+					calls++
+				}
+			}
+		}
+	}
+	if most := int(cutAt/fleet.KeyProofInterval) * 5 / 4; calls > most {
+		t.Errorf("%d calls in a minute, want at most %d", calls, most)
+	}
+	if oldest >= bound/2 {
+		t.Errorf("a proof was %v old, want less than %v", oldest, bound/2)
+	}
+}
--- a/fleet/registration.go
+++ b/fleet/registration.go
@@ -69,7 +69,7 @@
 	if err != nil {
 		return err
 	}
-	complete := r.expectRegistered(ctx)
+	complete := r.instance.cfg.FirstStart || r.expectRegistered(ctx)
 	lasting := r.register(ctx, row)
 	if ctx.Err() == nil && !complete {
 		r.countRegistered(ctx)
--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -47,6 +47,18 @@
 // shortest bound on how late a configuration may come into force.
 const versionsInterval = 800 * time.Millisecond
 
+// proofVersionsInterval is that interval where keys need a proof: it passes two relays before an instance would ask the store
+// itself.
+const proofVersionsInterval = 400 * time.Millisecond
+
+// versionsInterval returns how often this instance checks for newer versions where it needs no evidence.
+func (i *Instance[L]) versionsInterval() time.Duration {
+	if i.needsKeyProof() {
+		return proofVersionsInterval
+	}
+	return versionsInterval
+}
+
 // pull fetches from all sources concurrently.
 func (r *relay[L]) pull(ctx context.Context) {
 	sources := r.instance.evidenceSources()
@@ -54,7 +66,7 @@
 		if len(source.groups) > 0 {
 			continue
 		}
-		if clock.Since(r.versionsFetchedAt) < versionsInterval {
+		if clock.Since(r.versionsFetchedAt) < r.instance.versionsInterval() {
 			delete(sources, name)
 			continue
 		}
@@ -122,9 +134,26 @@
 	if source, ok := i.storeReader(); ok && len(sources) == 0 {
 		sources[source.Name()] = evidenceSource{instance: source}
 	}
+	if source, ok := i.proofSource(); ok && sources[source.Name()].groups == nil {
+		sources[source.Name()] = evidenceSource{instance: source}
+	}
 	return sources
 }
 
+// proofSource returns the instance that renews the proof of the keys, if this one follows the store beside it; ok is false
+// otherwise.
+func (i *Instance[L]) proofSource() (source membership.Identity, ok bool) {
+	groups := i.directory.GroupNames()
+	if !i.needsKeyProof() || len(groups) == 0 || len(i.presumedAlive()) <= maxFleetAllFollow || !i.followsStore() {
+		return source, false
+	}
+	homes := i.homes(groups[0])
+	if len(homes) == 0 || homes[0].Name() == i.cfg.Name {
+		return source, false
+	}
+	return homes[0], true
+}
+
 // storeReader returns an instance that follows the store; ok is false if this one follows it itself, or if none is known.
 func (i *Instance[L]) storeReader() (source membership.Identity, ok bool) {
 	if i.followsStore() {
--- a/fleet/store_check.go
+++ b/fleet/store_check.go
@@ -62,7 +62,10 @@
 			continue
 		}
 		c.checkedAt = now
-		c.check(ctx, c.configuration)
+		// A recent proof of the keys shows that the configuration is the newest.
+		if !c.instance.keysProvedRecently(now) {
+			c.check(ctx, c.configuration)
+		}
 		if sourceLost || rand.Float64() < endpointCheckShare {
 			c.check(ctx, c.endpoints)
 		}
