fleet: former homes without work leave at once, and no instance takes all groups as a partition ends

As the partition ended, each instance heard of the losses on the other side before it heard from those that were lost, saw a fleet small enough for all instances to be homes, and took all groups. It was a home for less than a second, and then watched them for eight more, with a link for probes to each member: 40 of the 66 connections.

A former home ends its watch after 1.5 s if no request or transaction holds or waits for a link. Losses that were found within a second count towards the size of the fleet if they are most of it, when it is decided whether all instances are homes.

--- a/engine/limits.go
+++ b/engine/limits.go
@@ -55,3 +55,15 @@
 func (g *Group[L]) ShrinkEndpoint(endpoint string, limit int) int {
 	return g.Connections(endpoint).Shrink(max(0, limit-probeConnections)) + probeConnections
 }
+
+// InUse reports whether a request or a transaction holds or waits for a link to a member.
+func (g *Group[L]) InUse() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, m := range g.members {
+		if u := m.connections.Usage(); u.Open() > u.Idle() || u.Waiting() > 0 {
+			return true
+		}
+	}
+	return false
+}
--- a/fleet/expectations.go
+++ b/fleet/expectations.go
@@ -61,6 +61,14 @@
 	return i.withMissingLocked(alive)
 }
 
+// presumedCounts returns the number of instances that presumedAlive returns, and of those found lost within massLossTime.
+func (i *Instance[L]) presumedCounts() (presumed, dead int) {
+	presumed = len(i.presumedAlive())
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return presumed, i.deadWithinLocked(massLossTime)
+}
+
 // withMissingLocked appends the expected instances that have not been heard from; it does not change alive.
 func (i *Instance[L]) withMissingLocked(alive []membership.Identity) []membership.Identity {
 	if len(i.missing) == 0 {
--- a/fleet/export_test.go
+++ b/fleet/export_test.go
@@ -8,6 +8,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/monsoontiller/monsoontiller/account"
+	"github.com/monsoontiller/monsoontiller/clock"
 	"github.com/monsoontiller/monsoontiller/engine"
 	"github.com/monsoontiller/monsoontiller/group"
 	"github.com/monsoontiller/monsoontiller/membership"
@@ -55,7 +56,9 @@
 )
 
 // HomeCount returns how many of n instances are homes of a group, and how many connections to each member a home holds.
-func HomeCount(connections, slots, n int) (homes, share int) { return homeCount(connections, slots, n) }
+func HomeCount(connections, slots, n, dead int) (homes, share int) {
+	return homeCount(connections, slots, n, dead)
+}
 
 // JoinComplete reports whether an instance can stop waiting for its peers.
 func JoinComplete(alive, registered int, age, stable time.Duration) bool {
@@ -300,3 +303,40 @@
 	}
 	return err
 }
+
+// Watch gives tests access to the groups that an instance watches.
+type Watch[L Link[L]] struct{ instance *Instance[L] }
+
+// NewWatch returns the watch of an instance that knows its fleet; the watched groups run until ctx ends.
+func NewWatch[L Link[L]](ctx context.Context, i *Instance[L], doc Document, listed Entry) Watch[L] {
+	i.directory.Apply(doc)
+	i.hasJoined.Store(true)
+	i.members.ctx = ctx
+	i.members.Put(listed, store.NewPosition(0, 1))
+	return Watch[L]{instance: i}
+}
+
+// Leave makes others the homes of all groups, as of now, and Return makes this instance a home again.
+func (w Watch[L]) Leave(now time.Time, others []membership.Identity) {
+	w.expect(others)
+	w.instance.members.stopFormerHomes(now)
+}
+
+// Return makes this instance a home of all groups.
+func (w Watch[L]) Return(now time.Time) {
+	w.expect(nil)
+	w.instance.members.stopFormerHomes(now)
+}
+
+func (w Watch[L]) expect(others []membership.Identity) {
+	w.instance.mu.Lock()
+	w.instance.expectations = expectations{identities: others, until: clock.Now().Add(time.Hour)}
+	w.instance.homesByGroup = nil
+	w.instance.mu.Unlock()
+}
+
+// StopFormerHomes stops the watches that are due at now.
+func (w Watch[L]) StopFormerHomes(now time.Time) { w.instance.members.stopFormerHomes(now) }
+
+// Group returns a group that the instance watches, or nil.
+func (w Watch[L]) Group(name string) *engine.Group[L] { return w.instance.members.group(name) }
--- a/fleet/homes.go
+++ b/fleet/homes.go
@@ -22,6 +22,8 @@
 	// minHomeShare is the fewest connections that each of several homes holds: one for probes, and enough for requests even
 	// while some belong to transactions that wait for their next statement. If members accept fewer in total, there is one home.
 	minHomeShare = 6
+	// massLossTime is the time in which lost instances are heard from again as a partition ends: a few rounds of heartbeats.
+	massLossTime = time.Second
 	// homeReserve is the fraction of the connections that is kept free for changes of homes: a former home's links close late.
 	homeReserve = 0.08
 )
@@ -34,8 +36,16 @@
 // minHomes if the slots are fewer. A home then has about two permits: many homes
 // with one permit each could neither order the requests among them nor keep the
 // member's queue short.
-func homeCount(connections, slots, n int) (homes, share int) {
-	if evenShare := connections / (n + reservedInstances); evenShare >= minShare && (slots == 0 || n <= maxInstancesPerSlot*slots) {
+//
+// dead instances were found lost within massLossTime. If they are most of the fleet, a partition may just have ended: an
+// instance hears of all the losses on the other side before it hears from those that were lost. If each instance became a home
+// then, the connections of all of them would exceed the limit.
+func homeCount(connections, slots, n, dead int) (homes, share int) {
+	fleetSize := n
+	if dead >= n {
+		fleetSize += dead
+	}
+	if evenShare := connections / (n + reservedInstances); evenShare >= minShare && (slots == 0 || fleetSize <= maxInstancesPerSlot*slots) {
 		return n, evenShare
 	}
 	usable := int((1 - homeReserve) * float64(connections))
@@ -59,7 +69,11 @@
 		return cached.homes
 	}
 	presumed := i.withMissingLocked(alive)
-	count, _ := homeCount(settings.Connections, slots, len(presumed))
+	dead := i.deadWithinLocked(massLossTime)
+	if dead > 0 {
+		i.homesUntil = clock.Now().Add(massLossTime)
+	}
+	count, _ := homeCount(settings.Connections, slots, len(presumed), dead)
 	computed := homeSet{connections: settings.Connections, slots: slots, homes: membership.Homes("home/"+group, presumed, count), byAccount: map[string][]membership.Identity{}}
 	i.homesByGroup[group] = computed
 	i.homesGeneration++
@@ -80,9 +94,11 @@
 func (i *Instance[L]) invalidateHomesLocked(digest membership.Digest) {
 	// The clock is a system call, and most statements look up homes several times.
 	givenUp := len(i.missing) > 0 && !clock.Now().Before(i.expectations.until)
-	if i.homesDigest == digest && i.homesByGroup != nil && !givenUp {
+	outdated := !i.homesUntil.IsZero() && !clock.Now().Before(i.homesUntil)
+	if i.homesDigest == digest && i.homesByGroup != nil && !givenUp && !outdated {
 		return
 	}
+	i.homesUntil = time.Time{}
 	i.homesByGroup = map[string]homeSet{}
 	i.homesDigest = digest
 	i.updateDeadSinceLocked()
@@ -269,11 +285,16 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	i.invalidateHomesLocked(digest)
+	return len(live), i.deadWithinLocked(deadRetention)
+}
+
+// deadWithinLocked returns the number of instances first seen dead within a time before now.
+func (i *Instance[L]) deadWithinLocked(d time.Duration) (n int) {
 	now := clock.Now()
 	for _, since := range i.deadSince {
-		if now.Sub(since) < deadRetention {
-			recentlyDead++
+		if now.Sub(since) < d {
+			n++
 		}
 	}
-	return len(live), recentlyDead
+	return n
 }
--- a/fleet/homes_test.go
+++ b/fleet/homes_test.go
@@ -11,17 +11,22 @@
 	for _, c := range []struct {
 		name                  string
 		connections, slots, n int
+		dead                  int
 		homes, share          int
 	}{
-		{"all instances of a small fleet", 30, 2, 7, 7, 3},
-		{"too many instances for the slots", 151, 3, 48, 4, 34},
-		{"no more than the slots", 53, 6, 78, 6, 8},
-		{"more homes than slots where slots are few", 151, 3, 69, 4, 34},
-		{"few connections", 20, 16, 300, 3, 6},
-		{"unknown number of slots", 53, 0, 78, 8, 6},
-		{"fewer connections than one home needs", 3, 4, 50, 1, 2},
+		{"all instances of a small fleet", 30, 2, 7, 0, 7, 3},
+		{"too many instances for the slots", 151, 3, 48, 0, 4, 34},
+		{"no more than the slots", 53, 6, 78, 0, 6, 8},
+		{"more homes than slots where slots are few", 151, 3, 69, 0, 4, 34},
+		{"few connections", 20, 16, 300, 0, 3, 6},
+		{"unknown number of slots", 53, 0, 78, 0, 8, 6},
+		{"fewer connections than one home needs", 3, 4, 50, 0, 1, 2},
+		{"a small fleet of which some were lost", 34, 5, 7, 2, 7, 3},
+		{"the smaller side of a partition of a small fleet", 34, 5, 4, 5, 4, 5},
+		// Guards against connections of 20 homes, which the instances that return add to.
+		{"as a partition of a large fleet ends", 66, 6, 20, 56, 6, 10},
 	} {
-		homes, share := fleet.HomeCount(c.connections, c.slots, c.n)
+		homes, share := fleet.HomeCount(c.connections, c.slots, c.n, c.dead)
 		if homes != c.homes || share != c.share {
 			t.Errorf("%s: %d homes of %d, want %d of %d", c.name, homes, share, c.homes, c.share)
 		}
--- a/fleet/instance.go
+++ b/fleet/instance.go
@@ -48,6 +48,8 @@
 	// homesByGroup caches the homes of each group for the presences with the digest homesDigest.
 	homesByGroup map[string]homeSet
 	homesDigest  membership.Digest
+	// homesUntil is when the homes are computed again though the presences have not changed, or zero.
+	homesUntil time.Time
 	// homesGeneration is incremented whenever homes are computed.
 	homesGeneration uint64
 	// deadSince is when this instance first saw each dead instance as dead.
--- a/fleet/key_proof_test.go
+++ b/fleet/key_proof_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"strconv"
@@ -31,6 +32,9 @@
 		Name: "self", PeerListener: listener, Logger: log.NewNopLogger(), Scope: tally.NoopScope, Store: s, KeyBound: 5 * time.Second,
 		Adapter: fleet.Adapter[*platform.Link]{
 			ConfigurationTable: "configuration", ConfigurationKey: "current",
+			Dial: func(context.Context, fleet.Target, fleet.DialFunc) (*platform.Link, error) {
+				return nil, errors.New("no endpoint listens")
+			},
 			ParseDocument: func(text []byte) (fleet.Document, error) {
 				version, err := strconv.ParseUint(string(text), 10, 64)
 				d := document(version)
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -18,6 +18,10 @@
 // finish.
 const homeWatchGrace = 8 * time.Second
 
+// idleHomeGrace is that time while no request or transaction holds a link: the links of former homes take connections from the
+// homes. It is longer than sessions stay here.
+const idleHomeGrace = homeSessionGrace + 500*time.Millisecond
+
 // homeSessionGrace is how long sessions stay with an instance that has ceased to be a home: longer than the new home
 // takes to learn that it is one.
 const homeSessionGrace = time.Second
@@ -92,7 +96,8 @@
 	}
 }
 
-// stopFormerHomes stops the watch of groups that this instance has not been a home of for homeWatchGrace.
+// stopFormerHomes stops the watch of groups that this instance has not been a home of for homeWatchGrace, or for idleHomeGrace
+// if none of their links is in use.
 func (m *members[L]) stopFormerHomes(now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -102,7 +107,7 @@
 			w.notHomeSince = time.Time{}
 		case w.notHomeSince.IsZero():
 			w.notHomeSince = now
-		case now.Sub(w.notHomeSince) >= homeWatchGrace:
+		case now.Sub(w.notHomeSince) >= homeWatchGrace, now.Sub(w.notHomeSince) >= idleHomeGrace && !w.group.InUse():
 			delete(m.groups, name)
 			w.stop()
 			logLine(m.logger, "level", "info", "msg", "home_left", "group", name)
--- a/fleet/need_test.go
+++ b/fleet/need_test.go
@@ -11,10 +11,10 @@
 func TestConnectionsNeededIsTheLeastForTheHomes(t *testing.T) {
 	for n := 1; n <= 300; n++ {
 		needed, want := fleet.ConnectionsNeeded(n), min(n, 4)
-		if homes, _ := fleet.HomeCount(needed, 0, n); homes < want {
+		if homes, _ := fleet.HomeCount(needed, 0, n, 0); homes < want {
 			t.Errorf("%d instances with %d connections: %d homes, want %d or more", n, needed, homes, want)
 		}
-		if homes, share := fleet.HomeCount(needed-1, 0, n); n > 1 && homes >= want && share >= 3 {
+		if homes, share := fleet.HomeCount(needed-1, 0, n, 0); n > 1 && homes >= want && share >= 3 {
 			t.Errorf("%d instances with %d connections already have %d homes of %d", n, needed-1, homes, share)
 		}
 	}
--- a/fleet/shares.go
+++ b/fleet/shares.go
@@ -58,7 +58,7 @@
 	}
 	_, recentlyDead := m.instance.counts()
 	presumed := len(m.instance.presumedAlive())
-	_, share := homeCount(settings.Connections, m.slots(name), presumed+recentlyDead)
+	_, share := homeCount(settings.Connections, m.slots(name), presumed+recentlyDead, 0)
 	return max(engine.MinConnections, share)
 }
 
@@ -68,7 +68,8 @@
 	if !ok {
 		return 1
 	}
-	homes, _ := homeCount(settings.Connections, m.slots(name), len(m.instance.presumedAlive()))
+	presumed, dead := m.instance.presumedCounts()
+	homes, _ := homeCount(settings.Connections, m.slots(name), presumed, dead)
 	return homes
 }
 
