membership, fleet: the shares of quotas take no memory for the order of homes

The share of an account needs only the first home of each group, but each change of the fleet ordered all homes of each account and group: 640 orders for 80 accounts and 8 groups, kept until the next change. Since shares are updated more often while instances start, this is done with each instance that joins.

Shares are updated every 50 ms instead of 20 ms while an instance starts.

--- a/fleet/accounts.go
+++ b/fleet/accounts.go
@@ -82,13 +82,16 @@
 		return ordered
 	}
 	// The homes may have been computed again since; the order of earlier ones would remain in the cache of the new set.
-	ordered := membership.Homes("account/"+group+"/"+name, set.homes, len(set.homes))
+	ordered := membership.Homes(accountKey(group, name), set.homes, len(set.homes))
 	if len(set.byAccount) < maxCachedAccounts {
 		set.byAccount[name] = ordered
 	}
 	return ordered
 }
 
+// accountKey returns the key by which the homes of a group are ordered for an account.
+func accountKey(group, name string) string { return "account/" + group + "/" + name }
+
 // maxCachedAccounts bounds the accounts of a group whose order of homes is cached.
 const maxCachedAccounts = 1024
 
@@ -101,8 +104,7 @@
 	}
 	first := 0
 	for _, group := range groups {
-		homes := i.accountHomes(group, name)
-		if len(homes) > 0 && homes[0].Name() == i.cfg.Name {
+		if home, ok := membership.First(accountKey(group, name), i.homes(group)); ok && home.Name() == i.cfg.Name {
 			first++
 		}
 	}
--- a/fleet/quotas.go
+++ b/fleet/quotas.go
@@ -17,7 +17,7 @@
 	// quotaTick is the interval at which shares and shortages are updated.
 	quotaTick = 200 * time.Millisecond
 	// startTick is the interval at which shares are updated while an instance starts: callers wait until it knows them.
-	startTick = 20 * time.Millisecond
+	startTick = 50 * time.Millisecond
 	// maxShareAgeRatio is the fraction of the bound on the age of the proof of the keys from which this instance refills
 	// nothing: an instance that is cut off may believe that it holds the shares of others, which they refill too. Others
 	// detect its absence and take over its shares only after a part of that time.
@@ -391,12 +391,12 @@
 	var holders []string
 	seen := map[string]bool{i.cfg.Name: true}
 	for _, group := range i.directory.GroupNames() {
-		homes := i.accountHomes(group, account)
-		if len(homes) == 0 || seen[homes[0].Name()] {
+		home, ok := membership.First(accountKey(group, account), i.homes(group))
+		if !ok || seen[home.Name()] {
 			continue
 		}
-		seen[homes[0].Name()] = true
-		holders = append(holders, homes[0].Name())
+		seen[home.Name()] = true
+		holders = append(holders, home.Name())
 	}
 	return holders
 }
--- a/membership/homes.go
+++ b/membership/homes.go
@@ -44,6 +44,24 @@
 	return homes
 }
 
+// First returns the first of the homes that Homes returns for key, or false without instances.
+//
+// It allocates nothing: a fleet with many accounts looks up the first home of each account and group whenever an instance joins
+// or leaves.
+func First(key string, instances []Identity) (first Identity, ok bool) {
+	var best candidate
+	for n := range instances {
+		c := candidate{instance: &instances[n], score: score(key, instances[n])}
+		if best.instance == nil || c.compare(best) < 0 {
+			best = c
+		}
+	}
+	if best.instance == nil {
+		return Identity{}, false
+	}
+	return *best.instance, true
+}
+
 // candidate is an instance with its score for a key, and its rank among the instances of its data centre.
 type candidate struct {
 	instance *Identity
--- a/membership/homes_test.go
+++ b/membership/homes_test.go
@@ -135,3 +135,41 @@
 		}
 	})
 }
+
+// Guards against a first home that differs from that of the whole order: the quota of an account would have two holders.
+func TestFirstIsTheFirstOfHomes(t *testing.T) {
+	for n := range 40 {
+		instances := unequalFleet(n, n/4)
+		for k := range 20 {
+			key := fmt.Sprint("account/", k)
+			first, ok := membership.First(key, instances)
+			homes := membership.Homes(key, instances, len(instances))
+			if ok != (len(homes) > 0) || ok && first != homes[0] {
+				t.Fatalf("%d instances, %s: first %v, want the first of %v", len(instances), key, first, homes)
+			}
+		}
+	}
+}
+
+// Guards against memory that a start of a large fleet takes for the shares of quotas. Load: each of 300 instances that start is a
+// change after which the first homes of 80 accounts in 32 groups are looked up.
+func TestFirstAllocatesNothing(t *testing.T) {
+	instances := unequalFleet(6, 0)
+	if allocations := testing.AllocsPerRun(100, func() { membership.First("account/group/name", instances) }); allocations > 0 {
+		t.Errorf("%v allocations, want none", allocations)
+	}
+}
+
+func BenchmarkFirst(b *testing.B) {
+	instances := unequalFleet(6, 0)
+	for b.Loop() {
+		membership.First("account/group/name", instances)
+	}
+}
+
+func BenchmarkHomesOfAccount(b *testing.B) {
+	instances := unequalFleet(6, 0)
+	for b.Loop() {
+		membership.Homes("account/group/name", instances, len(instances))
+	}
+}
