--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -42,8 +42,8 @@
 	// before sharedAt, when its first share became known.
 	started, backdated bool
 	sharedAt           time.Time
-	created time.Time
-	at      time.Time
+	created            time.Time
+	at                 time.Time
 
 	owned float64
 	lent  recent
