--- a/cmd/monsoonload/main.go
+++ b/cmd/monsoonload/main.go
@@ -34,6 +34,7 @@
 	Pace     paceCommand     `command:"pace" description:"Compare limits of the requests at an endpoint that has just started, in virtual time"`
 	Quota    quotaCommand    `command:"quota" description:"Limit accounts over fleets of several sizes in virtual time, with faults"`
 	Paired   pairedCommand   `command:"paired" description:"Run a command for two builds over the same cases and seeds, and compare the reports"`
+	Matrix   matrixCommand   `command:"matrix" description:"Run a command for several builds as a file describes, and compare the reports; a stopped comparison continues"`
 }
 
 func main() {
