--- a/fleet/export_test.go
+++ b/fleet/export_test.go
@@ -340,3 +340,10 @@
 
 // Group returns a group that the instance watches, or nil.
 func (w Watch[L]) Group(name string) *engine.Group[L] { return w.instance.members.group(name) }
+
+// RunQuotas runs the quotas of an instance that knows its fleet, until ctx ends.
+func RunQuotas[L Link[L]](ctx context.Context, i *Instance[L]) error {
+	i.hasJoined.Store(true)
+	i.freshness.Confirm(clock.Now())
+	return i.quotas.Run(ctx)
+}
