quota: the refill before the first share counts that share only

A share that is added between the first share and the knowledge of the restart was refilled by its holder of that time; the bucket refilled it once more. The test fails with the refill of the whole share.

--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -38,10 +38,11 @@
 	// refill is in tokens per second.
 	refill   float64
 	capacity float64
-	// started is set once the bucket has received its allowance, and backdated once it has received the refill of the time
-	// before sharedAt, when its first share became known.
+	// started is set once the bucket has received its allowance, with its first share, at sharedAt; firstRefill is the refill of
+	// that share. backdated is set once it has received that refill for the time before sharedAt.
 	started, backdated bool
 	sharedAt           time.Time
+	firstRefill        float64
 	created            time.Time
 	at                 time.Time
 
@@ -84,7 +85,7 @@
 	b.share = min(sanitize(share), 1)
 	b.resize()
 	if b.share > 0 && !b.started {
-		b.started, b.sharedAt = true, b.at
+		b.started, b.sharedAt, b.firstRefill = true, b.at, b.refill
 		allowance := min(startAllowance*b.tolerance.Slack*b.share, b.capacity)
 		b.owned += b.assumed.remove(allowance)
 	}
@@ -94,8 +95,8 @@
 // last one at since, or at an unknown time if that is zero.
 //
 // The refill is then available at once, rather than after the longest time for which lent tokens exist. The bucket also holds
-// what its share would have refilled from since on, once in its lifetime: the shares become known only some time after the
-// restart, while the operations of the clients wait.
+// what its first share would have refilled from since on, once in its lifetime: the shares become known only some time after
+// the restart, while the operations of the clients wait.
 func (b *Bucket) ForgetHolders(now, since time.Time) {
 	b.advance(now)
 	b.assumed.remove(b.assumed.total())
@@ -104,7 +105,7 @@
 	}
 	b.backdated = true
 	missed := max(0, b.sharedAt.Sub(since))
-	b.owned += max(0, min(b.refill*missed.Seconds(), b.room()))
+	b.owned += max(0, min(b.firstRefill*missed.Seconds(), b.room()))
 }
 
 // Share returns the share of the account's limits that this bucket has.
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -340,6 +340,14 @@
 		all[n].ForgetHolders(now, restarted)
 		all[n].ForgetHolders(now, restarted)
 	}
+	// A share that comes later was refilled by its holder of that time.
+	other := quota.New(quota.Config{Limits: limits, Tolerance: tolerance, Now: restarted})
+	other.SetShare(now, 0.001)
+	other.SetShare(now, 1)
+	other.ForgetHolders(now, restarted)
+	if _, ok := other.Take(now); ok {
+		t.Error("a share that came later was refilled from the restart on")
+	}
 	refused := 0
 	waiting := int(usualLoad * limits.Rate * late.Seconds())
 	for n := range waiting {
