--- a/engine/session.go
+++ b/engine/session.go
@@ -300,8 +300,7 @@
 
 const (
 	// leaseShare is the fraction of the request timeout that a request may wait for a primary, or for its admission on an
-	// instance that has just started. The rest is left for
-	// the request itself, or for the caller to retry after a refusal.
+	// instance that has just started. The rest is left for the request itself, or for the caller to retry after a refusal.
 	leaseShare = 0.45
 	// graceShare is the fraction of the latency objective that is allowed for acquiring a link, however long the
 	// request has waited for a primary.
--- a/route/earliest_answer.go
+++ b/route/earliest_answer.go
@@ -45,7 +45,8 @@
 	return best
 }
 
-// ejectedPenalty is added for an ejected member, and for one that has failed the request, so that it is used only where no other member can serve.
+// ejectedPenalty is added for an ejected member, and for one that has failed the request, so that it is used only where no other
+// member can serve.
 const ejectedPenalty = 500 * time.Millisecond
 
 // evaluate returns the decision for a member and its expected cost; ok is false when the member cannot serve r.
