--- a/experiment/matrix.go
+++ b/experiment/matrix.go
@@ -229,11 +229,16 @@
 	return out
 }
 
-// play runs the command once and reads the measures from its report.
+// play runs the command once and reads the measures from its report; it fails if the report has none of them.
 func (m Matrix) play(ctx context.Context, r MatrixResult) (map[string]float64, error) {
 	n := slices.IndexFunc(m.Builds, func(b MatrixBuild) bool { return b.Name == r.Build })
 	cfg := PairedConfig{Command: m.Command, Measures: m.measures}
-	return cfg.measure(ctx, run{directory: m.Builds[n].Directory, label: r.Build, name: r.Case, seed: r.Seed})
+	values, err := cfg.measure(ctx, run{directory: m.Builds[n].Directory, label: r.Build, name: r.Case, seed: r.Seed})
+	if err == nil && len(values) == 0 {
+		err = eris.Errorf("%s, case %s, seed %d: the report has a number at none of the paths of the measures; correct the paths",
+			r.Build, r.Case, r.Seed)
+	}
+	return values, err
 }
 
 func appendResult(file *os.File, r MatrixResult) error {
--- a/experiment/matrix_test.go
+++ b/experiment/matrix_test.go
@@ -110,6 +110,17 @@
 	}
 }
 
+// Guards against hours of runs whose results are empty, because a path of the description does not exist in the reports.
+func TestMatrixFailsWithoutAnyMeasure(t *testing.T) {
+	m, err := experiment.ReadMatrix(matrixFile(t, `echo "{\"other\": 1}" > "$2"`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if results, err := m.Run(context.Background(), nil); err == nil || len(results) > 0 {
+		t.Errorf("%d results, error %v, want an error", len(results), err)
+	}
+}
+
 func TestReadMatrixNamesThePlaceOfAnError(t *testing.T) {
 	good, err := os.ReadFile(matrixFile(t, reportWorth))
 	if err != nil {
