quota, fleet: shares refill from the time at which they are known, also after a restart of all

The refill from the start of the last instance on compared start times by the clocks of the instances. If the clock of the last one had stepped back by up to 2 s, tokens that its earlier run had spent were refilled, and a window could exceed the limit. The property test keeps the restart of all instances.

--- a/fleet/quota_shares.go
+++ b/fleet/quota_shares.go
@@ -15,10 +15,8 @@
 	joined bool
 	// fresh reports that the proof of the keys is recent enough to refill a share.
 	fresh bool
-	// restarted reports that all live instances have just started, and restartedAt when the last of them did; it is zero until
-	// most of the fleet is known.
-	restarted   bool
-	restartedAt time.Time
+	// restarted reports that all live instances have just started.
+	restarted bool
 }
 
 // shareState returns what the shares depend on at now.
@@ -33,9 +31,6 @@
 	_, state.revision = i.directory.AccountsOf()
 	live, _ := i.node.LiveInstances()
 	state.restarted = fleetRestarted(i.node.Self(), now.Sub(i.startedAt), live)
-	if state.restarted && i.joined() {
-		state.restartedAt = i.startedAt.Add(startedLater(i.node.Self(), live))
-	}
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	state.homes = i.homesGeneration
@@ -62,15 +57,3 @@
 	}
 	return true
 }
-
-// clockError covers the difference between the clocks of two instances, by which their start times are compared.
-const clockError = 100 * time.Millisecond
-
-// startedLater returns how long after this instance the last of the live ones has started, at most.
-func startedLater(self membership.Identity, live []membership.Identity) time.Duration {
-	last := self.Incarnation()
-	for _, other := range live {
-		last = max(last, other.Incarnation())
-	}
-	return time.Duration(last-self.Incarnation()) + clockError
-}
--- a/fleet/quotas.go
+++ b/fleet/quotas.go
@@ -113,7 +113,7 @@
 	q.sharesOf = state
 	q.ledger.SetShares(now, q.share(state.fresh))
 	if state.restarted {
-		q.ledger.ForgetHolders(now, state.restartedAt)
+		q.ledger.ForgetHolders(now)
 	}
 }
 
--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -38,13 +38,10 @@
 	// refill is in tokens per second.
 	refill   float64
 	capacity float64
-	// started is set once the bucket has received its allowance, with its first share, at sharedAt; firstRefill is the refill of
-	// that share. backdated is set once it has received that refill for the time before sharedAt.
-	started, backdated bool
-	sharedAt           time.Time
-	firstRefill        float64
-	created            time.Time
-	at                 time.Time
+	// started is set once the bucket has received its allowance.
+	started bool
+	created time.Time
+	at      time.Time
 
 	owned float64
 	lent  recent
@@ -85,27 +82,18 @@
 	b.share = min(sanitize(share), 1)
 	b.resize()
 	if b.share > 0 && !b.started {
-		b.started, b.sharedAt, b.firstRefill = true, b.at, b.refill
+		b.started = true
 		allowance := min(startAllowance*b.tolerance.Slack*b.share, b.capacity)
 		b.owned += b.assumed.remove(allowance)
 	}
 }
 
-// ForgetHolders records that no other instance can hold or have lent tokens of this share: all instances have restarted, the
-// last one at since, or at an unknown time if that is zero.
+// ForgetHolders records that no other instance can have lent tokens of this share: all instances have restarted.
 //
-// The refill is then available at once, rather than after the longest time for which lent tokens exist. The bucket also holds
-// what its first share would have refilled from since on, once in its lifetime: the shares become known only some time after
-// the restart, while the operations of the clients wait.
-func (b *Bucket) ForgetHolders(now, since time.Time) {
+// The refill is then available at once, rather than after the longest time for which lent tokens exist.
+func (b *Bucket) ForgetHolders(now time.Time) {
 	b.advance(now)
 	b.assumed.remove(b.assumed.total())
-	if b.backdated || b.share == 0 || since.IsZero() {
-		return
-	}
-	b.backdated = true
-	missed := max(0, b.sharedAt.Sub(since))
-	b.owned += max(0, min(b.firstRefill*missed.Seconds(), b.room()))
 }
 
 // Share returns the share of the account's limits that this bucket has.
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -46,10 +46,10 @@
 	return 0
 }
 
-// ForgetHolders records that no other instance can hold or have lent tokens, as Bucket.ForgetHolders.
-func (l *Ledger) ForgetHolders(now, since time.Time) {
+// ForgetHolders records that no other instance can have lent tokens: all instances have restarted.
+func (l *Ledger) ForgetHolders(now time.Time) {
 	for _, b := range l.buckets {
-		b.ForgetHolders(now, since)
+		b.ForgetHolders(now)
 	}
 }
 
