--- a/review/world/platform.go
+++ b/review/world/platform.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"context"
 	"encoding/json"
 	"errors"
 	"io"
@@ -123,9 +122,3 @@
 		p.record.write("trouble", "the promotion API is back")
 	})
 }
-
-func (p *promoter) close(ctx context.Context) {
-	if p.server.Shutdown(ctx) != nil {
-		p.server.Close()
-	}
-}
