--- a/review/world/cases.go
+++ b/review/world/cases.go
@@ -71,12 +71,12 @@
 func playReplacement(w *world) ([]string, error) {
 	stop := w.startCallers(mix{database: database, readEvery: 6, pause: callerPause})
 	time.Sleep(4 * time.Second)
-	successor, err := w.group.add("i-3", "z0")
+	replacement, err := w.group.add("i-3", "z0")
 	if err != nil {
 		stop()
 		return nil, err
 	}
-	w.putEntry(successor)
+	w.putEntry(replacement)
 	time.Sleep(time.Second)
 	w.drainPrimary()
 	time.Sleep(12 * time.Second)
