--- a/review/world/cases.go
+++ b/review/world/cases.go
@@ -120,7 +120,7 @@
 // playDeafReplica replaces the primary of a group with SyncReplicas 1 as planned work does, while one of its two replicas
 // receives nothing.
 func playDeafReplica(w *world, s settingsOfCase) ([]string, error) {
-	stop := w.startCallers(mix{database: database, readEvery: noReads, pause: callerPause}, mix{database: sessionDatabase, readEvery: 1, pause: s.readerPause})
+	stop := w.startCallers(mix{database: database, readEvery: noReads, pause: writerPause}, mix{database: sessionDatabase, readEvery: 1, pause: s.readerPause})
 	time.Sleep(4 * time.Second)
 	if s.trouble {
 		deaf := w.group.members[1]
@@ -143,8 +143,11 @@
 // noReads is a readEvery that no caller reaches.
 const noReads = 1 << 30
 
+// writerPause is the pause of a writer between two requests in the case deaf-replica.
+const writerPause = time.Second
+
 // defaultReaderPause is the default pause of a reader between two requests.
-const defaultReaderPause = 80 * time.Millisecond
+const defaultReaderPause = 75 * time.Millisecond
 
 // rounds is the number of requests of each caller in the cases without a failure of a part.
 const rounds = 60
--- a/review/world/main.go
+++ b/review/world/main.go
@@ -104,7 +104,11 @@
 
 func newWorld(r *record, s settingsOfCase) (*world, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), worldTime)
-	w := &world{record: r, group: newGroup(r), ledger: &ledger{record: r}, cancel: cancel, ctx: ctx, stop: make(chan struct{})}
+	limits := bairdlennoxCapacity
+	if s.syncReplica {
+		limits = ldcCapacity
+	}
+	w := &world{record: r, group: newGroup(r, limits), ledger: &ledger{record: r}, cancel: cancel, ctx: ctx, stop: make(chan struct{})}
 	var err error
 	if w.store, err = platformtest.NewStoreServer(); err != nil {
 		return w, err
--- a/review/world/member.go
+++ b/review/world/member.go
@@ -26,26 +26,35 @@
 	replicateInterval = 2 * time.Millisecond
 )
 
-// Capacity of a member, as the sheet and the site file of bairdlennox-pool give them.
+// capacity is the number of slots of a member, and how long a request occupies one.
+type capacity struct {
+	slots       int
+	write, read time.Duration
+}
+
+// Capacities, as the sheets of two sites give them: the mean work of booking and sponsor, and of intake-deposit and
+// parts-reserve.
+var (
+	bairdlennoxCapacity = capacity{slots: 5, write: 11 * time.Millisecond, read: 33 * time.Millisecond}
+	ldcCapacity         = capacity{slots: 2, write: 4500 * time.Microsecond, read: 14 * time.Millisecond}
+)
+
 const (
-	slotCount     = 5
-	writeTime     = 11 * time.Millisecond
-	readTime      = 33 * time.Millisecond
 	handshakeTime = 12 * time.Millisecond
 	controlTime   = 500 * time.Microsecond
 )
 
 // workOf returns how long a request occupies a slot.
-func workOf(text string) time.Duration {
+func (c capacity) workOf(text string) time.Duration {
 	fields := strings.Fields(text)
 	if len(fields) > 2 && fields[0] == "MINLSN" {
 		fields = fields[2:]
 	}
 	switch fields[0] {
 	case "READ":
-		return readTime
+		return c.read
 	case "WRITE", "COMMIT", "EXECUTE":
-		return writeTime
+		return c.write
 	case "STATUS", "PAUSE", "RESUME", "STEPDOWN":
 		return controlTime
 	}
@@ -85,8 +94,9 @@
 
 // group is a database group whose members replicate one log.
 type group struct {
-	record *record
-	mu     sync.Mutex
+	record   *record
+	capacity capacity
+	mu       sync.Mutex
 	// term is the newest term of any member.
 	term    uint64
 	members []*member
@@ -147,7 +157,9 @@
 }
 
 // newGroup returns a group without members.
-func newGroup(r *record) *group { return &group{record: r, term: 1, pending: map[string]bool{}} }
+func newGroup(r *record, c capacity) *group {
+	return &group{record: r, capacity: c, term: 1, pending: map[string]bool{}}
+}
 
 // add starts a member; the first one is the primary.
 func (g *group) add(id, zone string) (*member, error) {
@@ -155,7 +167,7 @@
 	if err != nil {
 		return nil, err
 	}
-	m := &member{id: id, zone: zone, group: g, listener: l, slots: make(chan struct{}, slotCount)}
+	m := &member{id: id, zone: zone, group: g, listener: l, slots: make(chan struct{}, g.capacity.slots)}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	m.primary = len(g.members) == 0
@@ -476,7 +488,7 @@
 			return
 		}
 		m.slots <- struct{}{}
-		time.Sleep(workOf(text))
+		time.Sleep(g.capacity.workOf(text))
 		g.mu.Lock()
 		if id != "-" {
 			g.statements = append(g.statements, statement{member: m.id, id: id, text: text})
