failover, engine, fleet: orders end with their attempt

Cause: a promotion order waited in the probe loop of its member, up to ten of them while the member was silent, and nothing bound them to their attempt. When the member answered again they were sent, although another member had been promoted since and was in use.

Fix: the machine withdraws an attempt that ends, and whoever sends an order checks at that moment that its attempt is current. A promotion needs no connection to the member: it is sent by a loop of its own, one at a time for a group, and its outcome returns to the machine, which orders nothing else until then. No order of an ended attempt is left that could be sent, whatever the length of the silence. Actions are performed in the order of the events that led to them.

--- a/engine/monitor.go
+++ b/engine/monitor.go
@@ -30,6 +30,8 @@
 }
 
 // Orders sends members the orders of a promotion; their results arrive like those of probes.
+//
+// An order that has not been sent when its attempt is withdrawn must not be sent any more.
 type Orders interface {
 	// Fence orders a member to promise term to attempt.
 	Fence(endpoint string, term group.Term, attempt string)
@@ -37,6 +39,8 @@
 	Release(endpoint string, term group.Term, attempt string)
 	// Promote orders a member to become primary of term for attempt.
 	Promote(endpoint string, term group.Term, attempt string)
+	// Withdraw ends an attempt, whose orders may not be sent from now on; the releases of its members follow.
+	Withdraw(attempt string)
 }
 
 // MonitorConfig configures the monitor of one group.
@@ -52,11 +56,13 @@
 
 // Monitor runs the failover machine of one group; it is safe for concurrent use.
 type Monitor[L Link[L]] struct {
-	cfg     MonitorConfig[L]
-	mu      sync.Mutex
-	group   *Group[L]
-	machine *failover.Machine
-	ctx     context.Context
+	cfg MonitorConfig[L]
+	// performing is held while the actions of one event are performed, so that they keep the order of the events.
+	performing sync.Mutex
+	mu         sync.Mutex
+	group      *Group[L]
+	machine    *failover.Machine
+	ctx        context.Context
 	// confirmedAt is the last confirmation of the primary under a valid lease; gapStartedAt is a copy of it, taken when
 	// the lease lapsed, or zero while the lease is valid.
 	confirmedAt  time.Time
@@ -118,6 +124,8 @@
 
 // Step passes an event to the machine and performs the resulting actions.
 func (m *Monitor[L]) Step(e failover.Event) {
+	m.performing.Lock()
+	defer m.performing.Unlock()
 	m.mu.Lock()
 	ctx := m.ctx
 	var actions []failover.Action
@@ -130,6 +138,7 @@
 	}
 }
 
+// perform performs an action without waiting for its result.
 func (m *Monitor[L]) perform(ctx context.Context, a failover.Action) {
 	name := m.cfg.Failover.Group
 	switch a := a.(type) {
@@ -143,6 +152,8 @@
 		m.cfg.Orders.Promote(a.Endpoint, a.Term, a.Attempt)
 	case failover.Release:
 		m.cfg.Orders.Release(a.Endpoint, a.Term, a.Attempt)
+	case failover.Withdraw:
+		m.cfg.Orders.Withdraw(a.Attempt)
 	case failover.Revoke:
 		go m.revoke(ctx, a)
 	case failover.Publish:
--- a/failover/attempt.go
+++ b/failover/attempt.go
@@ -20,6 +20,11 @@
 	oldFencedAt time.Time
 	// chosen is the member that is promoted.
 	chosen string
+	// inFlight reports that the outcome of a promotion order is not known yet.
+	inFlight bool
+	// accepted reports that a promotion order was accepted, at acceptedAt.
+	accepted   bool
+	acceptedAt time.Time
 	// planned marks a switchover.
 	planned bool
 	// revoked reports that every instance has ended its lease of oldTerm.
@@ -112,7 +117,7 @@
 // abandon releases the members where that is safe and delays the next attempt by StepTimeout.
 func (m *Machine) abandon(now time.Time, reason string) []Action {
 	m.notBefore = now.Add(m.cfg.StepTimeout)
-	actions := m.releaseFenced()
+	actions := append([]Action{Withdraw{Attempt: m.attempt.id}}, m.releaseFenced()...)
 	m.enterPhase(now, phaseWatching)
 	return append(actions, Explain{Decision: DecisionAbandon, Evidence: reason})
 }
--- a/failover/event.go
+++ b/failover/event.go
@@ -50,6 +50,13 @@
 	Attempt string
 }
 
+// PromotionAnswered reports the outcome of a Promote action, if Config.AnsweredPromotions is set.
+type PromotionAnswered struct {
+	Attempt  string
+	Endpoint string
+	Outcome  PromotionOutcome
+}
+
 // Leaving lists the members that are to receive no new requests.
 type Leaving struct {
 	Endpoints []string
@@ -64,6 +71,28 @@
 func (Leaving) isEvent()     {}
 func (Revoked) isEvent()     {}
 
+func (PromotionAnswered) isEvent() {}
+
+// PromotionOutcome is what is known of the effect of a promotion order.
+type PromotionOutcome uint8
+
+// The outcomes of a promotion order.
+const (
+	// PromotionNotSent means that the order has had no effect and will have none.
+	PromotionNotSent PromotionOutcome = iota
+	// PromotionAccepted means that the member becomes primary, unless it fails first.
+	PromotionAccepted
+	// PromotionRefused means that the member does not run, so that the order has no effect.
+	PromotionRefused
+	// PromotionUnanswered means that the order may have an effect, now or later.
+	PromotionUnanswered
+)
+
+// String returns the outcome in snake case.
+func (o PromotionOutcome) String() string {
+	return [...]string{"not_sent", "accepted", "refused", "unanswered"}[o]
+}
+
 // ClaimOutcome is the outcome of a claim.
 type ClaimOutcome uint8
 
@@ -118,6 +147,11 @@
 	Attempt  string
 }
 
+// Withdraw ends an attempt: none of its orders may be sent from now on, except the releases that follow.
+type Withdraw struct {
+	Attempt string
+}
+
 // Publish records the primary of Term in the table once the table is reachable.
 type Publish struct {
 	Term     group.Term
@@ -136,6 +170,7 @@
 func (Promote) isAction()    {}
 func (Revoke) isAction()     {}
 func (Release) isAction()    {}
+func (Withdraw) isAction()   {}
 func (Publish) isAction()    {}
 func (Explain) isAction()    {}
 
@@ -187,6 +222,9 @@
 	// ReleaseAbandoned makes an abandoned attempt release the replicas while the old primary is not demoted, for
 	// platforms on which members do not keep a promise themselves.
 	ReleaseAbandoned bool
+	// AnsweredPromotions means that a PromotionAnswered event follows every Promote action; the machine then has one
+	// promotion order in flight at a time.
+	AnsweredPromotions bool
 	// ClaimRequired makes the machine wait for the claim before it fences; otherwise both run concurrently.
 	ClaimRequired bool
 }
--- a/failover/machine.go
+++ b/failover/machine.go
@@ -121,6 +121,8 @@
 	case Revoked:
 		m.attempt.revoked = m.attempt.revoked || e.Attempt == m.attempt.id
 		return m.advance(now)
+	case PromotionAnswered:
+		return m.handlePromotionAnswered(now, e)
 	case Leaving:
 		m.SetLeaving(e.Endpoints)
 		return nil
@@ -223,15 +225,19 @@
 	m.suspended = false
 	m.primaryLostSince = time.Time{}
 	ownAttempt := m.phase == phasePromoting && s.Attempt() == m.attempt.id
+	var actions []Action
+	if m.phase >= phaseClaiming {
+		actions = append(actions, Withdraw{Attempt: m.attempt.id})
+	}
 	m.enterPhase(now, phaseWatching)
 	if !ownAttempt {
-		return nil
+		return actions
 	}
 	evidence := fmt.Sprintf("%s is primary of term %d from position %d", m.primary, m.term, s.Point().Position())
-	return []Action{
+	return append(actions,
 		Explain{Decision: DecisionPromoted, Evidence: evidence},
 		Publish{Term: m.term, Endpoint: m.primary},
-	}
+	)
 }
 
 func (m *Machine) handleProbeFailed(now time.Time, e ProbeFailed) []Action {
--- a/failover/promote.go
+++ b/failover/promote.go
@@ -158,21 +158,43 @@
 }
 
 func (m *Machine) promoteAction() Action {
+	m.attempt.inFlight = m.cfg.AnsweredPromotions
 	return Promote{Endpoint: m.attempt.chosen, Term: m.attempt.term, Attempt: m.attempt.id}
 }
 
-// awaitPromotion repeats the promotion and abandons the attempt if the promotion has no effect within TakeOverAfter.
+// handlePromotionAnswered records the outcome of the promotion order in flight.
+func (m *Machine) handlePromotionAnswered(now time.Time, e PromotionAnswered) []Action {
+	if e.Attempt != m.attempt.id || m.phase != phasePromoting {
+		return nil
+	}
+	m.attempt.inFlight = false
+	if e.Outcome == PromotionAccepted && !m.attempt.accepted {
+		m.attempt.accepted = true
+		m.attempt.acceptedAt = now
+	}
+	return m.awaitPromotion(now)
+}
+
+// awaitPromotion repeats the promotion until it is accepted, and abandons the attempt if the promotion has no effect within
+// TakeOverAfter, counted from its acceptance.
 //
 // The promotion is idempotent for the attempt. Another member is never promoted
 // in the same term: the first may have become primary without this instance
 // observing it.
 func (m *Machine) awaitPromotion(now time.Time) []Action {
-	if now.Sub(m.phaseSince) >= m.cfg.TakeOverAfter {
+	if m.attempt.inFlight {
+		return nil
+	}
+	since := m.phaseSince
+	if m.attempt.accepted {
+		since = m.attempt.acceptedAt
+	}
+	if now.Sub(since) >= m.cfg.TakeOverAfter {
 		m.competingSeenAt = time.Time{}
 		m.ineffective[m.attempt.chosen] = true
 		return m.abandon(now, m.attempt.chosen+" did not report that it is primary")
 	}
-	if now.Sub(m.stepStartedAt) < m.cfg.StepTimeout {
+	if m.attempt.accepted || now.Sub(m.stepStartedAt) < m.cfg.StepTimeout {
 		return nil
 	}
 	m.stepStartedAt = now
--- a/failover/sequential_test.go
+++ b/failover/sequential_test.go
@@ -20,12 +20,16 @@
 }
 
 func newSequentialFixture() *sequentialFixture {
-	return &sequentialFixture{now: time.Unix(1000, 0), machine: failover.New(failover.Config{
+	return &sequentialFixture{now: time.Unix(1000, 0), machine: failover.New(sequentialConfig())}
+}
+
+func sequentialConfig() failover.Config {
+	return failover.Config{
 		Group: "orders", Instance: "i", Members: []string{"a", "b", "c"}, Lease: sequentialLease,
 		SuspectAfter: time.Second, RefusedAfter: 200 * time.Millisecond, Stagger: time.Second, StepTimeout: sequentialStep,
 		TakeOverAfter: 3 * time.Second, CatchUpTimeout: time.Second, ClaimTimeout: 2 * time.Second,
 		ClaimRequired: true, SequentialTerms: true, ExcludeDemoted: true, ReleaseAbandoned: true,
-	})}
+	}
 }
 
 func (s *sequentialFixture) step(e failover.Event) []failover.Action { return s.machine.Step(s.now, e) }
--- a/fleet/adapter.go
+++ b/fleet/adapter.go
@@ -97,6 +97,8 @@
 	Dialer DialFunc
 	// Dial opens a link to a member of a group over a connection that dial opens.
 	Dial func(ctx context.Context, t Target, dial DialFunc) (L, error)
-	// Promote orders a promotion.
+	// Promote orders a promotion. It fails with KindConflict if the platform refuses because the endpoint does not run, with
+	// KindUnavailable if the order was not sent or the platform refused it unseen, and with KindOutcomeUnknown if the order
+	// may have an effect, now or later.
 	Promote func(ctx context.Context, p Promotion) error
 }
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -122,7 +122,11 @@
 	}
 	ctx, cancel := context.WithCancel(m.ctx)
 	w.stop = cancel
-	m.loops.Add(2)
+	m.loops.Add(3)
+	go func() {
+		defer m.loops.Done()
+		w.orders.Run(ctx)
+	}()
 	go func() {
 		defer m.loops.Done()
 		if err := w.group.Run(ctx); err != nil {
@@ -281,7 +285,7 @@
 func (m *members[L]) newWatchedGroup(name string, addresses []engine.Address) *watchedGroup[L] {
 	i := m.instance
 	w := &watchedGroup[L]{}
-	w.orders = &orders[L]{instance: i, name: name, group: func() *engine.Group[L] { return w.group }}
+	w.orders = newOrders(i, name, func() *engine.Group[L] { return w.group })
 	w.monitor = engine.NewMonitor(engine.MonitorConfig[L]{
 		Failover:             failoverConfig(name, i.cfg.Name),
 		Fleet:                i,
@@ -289,7 +293,7 @@
 		Interval:             monitorTick,
 		PublishRetryInterval: publishPause,
 	})
-	w.orders.observer = w.monitor
+	w.orders.observer, w.orders.answered = w.monitor, w.monitor.Step
 	w.group = engine.NewGroup(engine.GroupConfig[L]{
 		Name:               name,
 		Members:            addresses,
--- a/fleet/orders.go
+++ b/fleet/orders.go
@@ -27,6 +27,8 @@
 		ExcludeDemoted:   true,
 		ReleaseAbandoned: true,
 		ClaimRequired:    true,
+
+		AnsweredPromotions: true,
 	}
 }
 
@@ -39,13 +41,29 @@
 	name     string
 	group    func() *engine.Group[L]
 	observer engine.Observer
-	mu       sync.Mutex
-	attempt  string
-	term     group.Term
+	// answered receives the outcome of each promotion order that Run has sent.
+	answered func(failover.Event)
+	current  engine.Attempt
+	// promotions holds the promotion order that Run sends next.
+	promotions chan promotionOrder
+	mu         sync.Mutex
+	attempt    string
+	term       group.Term
 	// lastStates is the state that each member last reported, so that changes are logged.
 	lastStates map[string]memberState
 }
 
+// promotionOrder is an order to promote a member for an attempt.
+type promotionOrder struct {
+	endpoint string
+	term     group.Term
+	attempt  string
+}
+
+func newOrders[L Link[L]](i *Instance[L], name string, g func() *engine.Group[L]) *orders[L] {
+	return &orders[L]{instance: i, name: name, group: g, promotions: make(chan promotionOrder, 1), lastStates: map[string]memberState{}}
+}
+
 // memberState is what a member reports of its role and term.
 type memberState struct {
 	role     group.Role
@@ -53,7 +71,9 @@
 	promised group.Term
 }
 
-func (o *orders[L]) setAttempt(term group.Term, attempt string) {
+// begin makes an attempt the current one.
+func (o *orders[L]) begin(term group.Term, attempt string) {
+	o.current.Begin(attempt)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.term = term
@@ -63,7 +83,7 @@
 // Fence orders a replica to promise term, or the primary to become a replica for it, if this instance holds the coordinator
 // lease.
 func (o *orders[L]) Fence(endpoint string, term group.Term, attempt string) {
-	o.setAttempt(term, attempt)
+	o.begin(term, attempt)
 	if _, ok := o.instance.coordinator.Held(); !ok {
 		logLine(o.instance.cfg.Logger, "level", "warn", "msg", "fence_left_out", "group", o.name, "endpoint", endpoint,
 			"term", uint64(term), "reason", "the lease of the promotion coordinator has ended")
@@ -71,6 +91,9 @@
 	}
 	isPrimary := o.group().Primary() == endpoint
 	o.group().Send(endpoint, func(ctx context.Context, link L) (group.Status, error) {
+		if !o.maySend(o.current.Current(attempt), "fence_left_out", endpoint, term) {
+			return link.Status(ctx)
+		}
 		s, err := o.fence(ctx, link, term, isPrimary)
 		logLine(o.instance.cfg.Logger, "level", "info", "msg", "endpoint_fenced", "group", o.name, "endpoint", endpoint,
 			"term", uint64(term), "demoted", isPrimary, "role", s.Role().String(), "point", s.Received().String(), "error", errorText(err))
@@ -78,6 +101,17 @@
 	})
 }
 
+// maySend reports whether an order that has waited for its member may be sent: its attempt is in force, and this instance
+// holds the coordinator lease.
+func (o *orders[L]) maySend(inForce bool, message, endpoint string, term group.Term) bool {
+	_, held := o.instance.coordinator.Held()
+	if !inForce || !held {
+		logLine(o.instance.cfg.Logger, "level", "info", "msg", message, "group", o.name, "endpoint", endpoint,
+			"term", uint64(term), "attempt_in_force", inForce, "lease_held", held)
+	}
+	return inForce && held
+}
+
 func (o *orders[L]) fence(ctx context.Context, link L, term group.Term, isPrimary bool) (group.Status, error) {
 	if !isPrimary {
 		return link.PauseReplication(ctx, term)
@@ -89,13 +123,13 @@
 	return s, err
 }
 
-// Release resumes a replica's replication if this instance holds the coordinator lease: no other instance can then have
-// fenced the replica for its own promotion.
-func (o *orders[L]) Release(endpoint string, term group.Term, _ string) {
-	if _, ok := o.instance.coordinator.Held(); !ok {
-		return
-	}
+// Release resumes a replica's replication if this instance holds the coordinator lease and has begun no other attempt: no
+// other attempt can then have fenced the replica.
+func (o *orders[L]) Release(endpoint string, term group.Term, attempt string) {
 	o.group().Send(endpoint, func(ctx context.Context, link L) (group.Status, error) {
+		if !o.maySend(o.current.Newest(attempt), "release_left_out", endpoint, term) {
+			return link.Status(ctx)
+		}
 		s, err := link.ResumeReplication(ctx)
 		logLine(o.instance.cfg.Logger, "level", "info", "msg", "endpoint_released", "group", o.name, "endpoint", endpoint,
 			"term", uint64(term), "error", errorText(err))
@@ -103,42 +137,76 @@
 	})
 }
 
-// Promote orders the promotion of a member, and claims the coordinator lease first if it has ended.
+// Withdraw ends an attempt.
+func (o *orders[L]) Withdraw(attempt string) { o.current.End(attempt) }
+
+// Promote orders the promotion of a member, which needs no connection to it.
+//
+// An attempt has one order in flight at a time, so an order that still waits belongs to an earlier attempt.
 func (o *orders[L]) Promote(endpoint string, term group.Term, attempt string) {
-	o.setAttempt(term, attempt)
-	o.group().Send(endpoint, func(ctx context.Context, link L) (group.Status, error) {
-		err := o.promote(ctx, endpoint, term)
-		logLine(o.instance.cfg.Logger, "level", "info", "msg", "promotion_ordered", "group", o.name, "endpoint", endpoint,
-			"term", uint64(term), "error", errorText(err))
-		if err != nil {
-			return group.Status{}, fault.New(fault.Config{
-				Kind:    fault.KindOverloaded,
-				Message: "the promotion was not ordered",
-				Remedy:  "no action needed; it is ordered again",
-				Cause:   err,
-			})
+	o.begin(term, attempt)
+	select {
+	case <-o.promotions:
+	default:
+	}
+	o.promotions <- promotionOrder{endpoint: endpoint, term: term, attempt: attempt}
+}
+
+// Run sends the promotion orders, one after the other, until ctx ends.
+func (o *orders[L]) Run(ctx context.Context) {
+	for {
+		select {
+		case p := <-o.promotions:
+			outcome, err := o.promote(ctx, p)
+			logLine(o.instance.cfg.Logger, "level", "info", "msg", "promotion_ordered", "group", o.name, "endpoint", p.endpoint,
+				"term", uint64(p.term), "outcome", outcome.String(), "error", errorText(err))
+			o.answered(failover.PromotionAnswered{Attempt: p.attempt, Endpoint: p.endpoint, Outcome: outcome})
+		case <-ctx.Done():
+			return
 		}
-		return link.Status(ctx)
-	})
+	}
 }
 
-func (o *orders[L]) promote(ctx context.Context, endpoint string, term group.Term) error {
+// promote sends an order if its attempt is current, and claims the coordinator lease first if it has ended.
+func (o *orders[L]) promote(ctx context.Context, p promotionOrder) (failover.PromotionOutcome, error) {
 	i := o.instance
-	if _, ok := i.coordinator.Held(); !ok {
-		if err := i.coordinator.Claim(ctx, o.name, term); err != nil {
-			return err
-		}
+	if err := o.renewLease(ctx, p); err != nil {
+		return failover.PromotionNotSent, err
 	}
 	token, ok := i.coordinator.Held()
-	if !ok {
-		return fault.New(fault.Config{
+	if !ok || !o.current.Current(p.attempt) {
+		return failover.PromotionNotSent, fault.New(fault.Config{
 			Kind:    fault.KindConflict,
-			Message: "the lease of the promotion coordinator has ended",
-			Remedy:  "no action needed; it is claimed again",
+			Message: "the attempt or the lease of the promotion coordinator has ended",
+			Remedy:  "no action needed; the promotion is ordered again if it is still needed",
 		})
 	}
-	i.ordered.Add(o.name, term)
-	return i.cfg.Adapter.Promote(ctx, Promotion{Group: o.name, Endpoint: endpoint, Holder: i.cfg.Name, Token: token})
+	i.ordered.Add(o.name, p.term)
+	err := i.cfg.Adapter.Promote(ctx, Promotion{Group: o.name, Endpoint: p.endpoint, Holder: i.cfg.Name, Token: token})
+	return promotionOutcome(err), err
+}
+
+// renewLease claims the coordinator lease for an order if the lease has ended.
+func (o *orders[L]) renewLease(ctx context.Context, p promotionOrder) error {
+	if _, ok := o.instance.coordinator.Held(); ok || !o.current.Current(p.attempt) {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	return o.instance.coordinator.Claim(ctx, o.name, p.term)
+}
+
+// promotionOutcome returns what an error of Adapter.Promote says of the order.
+func promotionOutcome(err error) failover.PromotionOutcome {
+	switch {
+	case err == nil:
+		return failover.PromotionAccepted
+	case fault.KindOf(err) == fault.KindConflict:
+		return failover.PromotionRefused
+	case fault.KindOf(err) == fault.KindUnavailable:
+		return failover.PromotionNotSent
+	}
+	return failover.PromotionUnanswered
 }
 
 // Probed forwards a member's status, with this instance's attempt if the member's promise or term belongs to it.
@@ -148,9 +216,6 @@
 	attempt := o.attempt
 	state := memberState{role: s.Role(), term: s.Point().Term(), promised: s.Promised()}
 	changed := o.lastStates[s.Endpoint()] != state
-	if o.lastStates == nil {
-		o.lastStates = map[string]memberState{}
-	}
 	o.lastStates[s.Endpoint()] = state
 	o.mu.Unlock()
 	if changed {
--- a/instance/monitor.go
+++ b/instance/monitor.go
@@ -92,22 +92,37 @@
 
 // orders sends the orders of a promotion to the members of a group.
 type orders struct {
-	group func() *engine.Group[*endpoint.Conn]
+	group   func() *engine.Group[*endpoint.Conn]
+	attempt engine.Attempt
 }
 
 // Fence orders a member to promise a term to an attempt.
 func (o *orders) Fence(name string, term group.Term, attempt string) {
-	o.group().Send(name, func(ctx context.Context, c *endpoint.Conn) (group.Status, error) {
+	o.send(name, attempt, func(ctx context.Context, c *endpoint.Conn) (group.Status, error) {
 		return c.Fence(ctx, term, attempt)
 	})
 }
 
+// send queues an order, which requests only the status if its attempt has ended by the time that the member is reached.
+func (o *orders) send(name, attempt string, order engine.Order[*endpoint.Conn]) {
+	o.attempt.Begin(attempt)
+	o.group().Send(name, func(ctx context.Context, c *endpoint.Conn) (group.Status, error) {
+		if !o.attempt.Current(attempt) {
+			return c.Status(ctx)
+		}
+		return order(ctx, c)
+	})
+}
+
+// Withdraw ends an attempt.
+func (o *orders) Withdraw(attempt string) { o.attempt.End(attempt) }
+
 // Release does nothing: a promise holds until the next term.
 func (o *orders) Release(string, group.Term, string) {}
 
 // Promote orders a member to become the primary of a term.
 func (o *orders) Promote(name string, term group.Term, attempt string) {
-	o.group().Send(name, func(ctx context.Context, c *endpoint.Conn) (group.Status, error) {
+	o.send(name, attempt, func(ctx context.Context, c *endpoint.Conn) (group.Status, error) {
 		return c.Promote(ctx, term, attempt)
 	})
 }
