--- a/engine/lease.go
+++ b/engine/lease.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/monsoontiller/monsoontiller/clock"
+	"github.com/monsoontiller/monsoontiller/failover"
 	"github.com/monsoontiller/monsoontiller/fault"
 	"github.com/monsoontiller/monsoontiller/group"
 )
@@ -28,11 +29,17 @@
 	return true
 }
 
-// RevokeLease ends the leases of terms up to term; only evidence requested at or after until can renew them.
-func (g *Group[L]) RevokeLease(term group.Term, until time.Time) {
+// RevokeLease ends the leases that r names; only evidence requested at or after until can renew them.
+func (g *Group[L]) RevokeLease(r failover.Revoke, until time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.tracker.RevokeLease(term, g.cfg.Clock(), until)
+	now := g.cfg.Clock()
+	if len(r.Ordered) == 0 {
+		g.tracker.RevokeLease(r.Term, now, until)
+		return
+	}
+	g.tracker.RevokeLease(r.Reported, now, until)
+	g.tracker.RevokeLeaseOf(r.Ordered, r.Term, now, until)
 }
 
 // AwaitLease waits until the primary's lease is valid; it fails with KindNoPrimary at the deadline.
--- a/engine/monitor.go
+++ b/engine/monitor.go
@@ -17,10 +17,10 @@
 	// QueryViews queries the other instances for their views, which state whether they have lost the primary of a
 	// group's term, and calls receive with each answer.
 	QueryViews(ctx context.Context, group string, term group.Term, receive func(failover.View))
-	// Claim tries to claim term for attempt in the store; it returns the outcome and, if won, the claimed term.
-	Claim(ctx context.Context, group string, term group.Term, attempt string) (failover.ClaimOutcome, group.Term)
-	// Revoke ends the leases of a group's terms up to term on all instances and reports whether all of them confirmed.
-	Revoke(ctx context.Context, group string, term group.Term) bool
+	// Claim tries to claim term, or a later one, for attempt in the store.
+	Claim(ctx context.Context, group string, term group.Term, attempt string) failover.ClaimResult
+	// Revoke ends the leases of a group that r names on all instances and reports whether all of them confirmed.
+	Revoke(ctx context.Context, group string, r failover.Revoke) bool
 	// Publish records the primary of a term in the store; it fails while the store is unavailable.
 	Publish(ctx context.Context, group string, term group.Term, endpoint string) error
 	// Explain records a decision with its evidence.
@@ -37,8 +37,8 @@
 	Fence(endpoint string, term group.Term, attempt string)
 	// Release withdraws a member's promise to an abandoned attempt.
 	Release(endpoint string, term group.Term, attempt string)
-	// Promote orders a member to become primary of term for attempt.
-	Promote(endpoint string, term group.Term, attempt string)
+	// Promote orders the promotion p.
+	Promote(p failover.Promote)
 	// Withdraw ends an attempt, whose orders may not be sent from now on; the releases of its members follow.
 	Withdraw(attempt string)
 }
@@ -149,7 +149,7 @@
 	case failover.Fence:
 		m.cfg.Orders.Fence(a.Endpoint, a.Term, a.Attempt)
 	case failover.Promote:
-		m.cfg.Orders.Promote(a.Endpoint, a.Term, a.Attempt)
+		m.cfg.Orders.Promote(a)
 	case failover.Release:
 		m.cfg.Orders.Release(a.Endpoint, a.Term, a.Attempt)
 	case failover.Withdraw:
@@ -164,12 +164,11 @@
 }
 
 func (m *Monitor[L]) claim(ctx context.Context, a failover.Claim) {
-	outcome, term := m.cfg.Fleet.Claim(ctx, m.cfg.Failover.Group, a.Term, a.Attempt)
-	m.Step(failover.ClaimResult{Attempt: a.Attempt, Outcome: outcome, Term: term})
+	m.Step(m.cfg.Fleet.Claim(ctx, m.cfg.Failover.Group, a.Term, a.Attempt))
 }
 
 func (m *Monitor[L]) revoke(ctx context.Context, a failover.Revoke) {
-	if m.cfg.Fleet.Revoke(ctx, m.cfg.Failover.Group, a.Term) {
+	if m.cfg.Fleet.Revoke(ctx, m.cfg.Failover.Group, a) {
 		m.Step(failover.Revoked{Attempt: a.Attempt})
 	}
 }
--- a/experiment/fleet_network.go
+++ b/experiment/fleet_network.go
@@ -8,9 +8,9 @@
 	"net/http/httptest"
 	"sync"
 
-	"github.com/monsoontiller/monsoontiller/pool"
-
+	"github.com/monsoontiller/monsoontiller/failover"
 	"github.com/monsoontiller/monsoontiller/peer"
+	"github.com/monsoontiller/monsoontiller/pool"
 )
 
 // fleetNetwork carries the calls between the instances of a simulated fleet, without delay, and counts their bytes.
@@ -96,7 +96,7 @@
 func (fleetBackend) Loans(string) []peer.Loan                    { return nil }
 func (fleetBackend) ItemApplied(peer.ConfigItem)                 {}
 func (fleetBackend) Evidence([]string) peer.LeaseEvidence        { return peer.LeaseEvidence{} }
-func (fleetBackend) Revoke(string, uint64)                       {}
+func (fleetBackend) Revoke(string, failover.Revoke)              {}
 func (fleetBackend) PeerChanged()                                {}
 
 // LendTokens lends no quota tokens.
--- a/failover/attempt.go
+++ b/failover/attempt.go
@@ -27,10 +27,11 @@
 	acceptedAt time.Time
 	// planned marks a switchover.
 	planned bool
-	// revoked reports that every instance has ended its lease of oldTerm.
-	revoked    bool
-	oldTerm    group.Term
-	oldPrimary string
+	// revoked reports that every instance has ended the leases that the attempt must not leave in force.
+	revoked bool
+	// forOpenOrder reports that the attempt was started because an earlier one left a replacement open.
+	forOpenOrder bool
+	oldPrimary   string
 }
 
 // startAttempt claims the term that nextTerm returns for a new attempt; planned marks a switchover.
@@ -41,13 +42,11 @@
 		term:       term,
 		fenced:     map[string]group.Status{},
 		planned:    planned,
-		oldTerm:    m.term,
 		oldPrimary: m.primary,
+
+		forOpenOrder: m.replacementOpen(),
 	}
-	if m.cfg.SequentialTerms {
-		// An instance that has just started may know no primary, while others still hold leases of the previous term.
-		m.attempt.oldTerm = term - 1
-	} else {
+	if !m.cfg.SequentialTerms {
 		m.highestTerm = m.attempt.term
 	}
 	m.enterPhase(now, phaseClaiming)
@@ -69,7 +68,11 @@
 // nextTerm returns the term that a new attempt claims.
 func (m *Machine) nextTerm() group.Term {
 	if m.cfg.SequentialTerms {
-		return max(m.term, m.newestTerm) + 1
+		term := max(m.term, m.newestTerm)
+		for _, o := range m.orders {
+			term = max(term, o.Term)
+		}
+		return term + 1
 	}
 	return m.highestTerm + 1
 }
@@ -94,9 +97,26 @@
 	if r.Outcome == ClaimUnavailable && m.cfg.ClaimRequired {
 		return m.abandon(now, "the table did not answer")
 	}
+	if m.cfg.SequentialTerms && r.Outcome == ClaimWon {
+		m.adoptRecord(r)
+		if m.attempt.forOpenOrder && !m.openOrders() {
+			return m.abandon(now, "another instance has completed the replacement")
+		}
+	}
 	return m.afterClaim(now)
 }
 
+// adoptRecord takes over the term that the table granted, and the orders of earlier attempts.
+func (m *Machine) adoptRecord(r ClaimResult) {
+	m.attempt.term = max(m.attempt.term, r.Term)
+	if len(r.Orders) > 0 {
+		m.orders = r.Orders
+	}
+	if !m.openOrders() {
+		m.orders = nil
+	}
+}
+
 // awaitClaimResult abandons the attempt once the claim timeout has passed without an answer of the table.
 func (m *Machine) awaitClaimResult(now time.Time) []Action {
 	if now.Sub(m.phaseSince) < max(m.cfg.ClaimTimeout, m.cfg.StepTimeout) {
--- a/failover/event.go
+++ b/failover/event.go
@@ -43,6 +43,8 @@
 	Attempt string
 	Outcome ClaimOutcome
 	Term    group.Term
+	// Orders are the promotions that earlier attempts have recorded, oldest first.
+	Orders []Order
 }
 
 // Revoked reports that every instance has ended its lease of the old term for Attempt.
@@ -127,10 +129,16 @@
 	Attempt  string
 }
 
-// Revoke requests that all instances end their leases of terms up to Term; Revoked follows if all did.
+// Revoke requests that all instances end the leases that an attempt must not leave in force; Revoked follows if all did.
+//
+// Those are the leases of terms up to Term; above Reported, only those of the members Ordered.
 type Revoke struct {
 	Term    group.Term
 	Attempt string
+	// Reported is the newest term that a member has reported.
+	Reported group.Term
+	// Ordered are the members that earlier attempts may have promoted to a term above Reported.
+	Ordered []string
 }
 
 // Promote makes a member the primary of Term for Attempt; the answer returns as Probed.
@@ -138,6 +146,9 @@
 	Endpoint string
 	Term     group.Term
 	Attempt  string
+	// Orders are the promotions to be recorded before this one is sent: those of earlier attempts whose effect is not known,
+	// and this one, which is the last.
+	Orders []Order
 }
 
 // Release frees a member from its promise to Attempt, which was abandoned.
@@ -214,8 +225,8 @@
 	ViewInterval time.Duration
 	// ClaimTimeout bounds the wait for the table; a value below StepTimeout, such as 0, means StepTimeout.
 	ClaimTimeout time.Duration
-	// SequentialTerms makes every attempt claim the term after the present one, for platforms that number the terms
-	// themselves; otherwise each attempt claims a new term.
+	// SequentialTerms makes every attempt claim the term after the present one and after those that earlier orders may have
+	// used, for platforms that number the terms themselves; otherwise each attempt claims a new term.
 	SequentialTerms bool
 	// ExcludeDemoted excludes the old primary from promotion, for platforms that promote only another member.
 	ExcludeDemoted bool
--- a/failover/machine.go
+++ b/failover/machine.go
@@ -62,6 +62,8 @@
 	competingSeenAt time.Time
 	// competing holds the other attempts that were observed in this term.
 	competing map[string]bool
+	// orders are the promotions of earlier attempts and of this one whose effect is not known, oldest first.
+	orders []Order
 	// newestTerm is the newest term that any member is in, whether or not its primary is known.
 	newestTerm group.Term
 	// ineffective holds the members whose promotion had no effect in this term.
@@ -218,13 +220,17 @@
 func (m *Machine) adoptPrimary(now time.Time, s group.Status) []Action {
 	m.term = s.Point().Term()
 	m.primary = s.Endpoint()
+	if m.supersededPrimary(m.primary, m.term) {
+		return m.advance(now)
+	}
+	m.settleOrders()
 	m.competingSeenAt = time.Time{}
 	m.demotedSince = time.Time{}
 	clear(m.competing)
 	clear(m.ineffective)
 	m.suspended = false
 	m.primaryLostSince = time.Time{}
-	ownAttempt := m.phase == phasePromoting && s.Attempt() == m.attempt.id
+	ownAttempt := m.phase == phasePromoting && m.isOwnPromotion(s)
 	var actions []Action
 	if m.phase >= phaseClaiming {
 		actions = append(actions, Withdraw{Attempt: m.attempt.id})
@@ -240,6 +246,14 @@
 	)
 }
 
+// isOwnPromotion reports whether the status of a new primary is the effect of this machine's promotion.
+func (m *Machine) isOwnPromotion(s group.Status) bool {
+	if m.cfg.SequentialTerms {
+		return s.Endpoint() == m.attempt.chosen
+	}
+	return s.Attempt() == m.attempt.id
+}
+
 func (m *Machine) handleProbeFailed(now time.Time, e ProbeFailed) []Action {
 	state := m.members[e.Endpoint]
 	if state == nil {
--- a/failover/promote.go
+++ b/failover/promote.go
@@ -68,8 +68,7 @@
 	}
 	if len(m.attempt.fenced) >= m.majority() {
 		m.enterPhase(now, phaseWaiting)
-		revoke := Revoke{Term: m.attempt.oldTerm, Attempt: m.attempt.id}
-		return append([]Action{revoke}, m.awaitLeaseExpiry(now)...)
+		return append([]Action{m.revocation()}, m.awaitLeaseExpiry(now)...)
 	}
 	if now.Sub(m.stepStartedAt) < m.cfg.StepTimeout {
 		return nil
@@ -94,7 +93,7 @@
 		return m.abandon(now, "a member has promised a higher term")
 	}
 	wait := m.cfg.Lease + time.Duration(clockDrift*float64(m.cfg.Lease))
-	if m.attempt.revoked || now.Sub(m.attempt.noLeaseSince()) >= wait {
+	if m.attempt.revoked || now.Sub(m.noLeaseSince()) >= wait {
 		return m.promote(now)
 	}
 	if now.Sub(m.stepStartedAt) >= m.cfg.StepTimeout {
@@ -103,8 +102,13 @@
 	return nil
 }
 
-// noLeaseSince returns the time after which no lease of the old term can have started.
-func (a *attemptState) noLeaseSince() time.Time {
+// noLeaseSince returns the time after which no lease of the old term can have started, nor one of a member that an earlier
+// attempt may have promoted.
+func (m *Machine) noLeaseSince() time.Time {
+	a := &m.attempt
+	if len(m.orders) > 0 {
+		return a.majorityAt
+	}
 	if !a.oldFencedAt.IsZero() && a.oldFencedAt.Before(a.majorityAt) {
 		return a.oldFencedAt
 	}
@@ -152,6 +156,7 @@
 		return m.abandon(now, "no fenced member may be promoted")
 	}
 	m.enterPhase(now, phasePromoting)
+	m.orders = withOrder(m.orders, Order{Endpoint: m.attempt.chosen, After: max(m.term, m.newestTerm), Term: m.attempt.term})
 	chosen := m.attempt.fenced[m.attempt.chosen]
 	evidence := fmt.Sprintf("%s at %v has the longest log of %d fenced members", m.attempt.chosen, chosen.Received(), len(m.attempt.fenced))
 	return []Action{Explain{Decision: DecisionChoose, Evidence: evidence}, m.promoteAction()}
@@ -159,7 +164,11 @@
 
 func (m *Machine) promoteAction() Action {
 	m.attempt.inFlight = m.cfg.AnsweredPromotions
-	return Promote{Endpoint: m.attempt.chosen, Term: m.attempt.term, Attempt: m.attempt.id}
+	promote := Promote{Endpoint: m.attempt.chosen, Term: m.attempt.term, Attempt: m.attempt.id}
+	if m.cfg.SequentialTerms {
+		promote.Orders = append([]Order(nil), m.orders...)
+	}
+	return promote
 }
 
 // handlePromotionAnswered records the outcome of the promotion order in flight.
--- a/failover/promotion_test.go
+++ b/failover/promotion_test.go
@@ -1,6 +1,7 @@
 package failover_test
 
 import (
+	"reflect"
 	"testing"
 	"time"
 
@@ -76,3 +77,89 @@
 		t.Errorf("%+v was ordered after %+v was not sent", again, promote)
 	}
 }
+
+// abandonAccepted lets an accepted promotion have no visible effect until its attempt is abandoned, and returns the claim of
+// the next attempt.
+func (s *sequentialFixture) abandonAccepted(t *testing.T, promote failover.Promote) failover.Claim {
+	t.Helper()
+	s.answer(promote, failover.PromotionAccepted)
+	for range 100 {
+		s.reportStatus("b", group.RoleReplica, 10, promote.Term, promote.Attempt)
+		s.reportStatus("c", group.RoleReplica, 12, promote.Term, promote.Attempt)
+		if claim, ok := find[failover.Claim](s.advance(sequentialStep)); ok {
+			return claim
+		}
+	}
+	t.Fatal("no attempt followed a promotion that had no visible effect")
+	return failover.Claim{}
+}
+
+// Guards against two primaries in use: a promotion whose effect was not seen has used a term, and the member that it promoted
+// may hold leases.
+func TestAttemptCountsTermOfUnseenPromotion(t *testing.T) {
+	s := newAnsweredFixture()
+	first := s.promoteAfterLoss(t)
+	claim := s.abandonAccepted(t, first)
+	if claim.Term != first.Term+1 {
+		t.Errorf("claimed term %d after an order for term %d", claim.Term, first.Term)
+	}
+	s.step(failover.ClaimResult{Attempt: claim.Attempt, Outcome: failover.ClaimWon, Term: claim.Term, Orders: first.Orders})
+	s.reportStatus("b", group.RoleReplica, 10, claim.Term, claim.Attempt)
+	revoke, _ := find[failover.Revoke](s.reportStatus("c", group.RoleReplica, 12, claim.Term, claim.Attempt))
+	want := failover.Revoke{Term: first.Term, Attempt: claim.Attempt, Reported: 1, Ordered: []string{first.Endpoint}}
+	if !reflect.DeepEqual(revoke, want) {
+		t.Errorf("revoked %+v, want %+v", revoke, want)
+	}
+	second, ok := find[failover.Promote](s.step(failover.Revoked{Attempt: claim.Attempt}))
+	if !ok || len(second.Orders) != 2 || second.Orders[0] != first.Orders[0] {
+		t.Fatalf("ordered %+v, want the record of both orders", second)
+	}
+	// The first member leads after all, and the second one, a moment later, in the next term.
+	s.answer(second, failover.PromotionAccepted)
+	if actions := s.reportStatusIn(2, first.Endpoint, group.RolePrimary, 2, ""); len(actions) != 0 {
+		t.Errorf("%v when the earlier promotion took effect", actions)
+	}
+	if _, ok := find[failover.Publish](s.reportStatusIn(3, second.Endpoint, group.RolePrimary, 3, "")); !ok {
+		t.Error("the effect of the later promotion was not recognised")
+	}
+}
+
+// Guards against a group without a usable primary: the member of an earlier order leads, the later order has no effect, and no
+// instance may hold a lease on the primary that answers.
+func TestSupersededPrimaryIsReplaced(t *testing.T) {
+	s := newAnsweredFixture()
+	first := s.promoteAfterLoss(t)
+	claim := s.abandonAccepted(t, first)
+	second := s.promoteAfterClaim(t, claim, failover.ClaimResult{Attempt: claim.Attempt, Outcome: failover.ClaimWon, Term: claim.Term, Orders: first.Orders})
+	s.answer(second, failover.PromotionAccepted)
+	var next failover.Claim
+	for range 100 {
+		s.reportStatusIn(2, first.Endpoint, group.RolePrimary, 2, "")
+		s.reportStatusIn(2, second.Endpoint, group.RoleReplica, claim.Term, claim.Attempt)
+		var ok bool
+		if next, ok = find[failover.Claim](s.advance(sequentialStep)); ok {
+			break
+		}
+	}
+	if next.Term != claim.Term+1 {
+		t.Fatalf("claimed %+v after orders up to term %d", next, claim.Term)
+	}
+	// Another instance has completed the replacement meanwhile.
+	done := failover.Order{Endpoint: first.Endpoint, After: 1, Term: 9}
+	actions := s.step(failover.ClaimResult{Attempt: next.Attempt, Outcome: failover.ClaimWon, Term: 10, Orders: []failover.Order{done}})
+	if _, ok := find[failover.Withdraw](actions); !ok {
+		t.Errorf("the attempt continued with %v though the primary is in place by the newest order", actions)
+	}
+}
+
+// Guards against a fleet of two builds: an order for an unknown member ends the leases of all members.
+func TestOrderForUnknownMemberRevokesAllLeases(t *testing.T) {
+	s := newAnsweredFixture()
+	claim := s.claimAfterLoss(t)
+	s.step(failover.ClaimResult{Attempt: claim.Attempt, Outcome: failover.ClaimWon, Term: 5, Orders: []failover.Order{{Term: 4}}})
+	s.reportStatus("b", group.RoleReplica, 10, 5, claim.Attempt)
+	revoke, _ := find[failover.Revoke](s.reportStatus("c", group.RoleReplica, 12, 5, claim.Attempt))
+	if revoke.Term != 4 || len(revoke.Ordered) != 0 {
+		t.Errorf("revoked %+v, want all leases up to term 4", revoke)
+	}
+}
--- a/failover/sequential_test.go
+++ b/failover/sequential_test.go
@@ -1,6 +1,7 @@
 package failover_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -218,25 +219,25 @@
 		}
 		t.Fatalf("no %s within 15s", want)
 	}
-	attempt := func() string {
+	attempt := func(term group.Term, ordered ...string) string {
 		t.Helper()
 		var claim failover.Claim
 		until("claim", func(as []failover.Action) (ok bool) {
 			claim, ok = find[failover.Claim](as)
 			return ok
 		})
-		if claim.Term != 3 {
-			t.Fatalf("claimed term %d, want the term after that of the members", claim.Term)
+		if claim.Term != term {
+			t.Fatalf("claimed term %d, want %d, the term after that of the members and of the earlier order", claim.Term, term)
 		}
-		s.step(failover.ClaimResult{Attempt: claim.Attempt, Outcome: failover.ClaimWon, Term: 3})
+		s.step(failover.ClaimResult{Attempt: claim.Attempt, Outcome: failover.ClaimWon, Term: term})
 		var revoke failover.Revoke
 		for _, name := range []string{"a", "b", "c"} {
-			if r, ok := find[failover.Revoke](s.reportStatusIn(2, name, group.RoleReplica, 3, claim.Attempt)); ok {
+			if r, ok := find[failover.Revoke](s.reportStatusIn(2, name, group.RoleReplica, term, claim.Attempt)); ok {
 				revoke = r
 			}
 		}
-		if revoke.Term != 2 {
-			t.Fatalf("revoked the leases of term %d, want 2", revoke.Term)
+		if revoke.Term != term-1 || revoke.Reported != 2 || !slices.Equal(revoke.Ordered, ordered) {
+			t.Fatalf("revoked %+v, want the leases of term 2, and of %v up to term %d", revoke, ordered, term-1)
 		}
 		promote, ok := find[failover.Promote](s.step(failover.Revoked{Attempt: claim.Attempt}))
 		if !ok {
@@ -244,8 +245,8 @@
 		}
 		return promote.Endpoint
 	}
-	first := attempt()
-	if second := attempt(); second == first {
+	first := attempt(3)
+	if second := attempt(4, first); second == first {
 		t.Errorf("promoted %s again although the first promotion had no effect", first)
 	}
 }
--- a/failover/suspect.go
+++ b/failover/suspect.go
@@ -40,6 +40,9 @@
 	if m.switchoverDue(now) {
 		return m.startSwitchover(now)
 	}
+	if m.replacementOpen() && !now.Before(m.notBefore) && m.reachable(now) >= m.majority() {
+		return m.startAttempt(now, false)
+	}
 	if !m.primaryLost(now) {
 		m.suspended = false
 		m.primaryLostSince = time.Time{}
--- a/fleet/backend.go
+++ b/fleet/backend.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/monsoontiller/monsoontiller/failover"
 	"github.com/monsoontiller/monsoontiller/group"
 	"github.com/monsoontiller/monsoontiller/peer"
 	"github.com/monsoontiller/monsoontiller/pool"
@@ -59,8 +60,8 @@
 	return out
 }
 
-// Revoke ends the lease of a group's primary on this instance.
-func (b *backend[L]) Revoke(name string, term uint64) { b.instance.revoke(name, group.Term(term)) }
+// Revoke ends the leases of a group that r names on this instance.
+func (b *backend[L]) Revoke(name string, r failover.Revoke) { b.instance.revoke(name, r) }
 
 // PeerChanged adapts the homes and the shares of connections to a change of the fleet.
 func (b *backend[L]) PeerChanged() { b.instance.members.changed.Signal() }
--- a/fleet/coordinator.go
+++ b/fleet/coordinator.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/monsoontiller/monsoontiller/clock"
+	"github.com/monsoontiller/monsoontiller/failover"
 	"github.com/monsoontiller/monsoontiller/fault"
 	"github.com/monsoontiller/monsoontiller/group"
 	"github.com/monsoontiller/monsoontiller/store"
@@ -42,14 +43,33 @@
 
 // heldIntent is an intent with its end on this instance's clock.
 type heldIntent struct {
-	term    uint64
-	until   time.Time
-	ordered uint64
+	intent intentRow
+	until  time.Time
 }
 
 // row returns the row of the intent, given a time on the store's clock and the same time on this instance's clock.
 func (h heldIntent) row(now time.Duration, local time.Time) intentRow {
-	return intentRow{Term: h.term, UntilMs: (now + h.until.Sub(local)).Milliseconds(), Ordered: h.ordered}
+	row := h.intent
+	row.UntilMs = (now + h.until.Sub(local)).Milliseconds()
+	return row
+}
+
+// claimRequest describes a claim of the lease for an attempt to promote a member of a group.
+type claimRequest struct {
+	group   string
+	attempt string
+	// term is the least term to claim.
+	term group.Term
+	// renew requires that the attempt has claimed term before and that no other has claimed the group since.
+	renew bool
+}
+
+// claimed is the result of a claim.
+type claimed struct {
+	// term is the claimed term: the first one from that of the request on that no earlier attempt may use.
+	term group.Term
+	// orders are the promotions that earlier attempts have recorded, oldest first.
+	orders []failover.Order
 }
 
 func newCoordinatorLease(cfg coordinatorLeaseConfig) *coordinatorLease {
@@ -66,36 +86,59 @@
 	return l.token, l.cfg.Clock().Before(l.heldUntil)
 }
 
-// Claim acquires or renews the lease for a promotion of a group to a term, and records an intent for this promotion.
+// Claim acquires or renews the lease for a promotion of a group, and records an intent for this promotion.
 //
-// It fails with KindConflict while another instance holds the lease, and with
-// KindUnavailable when the store does not return the holder. It makes claimTries
-// tries if the outcome of a write is unknown or another instance wrote the row;
-// the error of the last try is then KindOutcomeUnknown or a concurrentWriteError.
-func (l *coordinatorLease) Claim(ctx context.Context, name string, term group.Term) error {
+// It fails with KindConflict while another instance holds the lease, or if another
+// attempt has claimed the group since the one that renews it, and with KindUnavailable
+// when the store does not return the holder. It makes claimTries tries if the outcome of
+// a write is unknown or another instance wrote the row; the error of the last try is then
+// KindOutcomeUnknown or a concurrentWriteError.
+func (l *coordinatorLease) Claim(ctx context.Context, r claimRequest) (claimed, error) {
 	l.claimMu.Lock()
 	defer l.claimMu.Unlock()
+	var c claimed
 	var err error
 	for range claimTries {
-		err = l.claim(ctx, name, term)
+		c, err = l.claim(ctx, r)
 		if fault.KindOf(err) != fault.KindOutcomeUnknown && !isConcurrentWrite(err) {
-			return err
+			return c, err
 		}
 	}
-	return err
+	return c, err
 }
 
 // claim reads the record, and writes it if no other instance holds the lease.
-func (l *coordinatorLease) claim(ctx context.Context, name string, term group.Term) error {
+func (l *coordinatorLease) claim(ctx context.Context, r claimRequest) (claimed, error) {
 	sentAt := l.cfg.Clock()
 	s, err := l.cfg.Store.All(ctx, coordinatorTable)
 	if err != nil {
-		return err
+		return claimed{}, err
 	}
 	record, err := decodeCoordinator(s)
 	if err != nil {
-		return err
+		return claimed{}, err
+	}
+	if err := l.checkClaimable(ctx, record); err != nil {
+		return claimed{}, err
+	}
+	intents := l.liveIntents(sentAt, record)
+	_, before, err := decodeIntent(s, r.group)
+	if err != nil {
+		return claimed{}, err
+	}
+	if lost, ok := intents[r.group]; ok && lost.intent.Ordered > before.Ordered {
+		before.Orders, before.Ordered = lost.intent.Orders, lost.intent.Ordered
+	}
+	intent, err := before.claimedBy(r, s, record.current.Holder == l.cfg.Name)
+	if err != nil {
+		return claimed{}, err
 	}
+	intents[r.group] = heldIntent{intent: intent, until: sentAt.Add(coordinatorLeaseDuration)}
+	return claimed{term: group.Term(intent.Term), orders: before.failoverOrders()}, l.write(ctx, sentAt, record, intents, r.group)
+}
+
+// checkClaimable returns an error if another instance holds the lease, or may hold it.
+func (l *coordinatorLease) checkClaimable(ctx context.Context, record coordinatorRecord) error {
 	_, held := l.Held()
 	switch {
 	case !record.claimsKnown() && !held:
@@ -114,15 +157,7 @@
 			Remedy:  "no action needed; it orders the promotion, or its lease ends within seconds",
 		})
 	}
-	intents := l.liveIntents(sentAt, record)
-	_, before, err := decodeIntent(s, name)
-	if err != nil {
-		return err
-	}
-	intents[name] = heldIntent{
-		term: uint64(term), until: sentAt.Add(coordinatorLeaseDuration), ordered: max(before.Ordered, intents[name].ordered),
-	}
-	return l.write(ctx, sentAt, record, intents, name)
+	return nil
 }
 
 // Restore writes the lease and the intents again if this instance holds the lease and the store has lost them, and records
@@ -147,20 +182,38 @@
 	return l.recordEra(ctx, record)
 }
 
-// RecordOrder records that the promotion of a group to a term was ordered, in the intent of this promotion; it does not
-// block claims.
+// RecordOrders records the promotions that were ordered for a group since the effect of one was last known, before the newest
+// of them is sent; it does not block claims.
 //
-// It fails with the errors of Claim.
-func (l *coordinatorLease) RecordOrder(ctx context.Context, name string, term group.Term) error {
+// It fails with KindConflict if another attempt has claimed the group, and otherwise with
+// the errors of Claim.
+func (l *coordinatorLease) RecordOrders(ctx context.Context, name, attempt string, orders []failover.Order) error {
+	var err error
+	for range claimTries {
+		err = l.recordOrders(ctx, name, attempt, orders)
+		if fault.KindOf(err) != fault.KindOutcomeUnknown && !isConcurrentWrite(err) {
+			return err
+		}
+	}
+	return err
+}
+
+func (l *coordinatorLease) recordOrders(ctx context.Context, name, attempt string, orders []failover.Order) error {
 	s, err := l.cfg.Store.All(ctx, coordinatorTable)
 	if err != nil {
 		return err
 	}
-	row, intent, err := decodeIntent(s, name)
-	if err != nil || group.Term(intent.Ordered) >= term {
+	row, before, err := decodeIntent(s, name)
+	if err != nil {
 		return err
 	}
-	intent.Ordered = uint64(term)
+	if before.Attempt != attempt {
+		return claimedByOtherError(name)
+	}
+	if slices.Equal(before.failoverOrders(), orders) {
+		return nil
+	}
+	intent := before.withOrders(orders)
 	tx := recordTx{tx: store.Tx{Expect: []store.Row{{Table: coordinatorTable, Key: intentKeyPrefix + name, Version: row.Version}}}}
 	tx.upsert(intentKeyPrefix+name, intent)
 	if err := tx.commit(ctx, l.cfg.Store, s.Era); err != nil {
@@ -169,12 +222,20 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if held, ok := l.intents[name]; ok {
-		held.ordered = uint64(term)
+		held.intent.Orders, held.intent.Ordered = intent.Orders, intent.Ordered
 		l.intents[name] = held
 	}
 	return nil
 }
 
+func claimedByOtherError(name string) error {
+	return fault.New(fault.Config{
+		Kind:    fault.KindConflict,
+		Message: "another attempt has claimed the promotion of " + name,
+		Remedy:  "no action needed; that attempt continues",
+	})
+}
+
 // recordEra records the store's era, from which on lost claims are waited out, unless an instance has done so.
 func (l *coordinatorLease) recordEra(ctx context.Context, record coordinatorRecord) error {
 	if record.era.Era == record.snapshot.Era {
@@ -195,13 +256,13 @@
 			continue
 		}
 		if remaining, ended := remainingTime(record.snapshot, intent.UntilMs+intentSlack.Milliseconds()); !ended {
-			intents[name] = heldIntent{term: intent.Term, until: now.Add(remaining - intentSlack), ordered: intent.Ordered}
+			intents[name] = heldIntent{intent: intent, until: now.Add(remaining - intentSlack)}
 		}
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for name, lost := range l.intents {
-		if known, ok := intents[name]; now.Before(lost.until.Add(intentSlack)) && (!ok || known.term < lost.term) {
+		if known, ok := intents[name]; now.Before(lost.until.Add(intentSlack)) && (!ok || known.intent.Term < lost.intent.Term) {
 			intents[name] = lost
 		}
 	}
--- a/fleet/coordinator_record.go
+++ b/fleet/coordinator_record.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"time"
 
+	"github.com/monsoontiller/monsoontiller/failover"
 	"github.com/monsoontiller/monsoontiller/fault"
 	"github.com/monsoontiller/monsoontiller/group"
 	"github.com/monsoontiller/monsoontiller/store"
@@ -24,8 +25,78 @@
 	Term uint64 `json:"term"`
 	// UntilMs is when the promotion can no longer be ordered, on the store's clock.
 	UntilMs int64 `json:"until_ms"`
-	// Ordered is the newest term to which a promotion was ordered, or 0; the store does not confirm earlier terms again.
+	// Ordered is the newest term to which a promotion was ordered, or 0; the store does not confirm earlier terms again,
+	// unless the newest of Orders has put their primary in place.
 	Ordered uint64 `json:"ordered,omitempty"`
+	// Attempt is the attempt that claimed Term, or "" in rows of builds that do not record it.
+	Attempt string `json:"attempt,omitempty"`
+	// Orders are the promotions that were ordered, oldest first, since the effect of one was last known; it is empty in rows
+	// of builds that do not record them.
+	Orders []orderRow `json:"orders,omitempty"`
+}
+
+// orderRow records an order to promote an endpoint to one of the terms after After up to Term.
+type orderRow struct {
+	Endpoint string `json:"endpoint"`
+	After    uint64 `json:"after"`
+	Term     uint64 `json:"term"`
+}
+
+// failoverOrders returns the recorded orders; a term without a recorded endpoint is an order for an unknown one.
+func (r intentRow) failoverOrders() []failover.Order {
+	var orders []failover.Order
+	for _, o := range r.Orders {
+		orders = append(orders, failover.Order{Endpoint: o.Endpoint, After: group.Term(o.After), Term: group.Term(o.Term)})
+	}
+	if last := len(orders) - 1; r.Ordered > 0 && (last < 0 || orders[last].Term < group.Term(r.Ordered)) {
+		orders = append(orders, failover.Order{Term: group.Term(r.Ordered)})
+	}
+	return orders
+}
+
+// withOrders returns the row with the given orders, the last of which is the newest.
+func (r intentRow) withOrders(orders []failover.Order) intentRow {
+	r.Orders = nil
+	for _, o := range orders {
+		r.Orders = append(r.Orders, orderRow{Endpoint: o.Endpoint, After: uint64(o.After), Term: uint64(o.Term)})
+		r.Ordered = max(r.Ordered, uint64(o.Term))
+	}
+	return r
+}
+
+// claimedBy returns the row after a claim, given the snapshot that holds the row, and whether the same instance has claimed it.
+//
+// The claimed term is above those that earlier orders may have used, and above that of an
+// attempt of another instance that may still be in progress: no promise to it is another's.
+func (r intentRow) claimedBy(c claimRequest, s store.Snapshot, sameHolder bool) (intentRow, error) {
+	next := intentRow{Term: uint64(c.term), Attempt: c.attempt, Ordered: r.Ordered, Orders: r.Orders}
+	if r.Attempt == c.attempt && group.Term(r.Term) == c.term {
+		return next, nil
+	}
+	if c.renew && r.Term != 0 {
+		return intentRow{}, claimedByOtherError(c.group)
+	}
+	if r.Ordered > 0 {
+		next.Term = max(next.Term, r.Ordered+1)
+	}
+	if _, ended := remainingTime(s, r.UntilMs+intentSlack.Milliseconds()); !ended && !sameHolder {
+		next.Term = max(next.Term, r.Term+1)
+	}
+	return next, nil
+}
+
+// supersedes reports whether a promotion was ordered that a primary of a term does not survive, and returns the last term
+// that the attempt which put the primary in place may have used.
+func (r intentRow) supersedes(primary string, term group.Term) (superseded bool, used group.Term) {
+	orders := r.failoverOrders()
+	if len(orders) == 0 {
+		return false, term
+	}
+	newest := orders[len(orders)-1]
+	if newest.Leads(primary, term) {
+		return false, newest.Term
+	}
+	return newest.Term > term || newest.Term == term && newest.Endpoint != "", term
 }
 
 // intentSlack is how long after the end of an intent its promotion order may still take effect.
@@ -161,9 +232,9 @@
 	})
 }
 
-// promotionInProgress reports whether a promotion of a group to a term above term may be in progress or has been ordered,
-// given a snapshot of coordinatorTable.
-func promotionInProgress(s store.Snapshot, name string, term group.Term) bool {
+// promotionInProgress reports whether a promotion that replaces the primary of a group's term may be in progress or has been
+// ordered, given a snapshot of coordinatorTable.
+func promotionInProgress(s store.Snapshot, name string, term group.Term, primary string) bool {
 	if record, err := decodeCoordinator(s); err != nil || !record.intentsKnown() {
 		// The record of a promotion in progress may be lost.
 		return true
@@ -173,9 +244,7 @@
 		// An intent that cannot be decoded may belong to a promotion in progress.
 		return true
 	}
-	if group.Term(intent.Ordered) > term {
-		return true
-	}
+	superseded, used := intent.supersedes(primary, term)
 	_, ended := remainingTime(s, intent.UntilMs+intentSlack.Milliseconds())
-	return group.Term(intent.Term) > term && !ended
+	return superseded || group.Term(intent.Term) > used && !ended
 }
--- a/fleet/export_test.go
+++ b/fleet/export_test.go
@@ -10,6 +10,7 @@
 	"github.com/monsoontiller/monsoontiller/account"
 	"github.com/monsoontiller/monsoontiller/clock"
 	"github.com/monsoontiller/monsoontiller/engine"
+	"github.com/monsoontiller/monsoontiller/failover"
 	"github.com/monsoontiller/monsoontiller/group"
 	"github.com/monsoontiller/monsoontiller/membership"
 	"github.com/monsoontiller/monsoontiller/peer"
@@ -26,23 +27,43 @@
 
 // Claim acquires or renews the lease.
 func (l *CoordinatorLease) Claim(ctx context.Context, name string, term group.Term) error {
-	return l.lease.Claim(ctx, name, term)
+	_, err := l.lease.Claim(ctx, claimRequest{group: name, term: term, attempt: l.lease.cfg.Name})
+	return err
+}
+
+// ClaimFor claims the lease for an attempt, and returns the claimed term and the recorded orders.
+func (l *CoordinatorLease) ClaimFor(ctx context.Context, name, attempt string, term group.Term) (group.Term, []failover.Order, error) {
+	c, err := l.lease.Claim(ctx, claimRequest{group: name, term: term, attempt: attempt})
+	return c.term, c.orders, err
+}
+
+// RecordOrders records the orders of an attempt and of those before it.
+func (l *CoordinatorLease) RecordOrders(ctx context.Context, name, attempt string, orders ...failover.Order) error {
+	return l.lease.RecordOrders(ctx, name, attempt, orders)
 }
 
 // Restore writes the lease again if the store has lost it.
 func (l *CoordinatorLease) Restore(ctx context.Context) error { return l.lease.Restore(ctx) }
 
-// RecordOrder records that a promotion was ordered.
+// OrderedEndpoint is the member whose promotion RecordOrder records.
+const OrderedEndpoint = "b"
+
+// RecordOrder records that the promotion of OrderedEndpoint to a term was ordered.
 func (l *CoordinatorLease) RecordOrder(ctx context.Context, name string, term group.Term) error {
-	return l.lease.RecordOrder(ctx, name, term)
+	return l.lease.RecordOrders(ctx, name, l.lease.cfg.Name, []failover.Order{{Endpoint: OrderedEndpoint, After: term - 1, Term: term}})
 }
 
 // Held returns the fencing token, and reports whether the lease is held.
 func (l *CoordinatorLease) Held() (uint64, bool) { return l.lease.Held() }
 
-// PromotionInProgress reports whether a promotion to a term above term may be in progress.
+// PromotionInProgress reports whether a promotion that replaces OrderedEndpoint as the primary of a term may be in progress.
 func PromotionInProgress(s store.Snapshot, name string, term group.Term) bool {
-	return promotionInProgress(s, name, term)
+	return promotionInProgress(s, name, term, OrderedEndpoint)
+}
+
+// PromotionReplaces reports whether a promotion that replaces the primary of a term may be in progress.
+func PromotionReplaces(s store.Snapshot, name string, term group.Term, primary string) bool {
+	return promotionInProgress(s, name, term, primary)
 }
 
 // CoordinatorTable is the table of the coordinator's rows.
--- a/fleet/instance.go
+++ b/fleet/instance.go
@@ -32,7 +32,6 @@
 	members     *members[L]
 	dialer      *endpointDialer[L]
 	coordinator *coordinatorLease
-	ordered     *orderRecorder[L]
 	recorder    *recorder
 	meters      meters
 	era         *storeEra
@@ -82,7 +81,6 @@
 	i.cfg.Store = trackedStore{Store: cfg.Store, era: i.era, observe: i.observeEra}
 	i.events = event.NewLog(event.LogConfig{Instance: cfg.Name, OnAdd: i.logEvent})
 	i.coordinator = newCoordinatorLease(coordinatorLeaseConfig{Store: i.cfg.Store, Name: cfg.Name})
-	i.ordered = newOrderRecorder(i)
 	i.recorder = newRecorder(cfg.Logger, cfg.Scope)
 	i.directory = &directory[L]{group: func(name string) *engine.Group[L] { return i.members.group(name) }}
 	i.members = newMembers(i)
@@ -160,7 +158,6 @@
 		&witness[L]{instance: i},
 		&registration[L]{instance: i},
 		&leaseRestorer[L]{instance: i},
-		i.ordered,
 		newStoreCheck(i),
 		&eraCheck[L]{instance: i},
 		&keyProof[L]{instance: i},
@@ -361,20 +358,21 @@
 }
 
 // Claim claims the coordinator lease for an attempt.
-func (i *Instance[L]) Claim(ctx context.Context, name string, term group.Term, attempt string) (failover.ClaimOutcome, group.Term) {
+func (i *Instance[L]) Claim(ctx context.Context, name string, term group.Term, attempt string) failover.ClaimResult {
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
-	err := i.coordinator.Claim(ctx, name, term)
+	c, err := i.coordinator.Claim(ctx, claimRequest{group: name, term: term, attempt: attempt})
 	token, _ := i.coordinator.Held()
-	logLine(i.cfg.Logger, "level", "info", "msg", "duty_claimed", "group", name, "term", uint64(term), "attempt", attempt,
-		"token", token, "error", errorText(err))
+	logLine(i.cfg.Logger, "level", "info", "msg", "duty_claimed", "group", name, "term", uint64(c.term), "attempt", attempt,
+		"token", token, "orders", len(c.orders), "error", errorText(err))
+	result := failover.ClaimResult{Attempt: attempt, Outcome: failover.ClaimWon, Term: c.term, Orders: c.orders}
 	switch {
 	case err == nil:
-		return failover.ClaimWon, term
+		return result
 	case fault.KindOf(err) == fault.KindConflict || isConcurrentWrite(err):
-		return failover.ClaimTaken, 0
+		return failover.ClaimResult{Attempt: attempt, Outcome: failover.ClaimTaken}
 	}
-	return failover.ClaimUnavailable, 0
+	return failover.ClaimResult{Attempt: attempt, Outcome: failover.ClaimUnavailable}
 }
 
 // Publish does nothing, since the members themselves report which of them is primary.
--- a/fleet/orders.go
+++ b/fleet/orders.go
@@ -45,7 +45,7 @@
 	answered func(failover.Event)
 	current  engine.Attempt
 	// promotions holds the promotion order that Run sends next.
-	promotions chan promotionOrder
+	promotions chan failover.Promote
 	mu         sync.Mutex
 	attempt    string
 	term       group.Term
@@ -53,15 +53,8 @@
 	lastStates map[string]memberState
 }
 
-// promotionOrder is an order to promote a member for an attempt.
-type promotionOrder struct {
-	endpoint string
-	term     group.Term
-	attempt  string
-}
-
 func newOrders[L Link[L]](i *Instance[L], name string, g func() *engine.Group[L]) *orders[L] {
-	return &orders[L]{instance: i, name: name, group: g, promotions: make(chan promotionOrder, 1), lastStates: map[string]memberState{}}
+	return &orders[L]{instance: i, name: name, group: g, promotions: make(chan failover.Promote, 1), lastStates: map[string]memberState{}}
 }
 
 // memberState is what a member reports of its role and term.
@@ -143,13 +136,13 @@
 // Promote orders the promotion of a member, which needs no connection to it.
 //
 // An attempt has one order in flight at a time, so an order that still waits belongs to an earlier attempt.
-func (o *orders[L]) Promote(endpoint string, term group.Term, attempt string) {
-	o.begin(term, attempt)
+func (o *orders[L]) Promote(p failover.Promote) {
+	o.begin(p.Term, p.Attempt)
 	select {
 	case <-o.promotions:
 	default:
 	}
-	o.promotions <- promotionOrder{endpoint: endpoint, term: term, attempt: attempt}
+	o.promotions <- p
 }
 
 // Run sends the promotion orders, one after the other, until ctx ends.
@@ -158,42 +151,50 @@
 		select {
 		case p := <-o.promotions:
 			outcome, err := o.promote(ctx, p)
-			logLine(o.instance.cfg.Logger, "level", "info", "msg", "promotion_ordered", "group", o.name, "endpoint", p.endpoint,
-				"term", uint64(p.term), "outcome", outcome.String(), "error", errorText(err))
-			o.answered(failover.PromotionAnswered{Attempt: p.attempt, Endpoint: p.endpoint, Outcome: outcome})
+			logLine(o.instance.cfg.Logger, "level", "info", "msg", "promotion_ordered", "group", o.name, "endpoint", p.Endpoint,
+				"term", uint64(p.Term), "outcome", outcome.String(), "error", errorText(err))
+			o.answered(failover.PromotionAnswered{Attempt: p.Attempt, Endpoint: p.Endpoint, Outcome: outcome})
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
-// promote sends an order if its attempt is current, and claims the coordinator lease first if it has ended.
-func (o *orders[L]) promote(ctx context.Context, p promotionOrder) (failover.PromotionOutcome, error) {
+// promote records an order and sends it if its attempt is current, and claims the coordinator lease first if it has ended.
+//
+// The record precedes the order, so that whoever continues after this instance knows that
+// the order may have an effect.
+func (o *orders[L]) promote(ctx context.Context, p failover.Promote) (failover.PromotionOutcome, error) {
 	i := o.instance
-	if err := o.renewLease(ctx, p); err != nil {
+	if err := o.record(ctx, p); err != nil {
 		return failover.PromotionNotSent, err
 	}
 	token, ok := i.coordinator.Held()
-	if !ok || !o.current.Current(p.attempt) {
+	if !ok || !o.current.Current(p.Attempt) {
 		return failover.PromotionNotSent, fault.New(fault.Config{
 			Kind:    fault.KindConflict,
 			Message: "the attempt or the lease of the promotion coordinator has ended",
 			Remedy:  "no action needed; the promotion is ordered again if it is still needed",
 		})
 	}
-	i.ordered.Add(o.name, p.term)
-	err := i.cfg.Adapter.Promote(ctx, Promotion{Group: o.name, Endpoint: p.endpoint, Holder: i.cfg.Name, Token: token})
+	err := i.cfg.Adapter.Promote(ctx, Promotion{Group: o.name, Endpoint: p.Endpoint, Holder: i.cfg.Name, Token: token})
 	return promotionOutcome(err), err
 }
 
-// renewLease claims the coordinator lease for an order if the lease has ended.
-func (o *orders[L]) renewLease(ctx context.Context, p promotionOrder) error {
-	if _, ok := o.instance.coordinator.Held(); ok || !o.current.Current(p.attempt) {
+// record claims the coordinator lease again if it has ended, and records the order.
+func (o *orders[L]) record(ctx context.Context, p failover.Promote) error {
+	if !o.current.Current(p.Attempt) {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
-	return o.instance.coordinator.Claim(ctx, o.name, p.term)
+	if _, ok := o.instance.coordinator.Held(); !ok {
+		r := claimRequest{group: o.name, term: p.Term, attempt: p.Attempt, renew: true}
+		if _, err := o.instance.coordinator.Claim(ctx, r); err != nil {
+			return err
+		}
+	}
+	return o.instance.coordinator.RecordOrders(ctx, o.name, p.Attempt, p.Orders)
 }
 
 // promotionOutcome returns what an error of Adapter.Promote says of the order.
@@ -209,10 +210,10 @@
 	return failover.PromotionUnanswered
 }
 
-// Probed forwards a member's status, with this instance's attempt if the member's promise or term belongs to it.
+// Probed forwards a member's status, with this instance's attempt if the member's promise belongs to it.
 func (o *orders[L]) Probed(s group.Status) {
 	o.mu.Lock()
-	own := o.attempt != "" && (s.Promised() == o.term || s.Point().Term() == o.term)
+	own := o.attempt != "" && s.Promised() == o.term
 	attempt := o.attempt
 	state := memberState{role: s.Role(), term: s.Point().Term(), promised: s.Promised()}
 	changed := o.lastStates[s.Endpoint()] != state
--- a/fleet/revoke.go
+++ b/fleet/revoke.go
@@ -5,41 +5,42 @@
 	"strings"
 
 	"github.com/monsoontiller/monsoontiller/clock"
+	"github.com/monsoontiller/monsoontiller/failover"
 	"github.com/monsoontiller/monsoontiller/fault"
-	"github.com/monsoontiller/monsoontiller/group"
 	"github.com/monsoontiller/monsoontiller/membership"
 )
 
 // revocationTime is how long a revoked lease cannot be renewed: until the promotion can no longer be ordered or take effect.
 const revocationTime = coordinatorLeaseDuration + intentSlack
 
-// revoke ends the lease of a group's primary on this instance.
-func (i *Instance[L]) revoke(name string, term group.Term) {
+// revoke ends the leases of a group that r names on this instance.
+func (i *Instance[L]) revoke(name string, r failover.Revoke) {
 	if g := i.members.group(name); g != nil {
-		g.RevokeLease(term, clock.Now().Add(revocationTime))
+		g.RevokeLease(r, clock.Now().Add(revocationTime))
 	}
-	logLine(i.cfg.Logger, "level", "info", "msg", "lease_revoked", "group", name, "term", uint64(term))
+	logLine(i.cfg.Logger, "level", "info", "msg", "lease_revoked", "group", name, "term", uint64(r.Term),
+		"reported", uint64(r.Reported), "ordered", strings.Join(r.Ordered, " "))
 }
 
-// Revoke ends the leases of a group's terms up to term on all instances.
+// Revoke ends the leases of a group that r names on all instances.
 //
 // It reports true only if every instance that may hold a lease ended it: each instance that is registered, or known and
 // not left. Dead instances are included, since they may only be partitioned.
-func (i *Instance[L]) Revoke(ctx context.Context, name string, term group.Term) bool {
-	i.revoke(name, term)
+func (i *Instance[L]) Revoke(ctx context.Context, name string, r failover.Revoke) bool {
+	i.revoke(name, r)
 	expected, err := i.possibleHolders(ctx)
 	if err != nil {
 		logLine(i.cfg.Logger, "level", "info", "msg", "leases_waited_out", "group", name, "error", err.Error())
 		return false
 	}
-	for _, instance := range append(i.node.Revoke(ctx, name, term, func(name string) bool { return expected[name] }), i.cfg.Name) {
+	for _, instance := range append(i.node.Revoke(ctx, name, r, func(name string) bool { return expected[name] }), i.cfg.Name) {
 		delete(expected, instance)
 	}
 	missing := make([]string, 0, len(expected))
 	for instance := range expected {
 		missing = append(missing, instance)
 	}
-	logLine(i.cfg.Logger, "level", "info", "msg", "leases_revoked", "group", name, "term", uint64(term), "missing", strings.Join(missing, " "))
+	logLine(i.cfg.Logger, "level", "info", "msg", "leases_revoked", "group", name, "term", uint64(r.Term), "missing", strings.Join(missing, " "))
 	return len(missing) == 0
 }
 
--- a/fleet/witness.go
+++ b/fleet/witness.go
@@ -66,21 +66,27 @@
 	if err != nil {
 		return
 	}
-	for name, term := range unwitnessed {
-		if g := w.instance.members.group(name); g != nil && !promotionInProgress(s, name, term) {
-			g.ConfirmByStore(sentAt, term)
+	for name, reign := range unwitnessed {
+		if g := w.instance.members.group(name); g != nil && !promotionInProgress(s, name, reign.term, reign.primary) {
+			g.ConfirmByStore(sentAt, reign.term)
 		}
 	}
 }
 
+// reign is a term and its primary.
+type reign struct {
+	term    group.Term
+	primary string
+}
+
 // unwitnessed returns the terms of the groups whose primary answers and for which the store is needed as a witness.
-func (w *witness[L]) unwitnessed(now time.Time) map[string]group.Term {
-	terms := map[string]group.Term{}
+func (w *witness[L]) unwitnessed(now time.Time) map[string]reign {
+	terms := map[string]reign{}
 	for _, g := range w.instance.members.all() {
 		standby := w.instance.standby(g.Name())
 		g.View(func(t *route.Tracker) {
 			if needsStoreWitness(now, t.PrimaryConfirmedAt(), t.WitnessedAt(), t.ReplicasConfirmedAt(), standby) {
-				terms[g.Name()] = t.Term()
+				terms[g.Name()] = reign{term: t.Term(), primary: t.Primary()}
 			}
 		})
 	}
--- a/instance/balancer.go
+++ b/instance/balancer.go
@@ -7,6 +7,7 @@
 	"github.com/monsoontiller/monsoontiller/clock"
 	"github.com/monsoontiller/monsoontiller/engine"
 	"github.com/monsoontiller/monsoontiller/event"
+	"github.com/monsoontiller/monsoontiller/failover"
 	"github.com/monsoontiller/monsoontiller/membership"
 	"github.com/monsoontiller/monsoontiller/peer"
 	"github.com/monsoontiller/monsoontiller/pool"
@@ -184,7 +185,7 @@
 func (b *backend) LendTokens(map[string]float64) map[string]float64 { return nil }
 
 // Revoke does nothing: a promotion waits until the leases have ended.
-func (b *backend) Revoke(string, uint64) {}
+func (b *backend) Revoke(string, failover.Revoke) {}
 
 // Cancel cancels the running statement of a session on this instance, and reports whether the session was found.
 func (b *backend) Cancel(ctx context.Context, pid uint32, secret []byte) bool {
--- a/instance/monitor.go
+++ b/instance/monitor.go
@@ -70,12 +70,13 @@
 }
 
 // Claim claims a term for an attempt in the table.
-func (f *fleet) Claim(ctx context.Context, name string, term group.Term, attempt string) (failover.ClaimOutcome, group.Term) {
-	return f.instance.cfg.Platform.ClaimTerm(ctx, name, term, attempt)
+func (f *fleet) Claim(ctx context.Context, name string, term group.Term, attempt string) failover.ClaimResult {
+	outcome, held := f.instance.cfg.Platform.ClaimTerm(ctx, name, term, attempt)
+	return failover.ClaimResult{Attempt: attempt, Outcome: outcome, Term: held}
 }
 
 // Revoke reports false: leases are not revoked here, so a promotion waits until they have ended.
-func (f *fleet) Revoke(context.Context, string, group.Term) bool { return false }
+func (f *fleet) Revoke(context.Context, string, failover.Revoke) bool { return false }
 
 // Publish records the new primary in the table.
 func (f *fleet) Publish(ctx context.Context, name string, term group.Term, endpoint string) error {
@@ -121,8 +122,8 @@
 func (o *orders) Release(string, group.Term, string) {}
 
 // Promote orders a member to become the primary of a term.
-func (o *orders) Promote(name string, term group.Term, attempt string) {
-	o.send(name, attempt, func(ctx context.Context, c *endpoint.Conn) (group.Status, error) {
-		return c.Promote(ctx, term, attempt)
+func (o *orders) Promote(p failover.Promote) {
+	o.send(p.Endpoint, p.Attempt, func(ctx context.Context, c *endpoint.Conn) (group.Status, error) {
+		return c.Promote(ctx, p.Term, p.Attempt)
 	})
 }
--- a/peer/calls.go
+++ b/peer/calls.go
@@ -68,12 +68,11 @@
 // revokeTimeout bounds the revocation of leases; the lease of an instance that takes longer must expire instead.
 const revokeTimeout = 300 * time.Millisecond
 
-// Revoke requests that peers end the lease of a group's primary, up to a term, and returns the names of those that
-// confirmed.
+// Revoke requests that peers end the leases of a group that r names, and returns the names of those that confirmed.
 //
 // It calls the live instances and the others for which holds reports true: an instance that shuts down has left the fleet,
 // but serves its callers until they have finished.
-func (n *Node) Revoke(ctx context.Context, groupName string, term group.Term, holds func(name string) bool) []string {
+func (n *Node) Revoke(ctx context.Context, groupName string, r failover.Revoke, holds func(name string) bool) []string {
 	ctx, cancel := context.WithTimeout(ctx, revokeTimeout)
 	defer cancel()
 	var peers []membership.Identity
@@ -83,7 +82,7 @@
 			peers = append(peers, p.Identity())
 		}
 	}
-	req := &peerv1.RevokeRequest{Group: groupName, Term: uint64(term)}
+	req := &peerv1.RevokeRequest{Group: groupName, Term: uint64(r.Term), ReportedTerm: uint64(r.Reported), OrderedEndpoints: r.Ordered}
 	results := callAll(ctx, n, peers, func(ctx context.Context, c peerv1connect.PeerServiceClient) (struct{}, error) {
 		_, err := c.Revoke(ctx, connect.NewRequest(req))
 		return struct{}{}, err
--- a/peer/exchange_test.go
+++ b/peer/exchange_test.go
@@ -14,6 +14,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/monsoontiller/monsoontiller/event"
+	"github.com/monsoontiller/monsoontiller/failover"
 	"github.com/monsoontiller/monsoontiller/membership"
 	"github.com/monsoontiller/monsoontiller/peer"
 	"github.com/monsoontiller/monsoontiller/peer/peerv1"
@@ -31,7 +32,7 @@
 func (emptyBackend) Loans(string) []peer.Loan                    { return nil }
 func (emptyBackend) ItemApplied(peer.ConfigItem)                 {}
 func (emptyBackend) Evidence([]string) peer.LeaseEvidence        { return peer.LeaseEvidence{} }
-func (emptyBackend) Revoke(string, uint64)                       {}
+func (emptyBackend) Revoke(string, failover.Revoke)              {}
 func (emptyBackend) PeerChanged()                                {}
 
 // LendTokens lends no quota tokens.
@@ -142,11 +143,11 @@
 	two.Leave()
 	waitUntil(func() bool { return len(one.Others()) == 0 })
 	registered := map[string]bool{"one": true, "two": true}
-	got := one.Revoke(context.Background(), "orders", 1, func(name string) bool { return registered[name] })
+	got := one.Revoke(context.Background(), "orders", failover.Revoke{Term: 1}, func(name string) bool { return registered[name] })
 	if len(got) != 1 || got[0] != "two" {
 		t.Errorf("the instances %v confirmed, want the one that shuts down", got)
 	}
-	if got := one.Revoke(context.Background(), "orders", 1, func(string) bool { return false }); len(got) != 0 {
+	if got := one.Revoke(context.Background(), "orders", failover.Revoke{Term: 1}, func(string) bool { return false }); len(got) != 0 {
 		t.Errorf("the instances %v confirmed after all registrations were removed", got)
 	}
 }
--- a/peer/handler.go
+++ b/peer/handler.go
@@ -6,6 +6,8 @@
 	"connectrpc.com/connect"
 
 	"github.com/monsoontiller/monsoontiller/event"
+	"github.com/monsoontiller/monsoontiller/failover"
+	"github.com/monsoontiller/monsoontiller/group"
 	"github.com/monsoontiller/monsoontiller/peer/peerv1"
 	"github.com/monsoontiller/monsoontiller/peer/peerv1/peerv1connect"
 	"github.com/monsoontiller/monsoontiller/pool"
@@ -49,9 +51,13 @@
 	}), nil
 }
 
-// Revoke ends the lease of a group's primary on this instance, up to a term.
+// Revoke ends the leases of a group's primary on this instance.
 func (h *handler) Revoke(_ context.Context, req *connect.Request[peerv1.RevokeRequest]) (*connect.Response[peerv1.RevokeResponse], error) {
-	h.node.cfg.Backend.Revoke(req.Msg.GetGroup(), req.Msg.GetTerm())
+	h.node.cfg.Backend.Revoke(req.Msg.GetGroup(), failover.Revoke{
+		Term:     group.Term(req.Msg.GetTerm()),
+		Reported: group.Term(req.Msg.GetReportedTerm()),
+		Ordered:  req.Msg.GetOrderedEndpoints(),
+	})
 	return connect.NewResponse(&peerv1.RevokeResponse{}), nil
 }
 
--- a/peer/node.go
+++ b/peer/node.go
@@ -14,6 +14,7 @@
 
 	"github.com/monsoontiller/monsoontiller/clock"
 	"github.com/monsoontiller/monsoontiller/event"
+	"github.com/monsoontiller/monsoontiller/failover"
 	"github.com/monsoontiller/monsoontiller/membership"
 	"github.com/monsoontiller/monsoontiller/peer/peerv1/peerv1connect"
 	"github.com/monsoontiller/monsoontiller/pool"
@@ -46,8 +47,8 @@
 	ItemApplied(item ConfigItem)
 	// Evidence returns this instance's lease evidence for the given groups; without groups it returns only the versions.
 	Evidence(groups []string) LeaseEvidence
-	// Revoke ends the lease of a group's primary on this instance, up to a term.
-	Revoke(groupName string, term uint64)
+	// Revoke ends the leases of a group that r names on this instance.
+	Revoke(groupName string, r failover.Revoke)
 	// PeerChanged is called when the set of live instances may have changed.
 	PeerChanged()
 }
--- a/route/lease.go
+++ b/route/lease.go
@@ -1,18 +1,25 @@
 package route
 
 import (
+	"slices"
 	"time"
 
 	"github.com/monsoontiller/monsoontiller/group"
 )
 
-// revocation records that the leases of terms up to term ended at time at.
+// revocation records that the leases of terms up to term ended at time at, of the given endpoints or, if there are none, of all.
 //
 // Confirmations of requests sent before until do not renew them.
 type revocation struct {
-	term  group.Term
-	at    time.Time
-	until time.Time
+	endpoints []string
+	term      group.Term
+	at        time.Time
+	until     time.Time
+}
+
+// covers reports whether the revocation concerns a primary of a term.
+func (r revocation) covers(primary string, term group.Term) bool {
+	return term <= r.term && (len(r.endpoints) == 0 || slices.Contains(r.endpoints, primary))
 }
 
 // confirm records that a member still takes part in the newest term, or that the primary was demoted.
@@ -92,8 +99,10 @@
 // the lease, or of the lease that the primary had before it was demoted.
 func (t *Tracker) samplesUntil() time.Time {
 	until := t.demotedLeaseUntil
-	if t.Term() <= t.revoked.term && t.revoked.at.Before(until) {
-		until = t.revoked.at
+	for _, r := range []revocation{t.revoked, t.revokedOf} {
+		if r.covers(t.primary, t.Term()) && r.at.Before(until) {
+			until = r.at
+		}
 	}
 	if lease := t.LeaseUntil(); lease.After(until) {
 		return lease
@@ -108,15 +117,46 @@
 	if term < t.revoked.term {
 		return
 	}
-	if term > t.revoked.term || !t.LeaseRevoked() {
+	if term > t.revoked.term || !t.inForce(t.revoked) {
 		t.revoked = revocation{term: term, at: at, until: until}
 	}
 	t.revoked.until = until
 }
 
+// RevokeLeaseOf ends the leases of the given endpoints of terms up to term, as RevokeLease does; earlier calls stay in force.
+func (t *Tracker) RevokeLeaseOf(endpoints []string, term group.Term, at, until time.Time) {
+	next := revocation{endpoints: slices.Clone(endpoints), term: term, at: at, until: until}
+	if before := t.revokedOf; before.until.After(at) {
+		next.endpoints = append(next.endpoints, before.endpoints...)
+		next.term = max(next.term, before.term)
+		if t.inForce(before) {
+			next.at = before.at
+		}
+	}
+	slices.Sort(next.endpoints)
+	next.endpoints = slices.Compact(next.endpoints)
+	t.revokedOf = next
+}
+
+// inForce reports whether a revocation ends the lease of the newest term.
+func (t *Tracker) inForce(r revocation) bool {
+	return r.covers(t.primary, t.Term()) && t.ConfirmedAt().Before(r.until)
+}
+
+// revokedAt returns when the lease of the newest term was revoked; ok is false if it is not.
+func (t *Tracker) revokedAt() (at time.Time, ok bool) {
+	for _, r := range []revocation{t.revoked, t.revokedOf} {
+		if t.inForce(r) && (!ok || r.at.Before(at)) {
+			at, ok = r.at, true
+		}
+	}
+	return at, ok
+}
+
 // LeaseRevoked reports whether the lease of the newest term is revoked for a promotion.
 func (t *Tracker) LeaseRevoked() bool {
-	return t.Term() <= t.revoked.term && t.ConfirmedAt().Before(t.revoked.until)
+	_, revoked := t.revokedAt()
+	return revoked
 }
 
 // LeaseUntil returns when the lease of the primary ends, or the zero time when there is none.
@@ -126,8 +166,8 @@
 		return confirmed
 	}
 	end := confirmed.Add(t.lease)
-	if t.LeaseRevoked() && t.revoked.at.Before(end) {
-		return t.revoked.at
+	if at, revoked := t.revokedAt(); revoked && at.Before(end) {
+		return at
 	}
 	return end
 }
@@ -161,8 +201,8 @@
 // revoked reports that the leases have ended too, so that only the promotion itself
 // remains.
 func (t *Tracker) PendingReplacement() (since time.Time, revoked, ok bool) {
-	if t.LeaseRevoked() {
-		return t.revoked.at, true, true
+	if at, revoked := t.revokedAt(); revoked {
+		return at, true, true
 	}
 	return t.demotedAt, false, !t.demotedAt.IsZero()
 }
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -190,6 +190,34 @@
 	}
 }
 
+// Guards against two primaries in use: a member may lead a term in which it must not be used, while another one may be.
+func TestRevocationOfMembersSparesOthers(t *testing.T) {
+	adopt := func(tr *route.Tracker, primary string) {
+		for _, name := range []string{primary, "a", "b", "c"} {
+			role := group.RoleReplica
+			if name == primary {
+				role = group.RolePrimary
+			}
+			tr.Observe(after(time.Second), after(time.Second), group.NewStatus(group.StatusConfig{
+				Endpoint: name, Role: role, Point: group.NewPoint(2, 40), Promised: 2,
+			}))
+		}
+	}
+	for primary, usable := range map[string]bool{"b": false, "c": true} {
+		tr := newTracker()
+		tr.RevokeLease(1, after(100*time.Millisecond), after(5*time.Second))
+		tr.RevokeLeaseOf([]string{"b"}, 2, after(100*time.Millisecond), after(5*time.Second))
+		adopt(tr, primary)
+		if got := tr.LeaseUntil().After(after(time.Second)); got != usable {
+			t.Errorf("%s of term 2 may be used: %v, want %v", primary, got, usable)
+		}
+		tr.RevokeLeaseOf([]string{"d"}, 2, after(200*time.Millisecond), after(5*time.Second))
+		if tr.LeaseRevoked() == usable {
+			t.Errorf("the lease of %s is revoked: %v after a later revocation", primary, tr.LeaseRevoked())
+		}
+	}
+}
+
 func TestDemotedPrimaryConfirmsNoLease(t *testing.T) {
 	tr := newTracker()
 	tr.Observe(after(time.Millisecond), after(time.Millisecond), group.NewStatus(group.StatusConfig{
--- a/route/tracker.go
+++ b/route/tracker.go
@@ -49,6 +49,8 @@
 	// storeConfirmedAt is the send time of the newest query that found no promotion past the newest term in the store.
 	storeConfirmedAt time.Time
 	revoked          revocation
+	// revokedOf is the revocation of the leases of members that may have been promoted to a term that none has reported.
+	revokedOf revocation
 	// demotedAt is when the primary of the newest term was first found demoted, or zero.
 	demotedAt time.Time
 	// demotedLeaseUntil is the end of the lease that the primary of the newest term had before it was demoted, or zero.
