failover, fleet: promote only members known to hold acknowledged writes

Cause: the promotion chose the longest log among a majority, which may be the old primary, which is not promoted, and whichever replica answered first. The replica that was seen to have the whole log needed not be among them. SyncReplicas was used by nothing on the platform's side.

Fix: where writes need a replica, a member is promoted if it has received as much as the primary had when it was demoted, or has the longest log of all members that may hold an acknowledged write, all heard in this attempt. Until then the promotion waits and says so. Each acknowledged write is on the old primary and on one of the others, so both conditions imply that the promoted member has it, whatever the delays. Members whose entries lapsed count too, and a switchover does not begin while no replica keeps up. The PostgreSQL core gets the same rule where a contract requires a replica; with five members it had the fault after a crash, too.

--- a/engine/monitor.go
+++ b/engine/monitor.go
@@ -203,10 +203,18 @@
 	m.mu.Unlock()
 }
 
-// SetMembers replaces the list of members.
-func (m *Monitor[L]) SetMembers(endpoints []string) {
+// SetMembers replaces the list of members, and that of members that are not listed any more though they have not left.
+func (m *Monitor[L]) SetMembers(endpoints, missing []string) {
 	m.mu.Lock()
 	m.machine.SetMembers(endpoints)
+	m.machine.SetMissing(missing)
+	m.mu.Unlock()
+}
+
+// SetReplicationRequired states whether a write is acknowledged only once a replica has received it.
+func (m *Monitor[L]) SetReplicationRequired(required bool) {
+	m.mu.Lock()
+	m.machine.SetReplicationRequired(required)
 	m.mu.Unlock()
 }
 
--- a/failover/attempt.go
+++ b/failover/attempt.go
@@ -29,6 +29,8 @@
 	planned bool
 	// revoked reports that every instance has ended the leases that the attempt must not leave in force.
 	revoked bool
+	// awaitsLog reports that the attempt waits, or has waited, for a member that is not fenced yet.
+	awaitsLog bool
 	// forOpenOrder reports that the attempt was started because an earlier one left a replacement open.
 	forOpenOrder bool
 	oldPrimary   string
@@ -145,16 +147,19 @@
 // releaseFenced releases the fenced replicas.
 //
 // It releases none once the promotion was ordered, nor once the old primary was
-// demoted, since only a promotion can then follow.
+// demoted, since only a promotion can then follow, unless that waits for their logs.
 func (m *Machine) releaseFenced() []Action {
 	if !m.cfg.ReleaseAbandoned || m.phase == phasePromoting {
 		return nil
 	}
-	if _, demoted := m.attempt.fenced[m.attempt.oldPrimary]; demoted {
+	if _, demoted := m.attempt.fenced[m.attempt.oldPrimary]; demoted && !m.attempt.awaitsLog {
 		return nil
 	}
 	var actions []Action
 	for _, name := range m.cfg.Members {
+		if name == m.attempt.oldPrimary {
+			continue
+		}
 		if _, promised := m.attempt.fenced[name]; promised {
 			actions = append(actions, Release{Endpoint: name, Term: m.attempt.term, Attempt: m.attempt.id})
 		}
--- a/failover/event.go
+++ b/failover/event.go
@@ -198,6 +198,9 @@
 	DecisionPromoted   Decision = "primary_promoted"
 	DecisionAbandon    Decision = "promotion_abandoned"
 	DecisionSwitchover Decision = "switchover_started"
+	DecisionAwaitLog   Decision = "promotion_waits_for_log"
+	// DecisionAwaitReplica defers a switchover until a replica keeps up.
+	DecisionAwaitReplica Decision = "switchover_waits_for_replica"
 )
 
 // Config describes the machine of one group on one instance.
@@ -233,6 +236,9 @@
 	// ReleaseAbandoned makes an abandoned attempt release the replicas while the old primary is not demoted, for
 	// platforms on which members do not keep a promise themselves.
 	ReleaseAbandoned bool
+	// ReplicationRequired means that a write is acknowledged only once a replica has received it: a member is then promoted
+	// only if it is known to hold all acknowledged writes.
+	ReplicationRequired bool
 	// AnsweredPromotions means that a PromotionAnswered event follows every Promote action; the machine then has one
 	// promotion order in flight at a time.
 	AnsweredPromotions bool
--- /dev/null
+++ b/failover/holder.go
@@ -0,0 +1,170 @@
+package failover
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/monsoontiller/monsoontiller/group"
+)
+
+// missingMember is a member that is not listed any more though it has not left.
+type missingMember struct {
+	// point is what the primary had received after the member went missing, or zero until that is known.
+	point group.Point
+}
+
+// SetReplicationRequired states whether a write is acknowledged only once a replica has received it, so that a member that
+// is promoted must be known to hold all acknowledged writes.
+func (m *Machine) SetReplicationRequired(required bool) { m.cfg.ReplicationRequired = required }
+
+// SetMissing replaces the list of members that are not listed any more though they have not left: they may come back, and may
+// be the only ones that received an acknowledged write.
+func (m *Machine) SetMissing(endpoints []string) {
+	missing, passed := map[string]missingMember{}, map[string]group.Term{}
+	for _, name := range endpoints {
+		if term, ok := m.passed[name]; ok && term == m.term {
+			passed[name] = term
+			continue
+		}
+		missing[name] = m.missing[name]
+	}
+	m.missing, m.passed = missing, passed
+}
+
+// recordMissing drops the missing members whose part of the log another replica has received.
+//
+// What a member received before it went missing is in the primary's log as of a later
+// time, and so in that of a replica which has received that much.
+func (m *Machine) recordMissing(s group.Status) {
+	if len(m.missing) == 0 || s.Point().Term() != m.term {
+		return
+	}
+	for name, missing := range m.missing {
+		switch {
+		case s.Endpoint() == m.primary && s.Role() == group.RolePrimary && missing.point.IsZero():
+			m.missing[name] = missingMember{point: s.Received()}
+		case s.Endpoint() != m.primary && !missing.point.IsZero() && !s.Received().Less(missing.point):
+			m.passed[name] = m.term
+			delete(m.missing, name)
+		}
+	}
+}
+
+// forgetMissing drops all missing members at the beginning of a term: its primary holds what was acknowledged before.
+func (m *Machine) forgetMissing() {
+	for name := range m.missing {
+		m.passed[name] = m.term
+	}
+	clear(m.missing)
+}
+
+// holdsAcknowledged reports whether a fenced member is known to hold every acknowledged write.
+//
+// If a write is acknowledged once a replica has received it, it is in the log of the
+// primary and of one replica. A member holds it that has as much as the primary had when
+// it was demoted, or the longest log of all members that may have received it.
+func (m *Machine) holdsAcknowledged(name string) bool {
+	if !m.cfg.ReplicationRequired {
+		return true
+	}
+	received := m.attempt.fenced[name].Received()
+	if old, demoted := m.attempt.fenced[m.attempt.oldPrimary]; demoted && len(m.orders) == 0 && !received.Less(old.Received()) {
+		return true
+	}
+	return len(m.unheard()) == 0 && !received.Less(m.longestReplica())
+}
+
+// longestReplica returns the end of the longest log of the fenced members other than the old primary.
+func (m *Machine) longestReplica() group.Point {
+	var longest group.Point
+	for name, s := range m.attempt.fenced {
+		if name != m.attempt.oldPrimary && longest.Less(s.Received()) {
+			longest = s.Received()
+		}
+	}
+	return longest
+}
+
+// unheard returns the members, other than the old primary, that may have received an acknowledged write and have not promised
+// the attempt's term.
+func (m *Machine) unheard() []string {
+	var names []string
+	for _, name := range m.cfg.Members {
+		if _, fenced := m.attempt.fenced[name]; !fenced && name != m.attempt.oldPrimary {
+			names = append(names, name)
+		}
+	}
+	for name := range m.missing {
+		if name != m.attempt.oldPrimary {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// betterMember returns a member that is not fenced yet, answers, and has received more than the chosen one, or "".
+func (m *Machine) betterMember(now time.Time, chosen string) string {
+	if now.Sub(m.phaseSince) >= m.cfg.CatchUpTimeout {
+		return ""
+	}
+	for _, name := range m.cfg.Members {
+		s := m.members[name]
+		_, fenced := m.attempt.fenced[name]
+		if fenced || name == m.attempt.oldPrimary || !s.hasStatus || !s.refusingSince.IsZero() || now.Sub(s.answeredAt) >= m.cfg.SuspectAfter {
+			continue
+		}
+		if m.attempt.fenced[chosen].Received().Less(s.status.Received()) {
+			return name
+		}
+	}
+	return ""
+}
+
+// awaitHolder waits for a member that is to be promoted rather than those that are fenced.
+//
+// An attempt that waits for longer than TakeOverAfter releases the replicas, which may catch up, and is started again, which
+// claims the promotion again; the old primary may come back meanwhile.
+func (m *Machine) awaitHolder(now time.Time, reason string) []Action {
+	if now.Sub(m.phaseSince) >= m.cfg.TakeOverAfter {
+		return m.abandon(now, reason)
+	}
+	var actions []Action
+	if !m.attempt.awaitsLog {
+		m.attempt.awaitsLog = true
+		actions = append(actions, Explain{Decision: DecisionAwaitLog, Evidence: reason})
+	}
+	if now.Sub(m.stepStartedAt) >= m.cfg.StepTimeout {
+		actions = append(actions, m.fenceRemaining(now)...)
+	}
+	return actions
+}
+
+// noHolderReason describes why no fenced member may be promoted, or returns "" if one may become eligible by no answer.
+func (m *Machine) noHolderReason() string {
+	if !m.cfg.ReplicationRequired || m.chooseWhere(func(string) bool { return true }) == "" {
+		return ""
+	}
+	return fmt.Sprintf("no fenced member is known to hold all acknowledged writes; not heard: %v", m.unheard())
+}
+
+// replicaKeepsUp reports whether a replica that stays has received what the primary had received a step ago, so that a
+// switchover can be expected to find all acknowledged writes.
+func (m *Machine) replicaKeepsUp() bool {
+	if !m.cfg.ReplicationRequired {
+		return true
+	}
+	for name, s := range m.members {
+		if name != m.primary && !s.leaving && s.hasStatus && !m.primaryMark.IsZero() && !s.status.Received().Less(m.primaryMark) {
+			return true
+		}
+	}
+	return false
+}
+
+// recordPrimaryPoint keeps what the primary had received between one and two steps ago.
+func (m *Machine) recordPrimaryPoint(now time.Time, s group.Status) {
+	if s.Endpoint() != m.primary || s.Point().Term() != m.term || now.Sub(m.markedAt) < m.cfg.StepTimeout {
+		return
+	}
+	m.primaryMark, m.newestMark, m.markedAt = m.newestMark, s.Received(), now
+}
--- a/failover/machine.go
+++ b/failover/machine.go
@@ -64,6 +64,15 @@
 	competing map[string]bool
 	// orders are the promotions of earlier attempts and of this one whose effect is not known, oldest first.
 	orders []Order
+	// missing holds the members that may have received an acknowledged write and are not listed, and passed those of which
+	// that is known not to be so, with the term in which it became known.
+	missing map[string]missingMember
+	passed  map[string]group.Term
+	// primaryMark is what the primary had received between one and two steps ago, and newestMark what it had at markedAt.
+	primaryMark, newestMark group.Point
+	markedAt                time.Time
+	// explainedLag reports that the wait of a switchover for a replica was explained.
+	explainedLag bool
 	// newestTerm is the newest term that any member is in, whether or not its primary is known.
 	newestTerm group.Term
 	// ineffective holds the members whose promotion had no effect in this term.
@@ -83,7 +92,10 @@
 
 // New returns a machine that runs no attempt and knows no primary.
 func New(cfg Config) *Machine {
-	m := &Machine{cfg: cfg, members: map[string]*memberState{}, views: map[string]bool{}, competing: map[string]bool{}, ineffective: map[string]bool{}}
+	m := &Machine{
+		cfg: cfg, members: map[string]*memberState{}, views: map[string]bool{}, competing: map[string]bool{}, ineffective: map[string]bool{},
+		missing: map[string]missingMember{}, passed: map[string]group.Term{},
+	}
 	for _, name := range cfg.Members {
 		m.members[name] = &memberState{}
 	}
@@ -180,6 +192,8 @@
 	m.newestTerm = max(m.newestTerm, s.Point().Term())
 	m.recordCompeting(now, s)
 	m.recordDemotion(now, s)
+	m.recordMissing(s)
+	m.recordPrimaryPoint(now, s)
 	if s.Role() == group.RolePrimary && s.Confirms(s.Point().Term()) && s.Point().Term() > m.term {
 		return m.adoptPrimary(now, s)
 	}
@@ -224,6 +238,8 @@
 		return m.advance(now)
 	}
 	m.settleOrders()
+	m.forgetMissing()
+	m.primaryMark, m.newestMark = group.Point{}, group.Point{}
 	m.competingSeenAt = time.Time{}
 	m.demotedSince = time.Time{}
 	clear(m.competing)
--- a/failover/promote.go
+++ b/failover/promote.go
@@ -120,18 +120,21 @@
 // Among equal logs it prefers a member that is not leaving, then the configured
 // order. A member whose promotion had no effect before comes last: it may be the
 // demoted primary, which an instance that has just started cannot know.
+//
+// If ReplicationRequired, only members are eligible that are known to hold all acknowledged writes.
 func (m *Machine) chooseCandidate() string {
-	if best := m.chooseExcluding(m.ineffective); best != "" {
+	if best := m.chooseWhere(func(name string) bool { return !m.ineffective[name] && m.holdsAcknowledged(name) }); best != "" {
 		return best
 	}
-	return m.chooseExcluding(nil)
+	return m.chooseWhere(m.holdsAcknowledged)
 }
 
-func (m *Machine) chooseExcluding(excluded map[string]bool) string {
+// chooseWhere returns the best of the fenced members that may be promoted and that are eligible, or "".
+func (m *Machine) chooseWhere(eligible func(name string) bool) string {
 	best := ""
 	for _, name := range m.cfg.Members {
 		s, ok := m.attempt.fenced[name]
-		if !ok || excluded[name] || m.cfg.ExcludeDemoted && name == m.attempt.oldPrimary {
+		if !ok || m.cfg.ExcludeDemoted && name == m.attempt.oldPrimary || !eligible(name) {
 			continue
 		}
 		if best == "" || m.preferred(name, s, best) {
@@ -151,14 +154,20 @@
 }
 
 func (m *Machine) promote(now time.Time) []Action {
-	m.attempt.chosen = m.chooseCandidate()
-	if m.attempt.chosen == "" {
+	chosen := m.chooseCandidate()
+	if chosen == "" {
+		if reason := m.noHolderReason(); reason != "" {
+			return m.awaitHolder(now, reason)
+		}
 		return m.abandon(now, "no fenced member may be promoted")
 	}
+	if better := m.betterMember(now, chosen); better != "" {
+		return m.awaitHolder(now, better+" has a longer log than the fenced members")
+	}
+	m.attempt.chosen = chosen
 	m.enterPhase(now, phasePromoting)
 	m.orders = withOrder(m.orders, Order{Endpoint: m.attempt.chosen, After: max(m.term, m.newestTerm), Term: m.attempt.term})
-	chosen := m.attempt.fenced[m.attempt.chosen]
-	evidence := fmt.Sprintf("%s at %v has the longest log of %d fenced members", m.attempt.chosen, chosen.Received(), len(m.attempt.fenced))
+	evidence := fmt.Sprintf("%s at %v has the longest log of %d fenced members", chosen, m.attempt.fenced[chosen].Received(), len(m.attempt.fenced))
 	return []Action{Explain{Decision: DecisionChoose, Evidence: evidence}, m.promoteAction()}
 }
 
--- a/failover/suspect.go
+++ b/failover/suspect.go
@@ -38,7 +38,14 @@
 // An instance of rank n waits n times Stagger longer, so that attempts seldom compete.
 func (m *Machine) watch(now time.Time) []Action {
 	if m.switchoverDue(now) {
-		return m.startSwitchover(now)
+		if m.replicaKeepsUp() {
+			m.explainedLag = false
+			return m.startSwitchover(now)
+		}
+		if !m.explainedLag {
+			m.explainedLag = true
+			return []Action{Explain{Decision: DecisionAwaitReplica, Evidence: "no replica that stays has received what the primary had a moment ago"}}
+		}
 	}
 	if m.replacementOpen() && !now.Before(m.notBefore) && m.reachable(now) >= m.majority() {
 		return m.startAttempt(now, false)
--- a/fleet/export_test.go
+++ b/fleet/export_test.go
@@ -368,3 +368,6 @@
 	i.freshness.Confirm(clock.Now())
 	return i.quotas.Run(ctx)
 }
+
+// MissingEndpoints gives tests access to the record of endpoints whose entries were dropped.
+type MissingEndpoints = missingEndpoints
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -43,6 +43,7 @@
 	mu       sync.Mutex
 	entries  map[string]*listedEndpoint
 	groups   map[string]*watchedGroup[L]
+	missing  missingEndpoints
 	// position is the newest position in the store of any entry, removals included.
 	position store.Position
 	ctx      context.Context
@@ -56,7 +57,7 @@
 }
 
 func newMembers[L Link[L]](i *Instance[L]) *members[L] {
-	return &members[L]{instance: i, logger: i.cfg.Logger, entries: map[string]*listedEndpoint{}, groups: map[string]*watchedGroup[L]{}, slotsByGroup: map[string]int{}, changed: newCoalescer(minUpdatePause)}
+	return &members[L]{instance: i, logger: i.cfg.Logger, entries: map[string]*listedEndpoint{}, groups: map[string]*watchedGroup[L]{}, missing: missingEndpoints{}, slotsByGroup: map[string]int{}, changed: newCoalescer(minUpdatePause)}
 }
 
 // Name returns the service's name.
@@ -209,6 +210,7 @@
 			continue
 		}
 		delete(m.entries, name)
+		m.missing.Dropped(ep.entry, ep.leaving(now))
 		m.logLocked("endpoint_dropped", ep.entry, ep.position)
 		m.updateGroupLocked(ep.entry.Group)
 	}
@@ -261,7 +263,7 @@
 		logLine(m.logger, "level", "info", "msg", "home_taken", "group", name, "members", len(addresses))
 	}
 	w.group.SetMembers(addresses)
-	w.monitor.SetMembers(names)
+	w.monitor.SetMembers(names, m.missing.Of(name))
 	w.monitor.SetLeaving(leaving)
 	w.group.View(func(t *route.Tracker) {
 		for _, ep := range m.entries {
--- a/fleet/shares.go
+++ b/fleet/shares.go
@@ -19,6 +19,7 @@
 		return
 	}
 	m.entries[e.Endpoint] = current.replacedBy(e, at, clock.Now())
+	m.missing.Listed(e)
 	if current == nil || current.entry != e || !current.removedAt.IsZero() {
 		m.logLocked("endpoint_listed", e, at)
 		m.updateGroupLocked(e.Group)
@@ -73,10 +74,15 @@
 	return homes
 }
 
-// updateShares adapts the shares of connections and slots to the fleet's size and the configuration.
+// updateShares adapts the watched groups to the fleet's size and the configuration: the shares of connections and slots, and
+// what a promotion requires.
 func (m *members[L]) updateShares() {
 	for _, g := range m.all() {
 		g.SetLimit(m.share(g.Name()))
 		g.SetSharers(m.sharers(g.Name()))
+		if w := m.find(g.Name()); w != nil {
+			settings, _ := m.instance.directory.Group(g.Name())
+			w.monitor.SetReplicationRequired(settings.ReplicationRequired)
+		}
 	}
 }
--- a/instance/directory.go
+++ b/instance/directory.go
@@ -83,6 +83,7 @@
 	applied := i.contracts.Apply(e)
 	if applied {
 		i.updateCustomerStateLocked(e)
+		i.updateReplicationLocked()
 	}
 	i.mu.Unlock()
 	if applied {
@@ -104,6 +105,23 @@
 	i.customerStates[e.Customer()] = caller.NewCustomerState(e.Contract().Retries())
 }
 
+// updateReplicationLocked passes on which groups have a contract that acknowledges writes only once a replica has received
+// them; i.mu must be held.
+func (i *Instance) updateReplicationLocked() {
+	required := map[string]bool{}
+	for _, e := range i.contracts.List() {
+		if e.Contract().Writes().Replication() != contract.ReplicationRequired {
+			continue
+		}
+		for _, d := range e.Contract().Databases() {
+			required[d.Group()] = true
+		}
+	}
+	for name, w := range i.groups {
+		w.monitor.SetReplicationRequired(required[name])
+	}
+}
+
 func (i *Instance) applyEndpointOrder(endpoint string, leave bool) {
 	i.mu.Lock()
 	i.leaving[endpoint] = leave
--- a/instance/groups.go
+++ b/instance/groups.go
@@ -91,6 +91,7 @@
 	})
 	i.groups[g.GetName()] = w
 	i.applyLeavingLocked(w)
+	i.updateReplicationLocked()
 	i.start(w)
 }
 
