engine, caller: names of prepared statements are distinct words

Cause: the name of a statement at the member, which all sessions share, was made of its shape, blanks included. The member read the words after the first blank as arguments.

Evidence: the member received "EXECUTE w_upsert booking item1 data0".

Every name is one word, and equal names mean equal statements.

--- a/caller/batch.go
+++ b/caller/batch.go
@@ -1,9 +1,10 @@
 package caller
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"fmt"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/monsoontiller/monsoontiller/fault"
@@ -19,6 +20,9 @@
 	copy   bool
 }
 
+// preparedNameBytes is the number of bytes of a digest in the name of a prepared statement, which is at most 63 bytes long.
+const preparedNameBytes = 24
+
 func newPreparedStatement(m *pgproto3.Parse) *preparedStatement {
 	p := &preparedStatement{
 		query:  m.Query,
@@ -26,12 +30,8 @@
 		effect: effectOf(m.Query),
 		copy:   isCopy(m.Query),
 	}
-	d := xxhash.New()
-	_, _ = d.WriteString(p.query)
-	for _, oid := range p.oids {
-		_, _ = fmt.Fprintf(d, ",%d", oid)
-	}
-	p.name = fmt.Sprintf("mt_%016x_%x", d.Sum64(), len(p.query))
+	digest := sha256.Sum256(fmt.Appendf(nil, "%d %q", p.oids, p.query))
+	p.name = "mt_" + hex.EncodeToString(digest[:preparedNameBytes])
 	return p
 }
 
--- a/caller/finish.go
+++ b/caller/finish.go
@@ -119,7 +119,7 @@
 		}
 		s.settings.clear()
 		s.conn.ClearPrepared()
-		s.conn.SetStateKey(0)
+		s.conn.SetStateKey("")
 		clear(s.statements)
 	case effectPin:
 		s.pinnedByState = true
--- a/caller/state.go
+++ b/caller/state.go
@@ -1,10 +1,9 @@
 package caller
 
 import (
+	"crypto/sha256"
 	"strings"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/monsoontiller/monsoontiller/fault"
 )
 
@@ -147,7 +146,8 @@
 // settings is the list of SET statements that restore a session's state on another connection.
 type settings struct {
 	statements []string
-	key        uint64
+	// key identifies the statements, or is "" without any.
+	key string
 }
 
 // maxSettings is the maximum number of statements that are replayed for one session.
@@ -159,16 +159,12 @@
 		return false
 	}
 	s.statements = append(s.statements, sql)
-	d := xxhash.New()
-	for _, statement := range s.statements {
-		_, _ = d.WriteString(statement)
-		_, _ = d.Write([]byte{0})
-	}
-	s.key = d.Sum64()
+	digest := sha256.Sum256([]byte(s.key + sql))
+	s.key = string(digest[:])
 	return true
 }
 
 func (s *settings) clear() {
 	s.statements = nil
-	s.key = 0
+	s.key = ""
 }
--- a/endpoint/conn.go
+++ b/endpoint/conn.go
@@ -36,7 +36,7 @@
 	parameters  []pgproto3.ParameterStatus
 	answeredAt  time.Time
 	prepared    *statementCache
-	stateKey    uint64
+	stateKey    string
 	canceled    bool
 	out         []byte
 }
@@ -145,11 +145,11 @@
 // SetAnsweredAt records that the endpoint answered at now.
 func (c *Conn) SetAnsweredAt(now time.Time) { c.answeredAt = now }
 
-// StateKey identifies the session settings in force on the connection; 0 means none.
-func (c *Conn) StateKey() uint64 { return c.stateKey }
+// StateKey identifies the session settings in force on the connection; "" means none.
+func (c *Conn) StateKey() string { return c.stateKey }
 
 // SetStateKey records the session settings in force on the connection.
-func (c *Conn) SetStateKey(key uint64) { c.stateKey = key }
+func (c *Conn) SetStateKey(key string) { c.stateKey = key }
 
 // Queue appends a message to the output buffer, which the next Flush sends.
 func (c *Conn) Queue(msg pgproto3.FrontendMessage) error {
--- a/engine/statement.go
+++ b/engine/statement.go
@@ -223,9 +223,5 @@
 }
 
 func newPrepared(shape string, writes bool) *preparedStatement {
-	kind := "r_"
-	if writes {
-		kind = "w_"
-	}
-	return &preparedStatement{shape: shape, writes: writes, alias: kind + shape}
+	return &preparedStatement{shape: shape, writes: writes, alias: PreparedName(shape, writes)}
 }
