failover, fleet: an unanswered promotion order keeps its member

Cause: an order that was not answered counted as not done, and after 3.2 s another member was ordered. When the API was back it ran both.

Fix: the outcome of an order tells whether it may still take effect. While it may, the same member is ordered again, by this coordinator or, from the record that precedes the order, by the one that follows it. All orders that are open name one member, so whatever the platform runs, and whenever, makes that one primary. A refusal gives the member up at once, which took 3.2 s. A request is not written after the end of the coordinator's lease.

--- a/failover/attempt.go
+++ b/failover/attempt.go
@@ -20,11 +20,16 @@
 	oldFencedAt time.Time
 	// chosen is the member that is promoted.
 	chosen string
-	// inFlight reports that the outcome of a promotion order is not known yet.
-	inFlight bool
-	// accepted reports that a promotion order was accepted, at acceptedAt.
-	accepted   bool
-	acceptedAt time.Time
+	// bound is the member that the attempt must promote, since the platform may still run an earlier order for it, or "".
+	bound string
+	// inFlight reports that the outcome of a promotion order is not known yet, and unanswered that an earlier one of this
+	// attempt or the one that bound it has not been answered, nor has a later one.
+	inFlight, unanswered bool
+	// answered is the last answer of the platform, at answeredAt, or PromotionNotSent, and late reports that an order before
+	// it was not answered.
+	answered   PromotionOutcome
+	answeredAt time.Time
+	late       bool
 	// planned marks a switchover.
 	planned bool
 	// revoked reports that every instance has ended the leases that the attempt must not leave in force.
@@ -112,11 +117,12 @@
 func (m *Machine) adoptRecord(r ClaimResult) {
 	m.attempt.term = max(m.attempt.term, r.Term)
 	if len(r.Orders) > 0 {
-		m.orders = r.Orders
+		m.adoptOrders(r.Orders)
 	}
 	if !m.openOrders() {
 		m.orders = nil
 	}
+	m.attempt.bound = m.boundEndpoint()
 }
 
 // awaitClaimResult abandons the attempt once the claim timeout has passed without an answer of the table.
--- a/failover/event.go
+++ b/failover/event.go
@@ -88,11 +88,13 @@
 	PromotionRefused
 	// PromotionUnanswered means that the order may have an effect, now or later.
 	PromotionUnanswered
+	// PromotionPreempted means that the order was not sent, since another attempt or instance has claimed the promotion.
+	PromotionPreempted
 )
 
 // String returns the outcome in snake case.
 func (o PromotionOutcome) String() string {
-	return [...]string{"not_sent", "accepted", "refused", "unanswered"}[o]
+	return [...]string{"not_sent", "accepted", "refused", "unanswered", "preempted"}[o]
 }
 
 // ClaimOutcome is the outcome of a claim.
--- a/failover/machine.go
+++ b/failover/machine.go
@@ -64,6 +64,8 @@
 	competing map[string]bool
 	// orders are the promotions of earlier attempts and of this one whose effect is not known, oldest first.
 	orders []Order
+	// unsettledUntil is until when an unanswered order for the present primary may still take effect, or zero.
+	unsettledUntil time.Time
 	// missing holds the members that may have received an acknowledged write and are not listed, and passed those of which
 	// that is known not to be so, with the term in which it became known.
 	missing map[string]missingMember
@@ -237,6 +239,9 @@
 	if m.supersededPrimary(m.primary, m.term) {
 		return m.advance(now)
 	}
+	if m.phase == phasePromoting && (m.attempt.inFlight || m.attempt.unanswered) {
+		m.unsettledUntil = now.Add(m.cfg.TakeOverAfter)
+	}
 	m.settleOrders()
 	m.forgetMissing()
 	m.primaryMark, m.newestMark = group.Point{}, group.Point{}
--- a/failover/order.go
+++ b/failover/order.go
@@ -1,6 +1,10 @@
 package failover
 
-import "github.com/monsoontiller/monsoontiller/group"
+import (
+	"slices"
+
+	"github.com/monsoontiller/monsoontiller/group"
+)
 
 // Order is a promotion that was ordered, or may have been: its effect is known only once a primary reports it.
 //
@@ -11,6 +15,9 @@
 	Endpoint string
 	After    group.Term
 	Term     group.Term
+	// Settled means that the order can have no effect from now on: the platform has answered it, or a later one for the same
+	// member, and it has had TakeOverAfter since.
+	Settled bool
 }
 
 // Leads reports whether a primary of a term is in place by the order.
@@ -41,6 +48,37 @@
 	return !newest.Leads(m.primary, m.term)
 }
 
+// adoptOrders takes over the recorded orders, and keeps what this machine knows of them beyond the record.
+func (m *Machine) adoptOrders(recorded []Order) {
+	orders := append([]Order(nil), recorded...)
+	for i, o := range orders {
+		o.Settled = true
+		orders[i].Settled = orders[i].Settled || slices.Contains(m.orders, o)
+	}
+	m.orders = orders
+}
+
+// settleOrder records that the attempt's order can have no effect from now on.
+func (m *Machine) settleOrder() {
+	if last := len(m.orders) - 1; last >= 0 {
+		m.orders[last].Settled = true
+	}
+}
+
+// boundEndpoint returns the member of an order that the platform may still run, or "".
+//
+// No other member is ordered until the platform answers an order for this one: it would
+// be replaced by the late order, at a time that nobody knows.
+func (m *Machine) boundEndpoint() string {
+	if !m.cfg.AnsweredPromotions || !m.openOrders() {
+		return ""
+	}
+	if newest := m.orders[len(m.orders)-1]; !newest.Settled {
+		return newest.Endpoint
+	}
+	return ""
+}
+
 // settleOrders drops the orders once their effect is known: the newest one has put the new primary in place, or an order of
 // another instance that followed them has.
 func (m *Machine) settleOrders() {
@@ -65,6 +103,10 @@
 	reported := max(m.term, m.newestTerm)
 	r := Revoke{Term: reported, Attempt: m.attempt.id, Reported: reported}
 	for _, o := range m.orders {
+		if o.Endpoint != "" && o.Endpoint == m.attempt.bound {
+			// The attempt orders the same member again, whose leases may stay in force.
+			continue
+		}
 		r.Term = m.attempt.term - 1
 		if o.Endpoint == "" {
 			return Revoke{Term: r.Term, Attempt: r.Attempt, Reported: r.Term}
--- a/failover/promote.go
+++ b/failover/promote.go
@@ -154,6 +154,10 @@
 }
 
 func (m *Machine) promote(now time.Time) []Action {
+	if m.attempt.bound != "" {
+		m.attempt.unanswered = true
+		return m.order(now, m.attempt.bound, m.attempt.bound+" was ordered before, and the platform may still run that order")
+	}
 	chosen := m.chooseCandidate()
 	if chosen == "" {
 		if reason := m.noHolderReason(); reason != "" {
@@ -164,10 +168,18 @@
 	if better := m.betterMember(now, chosen); better != "" {
 		return m.awaitHolder(now, better+" has a longer log than the fenced members")
 	}
-	m.attempt.chosen = chosen
-	m.enterPhase(now, phasePromoting)
-	m.orders = withOrder(m.orders, Order{Endpoint: m.attempt.chosen, After: max(m.term, m.newestTerm), Term: m.attempt.term})
+	if now.Before(m.unsettledUntil) {
+		return m.awaitHolder(now, "an unanswered order for "+m.primary+" may still take effect")
+	}
 	evidence := fmt.Sprintf("%s at %v has the longest log of %d fenced members", chosen, m.attempt.fenced[chosen].Received(), len(m.attempt.fenced))
+	return m.order(now, chosen, evidence)
+}
+
+// order orders the promotion of a member for the first time in this attempt.
+func (m *Machine) order(now time.Time, endpoint, evidence string) []Action {
+	m.attempt.chosen = endpoint
+	m.enterPhase(now, phasePromoting)
+	m.orders = withOrder(m.orders, Order{Endpoint: endpoint, After: max(m.term, m.newestTerm), Term: m.attempt.term})
 	return []Action{Explain{Decision: DecisionChoose, Evidence: evidence}, m.promoteAction()}
 }
 
@@ -185,40 +197,62 @@
 	if e.Attempt != m.attempt.id || m.phase != phasePromoting {
 		return nil
 	}
-	m.attempt.inFlight = false
-	if e.Outcome == PromotionAccepted && !m.attempt.accepted {
-		m.attempt.accepted = true
-		m.attempt.acceptedAt = now
+	a := &m.attempt
+	a.inFlight = false
+	switch e.Outcome {
+	case PromotionAccepted, PromotionRefused:
+		a.late = a.late || a.unanswered
+		a.answered, a.answeredAt, a.unanswered = e.Outcome, now, false
+	case PromotionUnanswered:
+		a.unanswered = true
+	case PromotionPreempted:
+		return m.abandon(now, "another attempt has claimed the promotion")
 	}
 	return m.awaitPromotion(now)
 }
 
-// awaitPromotion repeats the promotion until it is accepted, and abandons the attempt if the promotion has no effect within
-// TakeOverAfter, counted from its acceptance.
+// awaitPromotion repeats the promotion until the platform answers, and abandons the attempt if the promotion has no effect
+// within TakeOverAfter, counted from the answer.
 //
 // The promotion is idempotent for the attempt. Another member is never promoted
 // in the same term: the first may have become primary without this instance
-// observing it.
+// observing it. While an order is unanswered, the attempt does not end: the platform
+// may run that order at any later time, and would then replace another member. Once
+// it has answered a later order for the same member, the earlier one takes effect
+// soon, if at all.
 func (m *Machine) awaitPromotion(now time.Time) []Action {
-	if m.attempt.inFlight {
+	a := &m.attempt
+	if a.inFlight {
 		return nil
 	}
+	if a.answered == PromotionRefused && !a.late && !a.unanswered {
+		return m.abandonOrder(now, "the platform refused to promote "+a.chosen)
+	}
 	since := m.phaseSince
-	if m.attempt.accepted {
-		since = m.attempt.acceptedAt
+	if a.answered != PromotionNotSent {
+		since = a.answeredAt
 	}
-	if now.Sub(since) >= m.cfg.TakeOverAfter {
-		m.competingSeenAt = time.Time{}
-		m.ineffective[m.attempt.chosen] = true
-		return m.abandon(now, m.attempt.chosen+" did not report that it is primary")
+	if !a.unanswered && now.Sub(since) >= m.cfg.TakeOverAfter {
+		return m.abandonOrder(now, a.chosen+" did not report that it is primary")
 	}
-	if m.attempt.accepted || now.Sub(m.stepStartedAt) < m.cfg.StepTimeout {
+	answered := a.answered != PromotionNotSent && !a.unanswered
+	if answered || now.Sub(m.stepStartedAt) < m.cfg.StepTimeout {
 		return nil
 	}
 	m.stepStartedAt = now
 	return []Action{m.promoteAction()}
 }
 
+// abandonOrder abandons an attempt whose order can have no effect from now on.
+func (m *Machine) abandonOrder(now time.Time, reason string) []Action {
+	m.competingSeenAt = time.Time{}
+	if m.attempt.answered != PromotionNotSent || !m.cfg.AnsweredPromotions {
+		m.ineffective[m.attempt.chosen] = true
+	}
+	m.settleOrder()
+	return m.abandon(now, reason)
+}
+
 // switchoverDue reports whether this instance is to start a switchover.
 //
 // It requires that the primary is leaving and confirms its term, that a replica
--- a/failover/promotion_test.go
+++ b/failover/promotion_test.go
@@ -111,7 +111,9 @@
 		t.Errorf("revoked %+v, want %+v", revoke, want)
 	}
 	second, ok := find[failover.Promote](s.step(failover.Revoked{Attempt: claim.Attempt}))
-	if !ok || len(second.Orders) != 2 || second.Orders[0] != first.Orders[0] {
+	settled := first.Orders[0]
+	settled.Settled = true
+	if !ok || len(second.Orders) != 2 || second.Orders[0] != settled {
 		t.Fatalf("ordered %+v, want the record of both orders", second)
 	}
 	// The first member leads after all, and the second one, a moment later, in the next term.
@@ -163,3 +165,101 @@
 		t.Errorf("revoked %+v, want all leases up to term 4", revoke)
 	}
 }
+
+// Guards against two promotions after an outage of the promotion API: an order that was not answered may still be run, so no
+// other member is ordered until the platform has answered for the first one.
+func TestUnansweredOrderKeepsItsMember(t *testing.T) {
+	s := newAnsweredFixture()
+	first := s.promoteAfterLoss(t)
+	actions := s.answer(first, failover.PromotionUnanswered)
+	for range 500 {
+		if _, ended := find[failover.Withdraw](actions); ended {
+			t.Fatal("the attempt ended while an order was unanswered")
+		}
+		if again, ok := find[failover.Promote](actions); ok {
+			if again.Endpoint != first.Endpoint {
+				t.Fatalf("%s was ordered while the order for %s was unanswered", again.Endpoint, first.Endpoint)
+			}
+			actions = s.answer(again, failover.PromotionUnanswered)
+			continue
+		}
+		actions = s.advance(sequentialStep)
+	}
+	again, ok := find[failover.Promote](s.advance(sequentialStep))
+	if !ok {
+		again = first
+	}
+	// The member does not run: no other one is ordered before the unanswered orders have had their time.
+	if actions := s.answer(again, failover.PromotionRefused); len(actions) != 0 {
+		t.Errorf("%v right after the answer", actions)
+	}
+	if _, ended := find[failover.Withdraw](s.advance(2900 * time.Millisecond)); ended {
+		t.Error("the attempt ended before the unanswered orders had their time")
+	}
+	if _, ended := find[failover.Withdraw](s.advance(200 * time.Millisecond)); !ended {
+		t.Error("the attempt did not end")
+	}
+}
+
+// Guards against a long time without a primary: a member of which the platform says that it does not run is given up at once.
+func TestRefusedMemberIsGivenUpAtOnce(t *testing.T) {
+	s := newAnsweredFixture()
+	first := s.promoteAfterLoss(t)
+	if _, ended := find[failover.Withdraw](s.answer(first, failover.PromotionRefused)); !ended {
+		t.Fatal("the attempt continues")
+	}
+	var claim failover.Claim
+	for ok := false; !ok; claim, ok = find[failover.Claim](s.advance(sequentialStep)) {
+		s.reportStatus("b", group.RoleReplica, 10, first.Term, first.Attempt)
+		s.reportStatus("c", group.RoleReplica, 12, first.Term, first.Attempt)
+	}
+	second := s.promoteAfterClaim(t, claim, failover.ClaimResult{Attempt: claim.Attempt, Outcome: failover.ClaimWon, Term: claim.Term, Orders: first.Orders})
+	if second.Endpoint == first.Endpoint {
+		t.Errorf("%s was ordered again", second.Endpoint)
+	}
+}
+
+// Guards against two promotions after a coordinator was killed: its order may still be run, also if the member cannot be reached
+// or is not listed.
+func TestOrderOfPredecessorIsContinued(t *testing.T) {
+	for _, ordered := range []string{"b", "unlisted"} {
+		for _, settled := range []bool{false, true} {
+			s := newAnsweredFixture()
+			claim := s.claimAfterLoss(t)
+			order := failover.Order{Endpoint: ordered, After: 1, Term: 2, Settled: settled}
+			s.step(failover.ClaimResult{Attempt: claim.Attempt, Outcome: failover.ClaimWon, Term: 3, Orders: []failover.Order{order}})
+			s.reportStatus("b", group.RoleReplica, 10, 3, claim.Attempt)
+			revoke, _ := find[failover.Revoke](s.reportStatus("c", group.RoleReplica, 12, 3, claim.Attempt))
+			if spared := len(revoke.Ordered) == 0; spared == settled {
+				t.Errorf("settled %v: revoked %+v", settled, revoke)
+			}
+			want := ordered
+			if settled {
+				want = "c"
+			}
+			if promote, _ := find[failover.Promote](s.step(failover.Revoked{Attempt: claim.Attempt})); promote.Endpoint != want {
+				t.Errorf("settled %v: ordered %q, want %s", settled, promote.Endpoint, want)
+			}
+		}
+	}
+}
+
+// Guards against two coordinators: an attempt whose group another one has claimed ends, and its order is not taken for settled.
+func TestPreemptedAttemptLeavesItsOrderOpen(t *testing.T) {
+	s := newAnsweredFixture()
+	first := s.promoteAfterLoss(t)
+	s.answer(first, failover.PromotionUnanswered)
+	again, _ := find[failover.Promote](s.advance(sequentialStep))
+	if _, ended := find[failover.Withdraw](s.answer(again, failover.PromotionPreempted)); !ended {
+		t.Fatal("the attempt continues")
+	}
+	var claim failover.Claim
+	for ok := false; !ok; claim, ok = find[failover.Claim](s.advance(sequentialStep)) {
+		s.reportStatus("b", group.RoleReplica, 30, first.Term, first.Attempt)
+		s.reportStatus("c", group.RoleReplica, 12, first.Term, first.Attempt)
+	}
+	won := failover.ClaimResult{Attempt: claim.Attempt, Outcome: failover.ClaimWon, Term: claim.Term, Orders: first.Orders}
+	if next := s.promoteAfterClaim(t, claim, won); next.Endpoint != first.Endpoint {
+		t.Errorf("%s was ordered though the order for %s is open", next.Endpoint, first.Endpoint)
+	}
+}
--- a/fleet/adapter.go
+++ b/fleet/adapter.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"time"
 
 	"github.com/monsoontiller/monsoontiller/account"
 	"github.com/monsoontiller/monsoontiller/contract"
@@ -71,6 +72,8 @@
 	Holder   string
 	// Token is the fencing token of the coordinator lease; it increases with each new holder.
 	Token uint64
+	// Until is the end of the coordinator lease, on the clock of package clock; the order may not be sent later.
+	Until time.Time
 }
 
 // Target describes the link to open.
--- a/fleet/coordinator.go
+++ b/fleet/coordinator.go
@@ -86,6 +86,13 @@
 	return l.token, l.cfg.Clock().Before(l.heldUntil)
 }
 
+// HeldUntil returns the fencing token and the end of the lease on this instance's clock, and reports whether it is held now.
+func (l *coordinatorLease) HeldUntil() (token uint64, until time.Time, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.token, l.heldUntil, l.cfg.Clock().Before(l.heldUntil)
+}
+
 // Claim acquires or renews the lease for a promotion of a group, and records an intent for this promotion.
 //
 // It fails with KindConflict while another instance holds the lease, or if another
--- a/fleet/coordinator_record.go
+++ b/fleet/coordinator_record.go
@@ -40,13 +40,15 @@
 	Endpoint string `json:"endpoint"`
 	After    uint64 `json:"after"`
 	Term     uint64 `json:"term"`
+	// Settled means that the order can have no effect any more.
+	Settled bool `json:"settled,omitempty"`
 }
 
 // failoverOrders returns the recorded orders; a term without a recorded endpoint is an order for an unknown one.
 func (r intentRow) failoverOrders() []failover.Order {
 	var orders []failover.Order
 	for _, o := range r.Orders {
-		orders = append(orders, failover.Order{Endpoint: o.Endpoint, After: group.Term(o.After), Term: group.Term(o.Term)})
+		orders = append(orders, failover.Order{Endpoint: o.Endpoint, After: group.Term(o.After), Term: group.Term(o.Term), Settled: o.Settled})
 	}
 	if last := len(orders) - 1; r.Ordered > 0 && (last < 0 || orders[last].Term < group.Term(r.Ordered)) {
 		orders = append(orders, failover.Order{Term: group.Term(r.Ordered)})
@@ -58,7 +60,7 @@
 func (r intentRow) withOrders(orders []failover.Order) intentRow {
 	r.Orders = nil
 	for _, o := range orders {
-		r.Orders = append(r.Orders, orderRow{Endpoint: o.Endpoint, After: uint64(o.After), Term: uint64(o.Term)})
+		r.Orders = append(r.Orders, orderRow{Endpoint: o.Endpoint, After: uint64(o.After), Term: uint64(o.Term), Settled: o.Settled})
 		r.Ordered = max(r.Ordered, uint64(o.Term))
 	}
 	return r
--- a/fleet/orders.go
+++ b/fleet/orders.go
@@ -167,9 +167,12 @@
 func (o *orders[L]) promote(ctx context.Context, p failover.Promote) (failover.PromotionOutcome, error) {
 	i := o.instance
 	if err := o.record(ctx, p); err != nil {
+		if fault.KindOf(err) == fault.KindConflict || isConcurrentWrite(err) {
+			return failover.PromotionPreempted, err
+		}
 		return failover.PromotionNotSent, err
 	}
-	token, ok := i.coordinator.Held()
+	token, until, ok := i.coordinator.HeldUntil()
 	if !ok || !o.current.Current(p.Attempt) {
 		return failover.PromotionNotSent, fault.New(fault.Config{
 			Kind:    fault.KindConflict,
@@ -177,7 +180,7 @@
 			Remedy:  "no action needed; the promotion is ordered again if it is still needed",
 		})
 	}
-	err := i.cfg.Adapter.Promote(ctx, Promotion{Group: o.name, Endpoint: p.Endpoint, Holder: i.cfg.Name, Token: token})
+	err := i.cfg.Adapter.Promote(ctx, Promotion{Group: o.name, Endpoint: p.Endpoint, Holder: i.cfg.Name, Token: token, Until: until})
 	return promotionOutcome(err), err
 }
 
