failover: repair what a lost coordinator left fenced

Seen by callers: none yet; found while looking for what the next coordinator knows of its predecessor. A coordinator that is killed after its fences, or after its recorded order, while the old primary cannot be reached leaves replicas that receive nothing for good once that primary answers again, or a group whose only primary nobody may confirm.

Cause: attempts are started only when the primary is lost.

Evidence, before the change: nobody claims within 20 s.

--- FAIL: TestReplicasOfLostCoordinatorAreReleased --- FAIL: TestOrderOfLostCoordinatorIsCompleted --- FAIL: TestPromisesOfLostAttemptAreFollowedByPromotion

Fix: a replica that has held a promise without effect for twice the time of a failed attempt makes the instance of rank 0 claim the promotion. An open order is completed; otherwise the replicas are released.

--- a/failover/attempt.go
+++ b/failover/attempt.go
@@ -36,6 +36,8 @@
 	revoked bool
 	// awaitsLog reports that the attempt waits, or has waited, for a member that is not fenced yet.
 	awaitsLog bool
+	// repairs reports that the attempt was started to repair what a lost coordinator left behind.
+	repairs bool
 	// forOpenOrder reports that the attempt was started because an earlier one left a replacement open.
 	forOpenOrder bool
 	oldPrimary   string
@@ -110,6 +112,9 @@
 			return m.abandon(now, "another instance has completed the replacement")
 		}
 	}
+	if m.attempt.repairs {
+		return m.repair(now)
+	}
 	return m.afterClaim(now)
 }
 
--- a/failover/machine.go
+++ b/failover/machine.go
@@ -42,6 +42,9 @@
 	answeredAt    time.Time
 	refusingSince time.Time
 	leaving       bool
+	// promised is the term of a promise to an attempt that has had no effect, or 0, and promisedSince when it was first seen.
+	promised      group.Term
+	promisedSince time.Time
 }
 
 // Machine decides on failovers and switchovers of one group; it is not safe for concurrent use.
@@ -194,6 +197,7 @@
 	m.newestTerm = max(m.newestTerm, s.Point().Term())
 	m.recordCompeting(now, s)
 	m.recordDemotion(now, s)
+	state.recordPromise(now, m.term)
 	m.recordMissing(s)
 	m.recordPrimaryPoint(now, s)
 	if s.Role() == group.RolePrimary && s.Confirms(s.Point().Term()) && s.Point().Term() > m.term {
--- a/failover/suspect.go
+++ b/failover/suspect.go
@@ -53,6 +53,11 @@
 	if !m.primaryLost(now) {
 		m.suspended = false
 		m.primaryLostSince = time.Time{}
+		if m.repairDue(now) {
+			actions := m.startAttempt(now, false)
+			m.attempt.repairs = true
+			return actions
+		}
 		return nil
 	}
 	if m.primaryLostSince.IsZero() {
--- a/fleet/orders.go
+++ b/fleet/orders.go
@@ -119,6 +119,7 @@
 // Release resumes a replica's replication if this instance holds the coordinator lease and has begun no other attempt: no
 // other attempt can then have fenced the replica.
 func (o *orders[L]) Release(endpoint string, term group.Term, attempt string) {
+	o.current.Begin(attempt)
 	o.group().Send(endpoint, func(ctx context.Context, link L) (group.Status, error) {
 		if !o.maySend(o.current.Newest(attempt), "release_left_out", endpoint, term) {
 			return link.Status(ctx)
