soak: replacements of the primary while its parts fail

The soak could not make a member silent towards the instances alone, let the promotion API run what it did not answer, kill or suspend the coordinator at the moment of its order, or make a replica receive nothing, and played no group with SyncReplicas.

--- a/cmd/monsoonsoak/main.go
+++ b/cmd/monsoonsoak/main.go
@@ -29,7 +29,9 @@
 	PowerLosses   int           `long:"power-losses" description:"times that all instances lose power, besides the other faults, while the endpoints keep their connections"`
 	Severances    int           `long:"severances" description:"times that open connections to the endpoints, the store and the promoter go silent for good, besides the other faults"`
 	StoreRestores int           `long:"store-restores" description:"times that the store returns from an older copy, besides the other faults"`
-	Case          string        `long:"case" description:"a series of faults around such a return that replaces the drawn ones; its name"`
+	Promotions    int           `long:"promotions" description:"replacements of the primary during which the promotion API, the successor, the coordinator or a replica fails, besides the other faults"`
+	SyncReplica   bool          `long:"sync-replica" description:"endpoints acknowledge a write only once a replica has received it"`
+	Case          string        `long:"case" description:"a series of faults that replaces the drawn ones, around a return of the store or, replacement, of the primary; its name"`
 	Binary        string        `long:"binary" default:"target/monsoontiller" description:"the program"`
 	Directory     string        `long:"directory" default:"target/soak" description:"takes the settings and output of the processes of each seed"`
 }
@@ -100,7 +102,7 @@
 	}
 	defer faults.Close()
 	report, err := soak.Run(ctx, soak.Config{
-		Seed: seed, Length: o.Length, Instances: o.Instances, Clients: o.Clients, Connections: o.Connections, Accounts: o.accounts(seed), PowerLosses: o.PowerLosses, Severances: o.Severances, StoreRestores: o.StoreRestores, Case: o.Case,
+		Seed: seed, Length: o.Length, Instances: o.Instances, Clients: o.Clients, Connections: o.Connections, Accounts: o.accounts(seed), PowerLosses: o.PowerLosses, Severances: o.Severances, StoreRestores: o.StoreRestores, Promotions: o.Promotions, SyncReplica: o.SyncReplica, Case: o.Case,
 		Network: 1 + int(seed%networkCount), Binary: o.Binary, Directory: directory, Output: io.Writer(faults),
 	})
 	if err != nil {
--- a/soak/case.go
+++ b/soak/case.go
@@ -35,7 +35,10 @@
 	b.add(kindStoreRestore, from, to, time.Second+time.Duration(b.r.Int64N(int64(2*time.Second))), target)
 }
 
-// cases are series of faults around a store that returns from an older copy.
+// caseReplacement is the case in which the store does not return from an older copy.
+const caseReplacement = "replacement"
+
+// cases are series of faults around a store that returns from an older copy, and caseReplacement.
 var cases = map[string]func(b *caseBuilder){
 	"configuration": func(b *caseBuilder) {
 		b.add("configuration", 0, 0, 0, 0)
@@ -47,6 +50,12 @@
 		b.restore(0, 2500*time.Millisecond, b.r.IntN(2) == 0)
 		b.add("primary_crash", 5*time.Second, 7*time.Second, 3*time.Second, 0)
 	},
+	caseReplacement: func(b *caseBuilder) {
+		for i := range 3 {
+			from := time.Duration(i)*10*time.Second - caseStart
+			b.add(kindPromotion, from, from+2*time.Second, 3*time.Second+time.Duration(b.r.Int64N(int64(3*time.Second))), b.r.IntN(1<<promotionBits))
+		}
+	},
 	"switchover": func(b *caseBuilder) {
 		b.add("primary_leaves", 0, 0, 4*time.Second, 0)
 		b.restore(0, time.Second, b.r.IntN(2) == 0)
--- a/soak/fixture.go
+++ b/soak/fixture.go
@@ -27,6 +27,8 @@
 	group     *platformtest.Group
 	members   []*platformtest.Member
 	instances []*Process
+	// promotions is held while a fault of kindPromotion is in progress.
+	promotions sync.Mutex
 	// storeProxies and promoterProxies hold a proxy per instance, between it and the platform; endpointProxies holds a
 	// proxy per member, between it and all instances.
 	storeProxies    []*Proxy
@@ -71,6 +73,10 @@
 		return nil, err
 	}
 	f.group.SetConnectionLimit(cfg.Connections)
+	f.group.SetSyncReplica(cfg.SyncReplica)
+	if cfg.promotes() {
+		f.group.SetTimes(promotionTime, stepDownAfter)
+	}
 	f.members = f.group.Members()
 	f.group.Observe(func(e platformtest.Execution) {
 		oracle.RecordRun(e)
@@ -176,7 +182,7 @@
 	return platformtest.NewOperator(platformtest.OperatorConfig{
 		VersionStep: 3, Accounts: f.accounts.oracleOrNil(),
 		Configuration: platformtest.Configuration{
-			Group: groupName, Connections: f.cfg.Connections, Tenants: f.accounts.tenants(),
+			Group: groupName, Connections: f.cfg.Connections, SyncReplica: f.cfg.SyncReplica, Tenants: f.accounts.tenants(),
 			Timeout: requestTimeout, TargetLatency: targetLatency, MaxStaleness: maxStaleness, TransactionIdle: transactionIdle,
 		},
 		Write: func(c platformtest.Configuration) {
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -32,6 +32,8 @@
 		f.killAll(ctx, fault)
 	case kindSever:
 		f.sever(fault)
+	case kindPromotion:
+		f.replacePrimary(ctx, fault)
 	case kindStoreRestore:
 		f.restoreStore(ctx, fault)
 	case "freeze":
--- a/soak/run.go
+++ b/soak/run.go
@@ -30,6 +30,10 @@
 	Severances int
 	// StoreRestores is the number of times that the store returns from an older copy, in addition to the schedule.
 	StoreRestores int
+	// Promotions is the number of replacements of the primary under failures, in addition to the faults of the schedule.
+	Promotions int
+	// SyncReplica makes the members acknowledge a write only once a replica has received it.
+	SyncReplica bool
 	// Case, if set, names the series of faults that replaces those of the schedule, one of CaseNames.
 	Case string
 	// Network is the second octet of the instances' loopback addresses; concurrent runs need different values.
@@ -42,7 +46,12 @@
 }
 
 // restoresStore reports whether the store returns from older copies in the run.
-func (c Config) restoresStore() bool { return c.StoreRestores > 0 || c.Case != "" }
+func (c Config) restoresStore() bool {
+	return c.StoreRestores > 0 || c.Case != "" && c.Case != caseReplacement
+}
+
+// promotes reports whether the primary is replaced under failures in the run.
+func (c Config) promotes() bool { return c.Promotions > 0 || c.Case == caseReplacement }
 
 // faults returns the faults of the run in order of their start.
 func (c Config) faults() (faults []Fault, err error) {
@@ -52,7 +61,7 @@
 		return nil, err
 	}
 	faults = slices.Concat(faults, PowerLosses(c.Seed, c.Length, c.PowerLosses), StoreRestores(c.Seed, c.Length, c.StoreRestores),
-		Severances(c.Seed, c.Length, c.Severances))
+		Severances(c.Seed, c.Length, c.Severances), Promotions(c.Seed, c.Length, c.Promotions))
 	if c.Accounts > 0 {
 		faults = append(faults, AccountFaults(c.Seed, c.Length)...)
 	}
@@ -135,7 +144,7 @@
 		}
 	}
 	if primary := f.group.Primary(); primary != nil {
-		oracle.CheckAcked(primary.Log(), f.group.RolledBack)
+		oracle.CheckAcked(primary.Log(), func(data string) bool { return !cfg.SyncReplica && f.group.RolledBack(data) })
 	}
 	report.violations = append(oracle.Violations(), failures...)
 	report.runs, report.acked = oracle.Counts()
--- a/soak/run_test.go
+++ b/soak/run_test.go
@@ -20,17 +20,20 @@
 	restores    int
 	severances  int
 	series      string
+	syncReplica bool
 	cause       string
 }{
-	{1, 40, 0, 4, 6 * time.Second, 0, 0, 0, "", "none: all instances hold connections"},
-	{2, 8, 0, 4, 6 * time.Second, 0, 0, 0, "", "none: sessions are forwarded to one home"},
-	{3, 20, 0, 5, 6 * time.Second, 1, 0, 0, "", "none: all instances lose power, and the endpoints keep their connections"},
-	{26, 40, 0, 4, 6 * time.Second, 0, 0, 0, "", "the promotion coordinator was killed after it had demoted the leaving primary, and no instance took over"},
-	{142, 10, 0, 7, 8 * time.Second, 0, 0, 0, "", "all instances were killed during a promotion, and none knew a primary after the restart"},
-	{601, 40, 0, 4, 7 * time.Second, 0, 1, 0, "", "the store returned from an older copy, and all instances missed a configuration"},
-	{1, 40, 0, 4, 12 * time.Second, 0, 0, 0, "promotion", "none: the store returns from an older copy during a promotion"},
-	{4, 40, 0, 4, 8 * time.Second, 0, 0, 2, "", "none: open connections go silent twice"},
-	{15, 40, 3, 5, 15 * time.Second, 0, 0, 0, "", "none: keys are removed and moved, limits are lowered, accounts become hot"},
+	{1, 40, 0, 4, 6 * time.Second, 0, 0, 0, "", false, "none: all instances hold connections"},
+	{2, 8, 0, 4, 6 * time.Second, 0, 0, 0, "", false, "none: sessions are forwarded to one home"},
+	{3, 20, 0, 5, 6 * time.Second, 1, 0, 0, "", false, "none: all instances lose power, and the endpoints keep their connections"},
+	{26, 40, 0, 4, 6 * time.Second, 0, 0, 0, "", false, "the promotion coordinator was killed after it had demoted the leaving primary, and no instance took over"},
+	{142, 10, 0, 7, 8 * time.Second, 0, 0, 0, "", false, "all instances were killed during a promotion, and none knew a primary after the restart"},
+	{601, 40, 0, 4, 7 * time.Second, 0, 1, 0, "", false, "the store returned from an older copy, and all instances missed a configuration"},
+	{1, 40, 0, 4, 12 * time.Second, 0, 0, 0, "promotion", false, "none: the store returns from an older copy during a promotion"},
+	{4, 40, 0, 4, 8 * time.Second, 0, 0, 2, "", false, "none: open connections go silent twice"},
+	{15, 40, 3, 5, 15 * time.Second, 0, 0, 0, "", false, "none: keys are removed and moved, limits are lowered, accounts become hot"},
+	{7006, 40, 0, 4, 32 * time.Second, 0, 0, 0, "replacement", false, "orders of a promotion outlived their attempt, and an unseen promotion was not fenced"},
+	{7101, 40, 0, 4, 32 * time.Second, 0, 0, 0, "replacement", true, "none: writes need a replica, and one receives nothing"},
 }
 
 // TestShortSoak runs the real program as separate processes under faults for a few seconds; cmd/monsoonsoak does longer
@@ -46,7 +49,7 @@
 		t.Run(regression.cause, func(t *testing.T) {
 			t.Parallel()
 			r, err := soak.Run(t.Context(), soak.Config{
-				Seed: regression.seed, Length: regression.length, Instances: regression.instances, Clients: 16, Connections: regression.connections, Accounts: regression.accounts, PowerLosses: regression.powerLosses, StoreRestores: regression.restores, Severances: regression.severances, Case: regression.series,
+				Seed: regression.seed, Length: regression.length, Instances: regression.instances, Clients: 16, Connections: regression.connections, Accounts: regression.accounts, PowerLosses: regression.powerLosses, StoreRestores: regression.restores, Severances: regression.severances, Case: regression.series, SyncReplica: regression.syncReplica,
 				Network: 100 + i, Binary: binary, Directory: t.TempDir(), Output: t.Output(),
 			})
 			if err != nil {
