failover, fleet: a promotion does not wait for the store

Cause: the record that now precedes an order needs the store, and the order waited for it.

An attempt that claims a group whose last claim is another process's and has no recorded order does not rely on the revocation, which cannot name a member of which nothing is known, but waits until every lease has ended: once a majority has promised its term, none can start.

--- a/failover/attempt.go
+++ b/failover/attempt.go
@@ -36,6 +36,9 @@
 	revoked bool
 	// awaitsLog reports that the attempt waits, or has waited, for a member that is not fenced yet.
 	awaitsLog bool
+	// interrupted reports that an attempt of another instance may have put an unknown primary in place, whose leases can only
+	// be waited out.
+	interrupted bool
 	// repairs reports that the attempt was started to repair what a lost coordinator left behind.
 	repairs bool
 	// forOpenOrder reports that the attempt was started because an earlier one left a replacement open.
@@ -128,6 +131,7 @@
 		m.orders = nil
 	}
 	m.attempt.bound = m.boundEndpoint()
+	m.attempt.interrupted = r.Interrupted
 }
 
 // awaitClaimResult abandons the attempt once the claim timeout has passed without an answer of the table.
--- a/failover/event.go
+++ b/failover/event.go
@@ -45,6 +45,8 @@
 	Term    group.Term
 	// Orders are the promotions that earlier attempts have recorded, oldest first.
 	Orders []Order
+	// Interrupted means that an attempt of another instance may have ordered a promotion that it could not record.
+	Interrupted bool
 }
 
 // Revoked reports that every instance has ended its lease of the old term for Attempt.
--- a/failover/promote.go
+++ b/failover/promote.go
@@ -93,7 +93,7 @@
 		return m.abandon(now, "a member has promised a higher term")
 	}
 	wait := m.cfg.Lease + time.Duration(clockDrift*float64(m.cfg.Lease))
-	if m.attempt.revoked || now.Sub(m.noLeaseSince()) >= wait {
+	if m.attempt.revoked && !m.attempt.interrupted || now.Sub(m.noLeaseSince()) >= wait {
 		return m.promote(now)
 	}
 	if now.Sub(m.stepStartedAt) >= m.cfg.StepTimeout {
@@ -106,7 +106,7 @@
 // attempt may have promoted.
 func (m *Machine) noLeaseSince() time.Time {
 	a := &m.attempt
-	if len(m.orders) > 0 {
+	if len(m.orders) > 0 || a.interrupted {
 		return a.majorityAt
 	}
 	if !a.oldFencedAt.IsZero() && a.oldFencedAt.Before(a.majorityAt) {
--- a/failover/promotion_test.go
+++ b/failover/promotion_test.go
@@ -263,3 +263,19 @@
 		t.Errorf("%s was ordered though the order for %s is open", next.Endpoint, first.Endpoint)
 	}
 }
+
+// Guards against leases on a primary of which nothing is known: its coordinator could not record the order. They are waited out
+// although all instances have ended the leases that could be named.
+func TestLeasesOfUnrecordedOrderAreWaitedOut(t *testing.T) {
+	s := newAnsweredFixture()
+	claim := s.claimAfterLoss(t)
+	s.step(failover.ClaimResult{Attempt: claim.Attempt, Outcome: failover.ClaimWon, Term: 3, Interrupted: true})
+	s.reportStatus("b", group.RoleReplica, 10, 3, claim.Attempt)
+	s.reportStatus("c", group.RoleReplica, 12, 3, claim.Attempt)
+	if early, ok := find[failover.Promote](s.step(failover.Revoked{Attempt: claim.Attempt})); ok {
+		t.Errorf("ordered %s before a lease can have ended", early.Endpoint)
+	}
+	if _, ok := find[failover.Promote](s.advance(sequentialLease + 20*time.Millisecond)); !ok {
+		t.Error("nobody was ordered after the leases had ended")
+	}
+}
--- a/fleet/coordinator.go
+++ b/fleet/coordinator.go
@@ -70,6 +70,8 @@
 	term group.Term
 	// orders are the promotions that earlier attempts have recorded, oldest first.
 	orders []failover.Order
+	// interrupted reports that an attempt of another process claimed a term for which it recorded no order.
+	interrupted bool
 }
 
 func newCoordinatorLease(cfg coordinatorLeaseConfig) *coordinatorLease {
@@ -140,8 +142,17 @@
 	if err != nil {
 		return claimed{}, err
 	}
+	result := claimed{term: group.Term(intent.Term), orders: before.failoverOrders(), interrupted: l.interrupted(r, before)}
 	intents[r.group] = heldIntent{intent: intent, until: sentAt.Add(coordinatorLeaseDuration)}
-	return claimed{term: group.Term(intent.Term), orders: before.failoverOrders()}, l.write(ctx, sentAt, record, intents, r.group)
+	return result, l.write(ctx, sentAt, record, intents, r.group)
+}
+
+// interrupted reports whether the attempt that claimed the row is another process's and recorded no order.
+func (l *coordinatorLease) interrupted(r claimRequest, before intentRow) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	own := before.Attempt != "" && (before.Attempt == r.attempt || l.intents[r.group].intent.Attempt == before.Attempt)
+	return !own && before.Term > before.Ordered
 }
 
 // checkClaimable returns an error if another instance holds the lease, or may hold it.
--- a/fleet/export_test.go
+++ b/fleet/export_test.go
@@ -37,6 +37,19 @@
 	return c.term, c.orders, err
 }
 
+// ClaimResult claims the lease for an attempt, and returns what the failover machine learns of it.
+func (l *CoordinatorLease) ClaimResult(ctx context.Context, name, attempt string, term group.Term) (failover.ClaimResult, error) {
+	c, err := l.lease.Claim(ctx, claimRequest{group: name, term: term, attempt: attempt})
+	return failover.ClaimResult{Attempt: attempt, Outcome: failover.ClaimWon, Term: c.term, Orders: c.orders, Interrupted: c.interrupted}, err
+}
+
+// ClaimInterrupted claims the lease for an attempt, and reports whether an attempt of another process may have ordered a
+// promotion that it did not record.
+func (l *CoordinatorLease) ClaimInterrupted(ctx context.Context, name, attempt string, term group.Term) (bool, error) {
+	c, err := l.lease.Claim(ctx, claimRequest{group: name, term: term, attempt: attempt})
+	return c.interrupted, err
+}
+
 // RecordOrders records the orders of an attempt and of those before it.
 func (l *CoordinatorLease) RecordOrders(ctx context.Context, name, attempt string, orders ...failover.Order) error {
 	return l.lease.RecordOrders(ctx, name, attempt, orders)
@@ -371,3 +384,15 @@
 
 // MissingEndpoints gives tests access to the record of endpoints whose entries were dropped.
 type MissingEndpoints = missingEndpoints
+
+// FailoverConfig returns the configuration of the failover machine of a group on an instance.
+var FailoverConfig = failoverConfig
+
+// Renew renews the lease for an attempt that has claimed term.
+func (l *CoordinatorLease) Renew(ctx context.Context, name, attempt string, term group.Term) error {
+	_, err := l.lease.Claim(ctx, claimRequest{group: name, term: term, attempt: attempt, renew: true})
+	return err
+}
+
+// RevocationTime is how long a revoked lease cannot be renewed.
+const RevocationTime = revocationTime
--- a/fleet/instance.go
+++ b/fleet/instance.go
@@ -364,8 +364,8 @@
 	c, err := i.coordinator.Claim(ctx, claimRequest{group: name, term: term, attempt: attempt})
 	token, _ := i.coordinator.Held()
 	logLine(i.cfg.Logger, "level", "info", "msg", "duty_claimed", "group", name, "term", uint64(c.term), "attempt", attempt,
-		"token", token, "orders", len(c.orders), "error", errorText(err))
-	result := failover.ClaimResult{Attempt: attempt, Outcome: failover.ClaimWon, Term: c.term, Orders: c.orders}
+		"token", token, "orders", len(c.orders), "interrupted", c.interrupted, "error", errorText(err))
+	result := failover.ClaimResult{Attempt: attempt, Outcome: failover.ClaimWon, Term: c.term, Orders: c.orders, Interrupted: c.interrupted}
 	switch {
 	case err == nil:
 		return result
--- a/fleet/order_test.go
+++ b/fleet/order_test.go
@@ -89,3 +89,26 @@
 		t.Errorf("claimed term %d with the orders %v: %v", term, orders, err)
 	}
 }
+
+// Guards against a coordinator that follows another one, which could not record its order: it must learn that there may be one.
+func TestClaimTellsOfUnrecordedOrder(t *testing.T) {
+	for _, recorded := range []bool{false, true} {
+		sim := newSimulation()
+		one, two := sim.lease("one"), sim.lease("two")
+		if interrupted, err := one.ClaimInterrupted(context.Background(), "orders", "first", 2); err != nil || interrupted {
+			t.Fatalf("the first claim of a group is interrupted: %v, %v", interrupted, err)
+		}
+		if interrupted, err := one.ClaimInterrupted(context.Background(), "orders", "second", 2); err != nil || interrupted {
+			t.Errorf("a process takes its own attempt for another one's: %v, %v", interrupted, err)
+		}
+		if recorded {
+			if err := one.RecordOrders(context.Background(), "orders", "second", failover.Order{Endpoint: "b", After: 1, Term: 2}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		sim.advance(fleet.CoordinatorLeaseDuration)
+		if interrupted, err := two.ClaimInterrupted(context.Background(), "orders", "third", 2); err != nil || interrupted == recorded {
+			t.Errorf("order recorded %v: interrupted %v, %v", recorded, interrupted, err)
+		}
+	}
+}
--- a/fleet/orders.go
+++ b/fleet/orders.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
+	"time"
 
 	"github.com/monsoontiller/monsoontiller/engine"
 	"github.com/monsoontiller/monsoontiller/failover"
@@ -146,15 +148,26 @@
 	o.promotions <- p
 }
 
+const (
+	// recordTimeout bounds the record of an order before it is sent: a promotion does not wait for the store.
+	recordTimeout = stepTimeout
+	// lateRecordTries is how often the record is tried afterwards, and lateRecordPause the wait between two tries.
+	lateRecordTries = 8
+	lateRecordPause = 200 * time.Millisecond
+)
+
 // Run sends the promotion orders, one after the other, until ctx ends.
 func (o *orders[L]) Run(ctx context.Context) {
 	for {
 		select {
 		case p := <-o.promotions:
-			outcome, err := o.promote(ctx, p)
+			outcome, recorded, err := o.promote(ctx, p)
 			logLine(o.instance.cfg.Logger, "level", "info", "msg", "promotion_ordered", "group", o.name, "endpoint", p.Endpoint,
-				"term", uint64(p.Term), "outcome", outcome.String(), "error", errorText(err))
+				"term", uint64(p.Term), "outcome", outcome.String(), "recorded", recorded, "error", errorText(err))
 			o.answered(failover.PromotionAnswered{Attempt: p.Attempt, Endpoint: p.Endpoint, Outcome: outcome})
+			if !recorded && outcome != failover.PromotionNotSent && outcome != failover.PromotionPreempted {
+				o.recordLate(ctx, p)
+			}
 		case <-ctx.Done():
 			return
 		}
@@ -164,41 +177,68 @@
 // promote records an order and sends it if its attempt is current, and claims the coordinator lease first if it has ended.
 //
 // The record precedes the order, so that whoever continues after this instance knows that
-// the order may have an effect.
-func (o *orders[L]) promote(ctx context.Context, p failover.Promote) (failover.PromotionOutcome, error) {
+// the order may have an effect. If the store does not answer, the order is sent without
+// it: the claim then tells the next coordinator that there may be one.
+func (o *orders[L]) promote(ctx context.Context, p failover.Promote) (outcome failover.PromotionOutcome, recorded bool, err error) {
 	i := o.instance
-	if err := o.record(ctx, p); err != nil {
-		if fault.KindOf(err) == fault.KindConflict || isConcurrentWrite(err) {
-			return failover.PromotionPreempted, err
-		}
-		return failover.PromotionNotSent, err
+	if err := o.renewLease(ctx, p); err != nil {
+		return unsentOutcome(err), false, err
+	}
+	recordErr := o.record(ctx, p, recordTimeout)
+	if unsentOutcome(recordErr) == failover.PromotionPreempted {
+		return failover.PromotionPreempted, false, recordErr
 	}
 	token, until, ok := i.coordinator.HeldUntil()
 	if !ok || !o.current.Current(p.Attempt) {
-		return failover.PromotionNotSent, fault.New(fault.Config{
+		return failover.PromotionNotSent, false, fault.New(fault.Config{
 			Kind:    fault.KindConflict,
 			Message: "the attempt or the lease of the promotion coordinator has ended",
 			Remedy:  "no action needed; the promotion is ordered again if it is still needed",
 		})
 	}
-	err := i.cfg.Adapter.Promote(ctx, Promotion{Group: o.name, Endpoint: p.Endpoint, Holder: i.cfg.Name, Token: token, Until: until})
-	return promotionOutcome(err), err
+	err = i.cfg.Adapter.Promote(ctx, Promotion{Group: o.name, Endpoint: p.Endpoint, Holder: i.cfg.Name, Token: token, Until: until})
+	return promotionOutcome(err), recordErr == nil, errors.Join(recordErr, err)
 }
 
-// record claims the coordinator lease again if it has ended, and records the order.
-func (o *orders[L]) record(ctx context.Context, p failover.Promote) error {
-	if !o.current.Current(p.Attempt) {
+// unsentOutcome returns the outcome of an order that was not sent because of an error of the coordinator lease.
+func unsentOutcome(err error) failover.PromotionOutcome {
+	if err != nil && (fault.KindOf(err) == fault.KindConflict || isConcurrentWrite(err)) {
+		return failover.PromotionPreempted
+	}
+	return failover.PromotionNotSent
+}
+
+// renewLease claims the coordinator lease again if it has ended.
+func (o *orders[L]) renewLease(ctx context.Context, p failover.Promote) error {
+	if _, ok := o.instance.coordinator.Held(); ok || !o.current.Current(p.Attempt) {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
-	if _, ok := o.instance.coordinator.Held(); !ok {
-		r := claimRequest{group: o.name, term: p.Term, attempt: p.Attempt, renew: true}
-		if _, err := o.instance.coordinator.Claim(ctx, r); err != nil {
-			return err
+	_, err := o.instance.coordinator.Claim(ctx, claimRequest{group: o.name, term: p.Term, attempt: p.Attempt, renew: true})
+	return err
+}
+
+// record records an order.
+func (o *orders[L]) record(ctx context.Context, p failover.Promote, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return o.instance.coordinator.RecordOrders(ctx, o.name, p.Attempt, p.Orders)
+}
+
+// recordLate records an order that was sent without a record, unless another order waits.
+func (o *orders[L]) recordLate(ctx context.Context, p failover.Promote) {
+	for range lateRecordTries {
+		if len(o.promotions) > 0 {
+			return
+		}
+		err := o.record(ctx, p, claimTimeout)
+		logLine(o.instance.cfg.Logger, "level", "info", "msg", "order_recorded", "group", o.name, "endpoint", p.Endpoint,
+			"term", uint64(p.Term), "error", errorText(err))
+		if err == nil || fault.KindOf(err) == fault.KindConflict || engine.Sleep(ctx, lateRecordPause) != nil {
+			return
 		}
 	}
-	return o.instance.coordinator.RecordOrders(ctx, o.name, p.Attempt, p.Orders)
 }
 
 // promotionOutcome returns what an error of Adapter.Promote says of the order.
