failover: a coordinator remembers an order that it could not record

Seen by callers: none; found when reading the change. After a promotion that was ordered without a record and not seen, the same coordinator's next claim reads an older list of orders, which replaced what it knew: the member of the unrecorded order would have kept its leases.

Evidence, before the change:

revoked {Term:1 Reported:1 Ordered:[]}, want the leases of c up to term 2 --- FAIL: TestOrderWithoutRecordIsRemembered

Fix: its own orders of a later term than the newest recorded one stay on the list.

--- a/failover/order.go
+++ b/failover/order.go
@@ -48,13 +48,20 @@
 	return !newest.Leads(m.primary, m.term)
 }
 
-// adoptOrders takes over the recorded orders, and keeps what this machine knows of them beyond the record.
+// adoptOrders takes over the recorded orders, and keeps what this machine knows beyond the record: that an order is settled, and
+// its own newer orders, which it could not record.
 func (m *Machine) adoptOrders(recorded []Order) {
 	orders := append([]Order(nil), recorded...)
 	for i, o := range orders {
 		o.Settled = true
 		orders[i].Settled = orders[i].Settled || slices.Contains(m.orders, o)
 	}
+	newest := recorded[len(recorded)-1].Term
+	for _, o := range m.orders {
+		if o.Term > newest {
+			orders = append(orders, o)
+		}
+	}
 	m.orders = orders
 }
 
--- a/failover/promotion_test.go
+++ b/failover/promotion_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"reflect"
+	"slices"
 	"testing"
 	"time"
 
@@ -279,3 +280,18 @@
 		t.Error("nobody was ordered after the leases had ended")
 	}
 }
+
+// Guards against the same for the coordinator itself: the record that it reads with its next claim lacks the order, and has an
+// older one.
+func TestOrderWithoutRecordIsRemembered(t *testing.T) {
+	s := newAnsweredFixture()
+	first := s.promoteAfterLoss(t)
+	claim := s.abandonAccepted(t, first)
+	older := failover.Order{Endpoint: "a", After: 0, Term: 1}
+	s.step(failover.ClaimResult{Attempt: claim.Attempt, Outcome: failover.ClaimWon, Term: claim.Term, Orders: []failover.Order{older}})
+	s.reportStatus("b", group.RoleReplica, 10, claim.Term, claim.Attempt)
+	revoke, _ := find[failover.Revoke](s.reportStatus("c", group.RoleReplica, 12, claim.Term, claim.Attempt))
+	if !slices.Contains(revoke.Ordered, first.Endpoint) || revoke.Term != first.Term {
+		t.Errorf("revoked %+v, want the leases of %s up to term %d", revoke, first.Endpoint, first.Term)
+	}
+}
