fleet, platform: a coordinator without the promotion API leaves its duty

What callers would see: the coordinator reaches the store and the members, but not the promotion API. Writes are refused for as long as that lasts, although any other instance could order the promotion.

Cause: an attempt whose order is not sent or not answered is continued by the same instance, which renews the coordinator lease each time. Nothing told whether the holder can perform the duty.

Evidence: TestDutyMovesToInstanceThatReachesPromotionAPI before the change, for refused connections and for a path that swallows requests:

handover_test.go:113: the condition is still false after 30s --- FAIL: TestDutyMovesToInstanceThatReachesPromotionAPI (62.04s)

Fix: an instance that the API has not answered for 2 s, or for 5 s if the API accepts its connections, neither claims nor renews the lease for 5 s, unless it is alone. The lease ends at its usual time, so the next holder's order follows no sooner than before, and it names the member of the recorded order, so it does not matter which of both is run.

--- a/fleet/adapter.go
+++ b/fleet/adapter.go
@@ -104,6 +104,6 @@
 	Dial func(ctx context.Context, t Target, dial DialFunc) (L, error)
 	// Promote orders a promotion. It fails with KindConflict if the platform refuses because the endpoint does not run, with
 	// KindUnavailable if the order was not sent or the platform refused it unseen, and with KindOutcomeUnknown if the order
-	// may have an effect, now or later.
+	// may have an effect, now or later. The error wraps ErrPromotionAPIUnreachable if no connection was opened.
 	Promote func(ctx context.Context, p Promotion) error
 }
--- a/fleet/coordinator.go
+++ b/fleet/coordinator.go
@@ -21,6 +21,8 @@
 	Store store.Store
 	Name  string
 	Clock func() time.Time
+	// Others returns the number of the other instances believed alive; nil means that there are none.
+	Others func() int
 }
 
 // coordinatorLease is the right to order promotions, which one instance, the promotion coordinator, holds at a time; it is
@@ -30,6 +32,8 @@
 // from before it sent the transaction. The fencing token increases whenever the holder changes.
 type coordinatorLease struct {
 	cfg coordinatorLeaseConfig
+	// reach tells whether this instance can perform the duty.
+	reach apiReach
 	// claimMu serialises claims, which read the row and then write it.
 	claimMu   sync.Mutex
 	mu        sync.Mutex
@@ -88,6 +92,9 @@
 	return l.token, l.cfg.Clock().Before(l.heldUntil)
 }
 
+// RecordOrder records whether the promotion API answered an order; err is the error of Adapter.Promote.
+func (l *coordinatorLease) RecordOrder(err error) { l.reach.record(l.cfg.Clock(), err) }
+
 // HeldUntil returns the fencing token and the end of the lease on this instance's clock, and reports whether it is held now.
 func (l *coordinatorLease) HeldUntil() (token uint64, until time.Time, ok bool) {
 	l.mu.Lock()
@@ -98,7 +105,8 @@
 // Claim acquires or renews the lease for a promotion of a group, and records an intent for this promotion.
 //
 // It fails with KindConflict while another instance holds the lease, or if another
-// attempt has claimed the group since the one that renews it, and with KindUnavailable
+// attempt has claimed the group since the one that renews it, or if the promotion API
+// does not answer this instance while there are others, and with KindUnavailable
 // when the store does not return the holder. It makes claimTries tries if the outcome of
 // a write is unknown or another instance wrote the row; the error of the last try is then
 // KindOutcomeUnknown or a concurrentWriteError.
@@ -119,6 +127,9 @@
 // claim reads the record, and writes it if no other instance holds the lease.
 func (l *coordinatorLease) claim(ctx context.Context, r claimRequest) (claimed, error) {
 	sentAt := l.cfg.Clock()
+	if l.cfg.Others != nil && l.cfg.Others() > 0 && l.reach.yields(sentAt) {
+		return claimed{}, yieldError()
+	}
 	s, err := l.cfg.Store.All(ctx, coordinatorTable)
 	if err != nil {
 		return claimed{}, err
--- a/fleet/homes.go
+++ b/fleet/homes.go
@@ -288,6 +288,12 @@
 	return len(live), i.deadWithinLocked(deadRetention)
 }
 
+// otherInstances returns the number of the other instances believed alive.
+func (i *Instance[L]) otherInstances() int {
+	alive, _ := i.counts()
+	return alive - 1
+}
+
 // deadWithinLocked returns the number of instances first seen dead within a time before now.
 func (i *Instance[L]) deadWithinLocked(d time.Duration) (n int) {
 	now := clock.Now()
--- a/fleet/instance.go
+++ b/fleet/instance.go
@@ -80,7 +80,7 @@
 	i.quotas = newQuotas(i)
 	i.cfg.Store = trackedStore{Store: cfg.Store, era: i.era, observe: i.observeEra}
 	i.events = event.NewLog(event.LogConfig{Instance: cfg.Name, OnAdd: i.logEvent})
-	i.coordinator = newCoordinatorLease(coordinatorLeaseConfig{Store: i.cfg.Store, Name: cfg.Name})
+	i.coordinator = newCoordinatorLease(coordinatorLeaseConfig{Store: i.cfg.Store, Name: cfg.Name, Others: i.otherInstances})
 	i.recorder = newRecorder(cfg.Logger, cfg.Scope)
 	i.directory = &directory[L]{group: func(name string) *engine.Group[L] { return i.members.group(name) }}
 	i.members = newMembers(i)
--- a/fleet/orders.go
+++ b/fleet/orders.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/monsoontiller/monsoontiller/clock"
 	"github.com/monsoontiller/monsoontiller/engine"
 	"github.com/monsoontiller/monsoontiller/failover"
 	"github.com/monsoontiller/monsoontiller/fault"
@@ -197,6 +198,9 @@
 		})
 	}
 	err = i.cfg.Adapter.Promote(ctx, Promotion{Group: o.name, Endpoint: p.Endpoint, Holder: i.cfg.Name, Token: token, Until: until})
+	if clock.Now().Before(until) {
+		i.coordinator.RecordOrder(err)
+	}
 	return promotionOutcome(err), recordErr == nil, errors.Join(recordErr, err)
 }
 
