fleet: model of a coordinator that does not reach the promotion API

The model of promotions gets the class of the duty that was kept by such a coordinator: from its first order on, the instance sends none, for the rest of the run, and the other one has to promote a member.

--- a/fleet/model_instance_test.go
+++ b/fleet/model_instance_test.go
@@ -30,7 +30,9 @@
 	frozenUntil time.Time
 	// cutUntil is until when the store turns the instance away.
 	cutUntil time.Time
-	waiting  []modelWrite
+	// apiCut is set for an instance that does not reach the promotion API.
+	apiCut  bool
+	waiting []modelWrite
 }
 
 // start starts the instance without any memory.
@@ -40,7 +42,7 @@
 	cfg.ReplicationRequired = i.model.choices.sync
 	i.machine, i.attempt, i.own, i.waiting = failover.New(cfg), engine.Attempt{}, 0, nil
 	i.tracker = route.NewTracker(route.TrackerConfig{Group: "g", Endpoints: cfg.Members, Lease: fleet.LeaseDuration, RequireAllReplicas: true})
-	i.lease = i.model.sim.lease(i.name)
+	i.lease = i.model.sim.lease(i.name).WithOthers(1)
 	i.down, i.frozenUntil = false, time.Time{}
 }
 
@@ -210,7 +212,10 @@
 		return
 	}
 	answer := func(d time.Duration, o failover.PromotionOutcome) {
-		m.group.after(d, func() { i.deliver(failover.PromotionAnswered{Attempt: p.Attempt, Endpoint: p.Endpoint, Outcome: o}) })
+		m.group.after(d, func() {
+			i.recordOrder(o)
+			i.deliver(failover.PromotionAnswered{Attempt: p.Attempt, Endpoint: p.Endpoint, Outcome: o})
+		})
 	}
 	if first && strings.HasPrefix(m.choices.coordinator, "store_cut") {
 		i.cutUntil = m.sim.now.Add(9 * time.Second)
@@ -223,7 +228,14 @@
 		answer(modelTick, outcome)
 		return
 	}
+	if m.orders == 0 && m.choices.coordinator == "api_cut" {
+		i.apiCut = true
+	}
 	m.orders++
+	if i.apiCut {
+		answer(modelTick, failover.PromotionNotSent)
+		return
+	}
 	f := m.choices.later
 	if first {
 		f = m.choices.first
@@ -256,6 +268,18 @@
 	}
 }
 
+// recordOrder records whether the promotion API answered an order.
+func (i *modelInstance) recordOrder(o failover.PromotionOutcome) {
+	switch {
+	case i.apiCut:
+		i.lease.OrderEnded(fault.New(fault.Config{Kind: fault.KindUnavailable, Cause: fleet.ErrPromotionAPIUnreachable}))
+	case o == failover.PromotionUnanswered:
+		i.lease.OrderEnded(fault.New(fault.Config{Kind: fault.KindOutcomeUnknown}))
+	case o == failover.PromotionAccepted || o == failover.PromotionRefused:
+		i.lease.OrderEnded(nil)
+	}
+}
+
 // record records the orders, or lets that happen once the store no longer turns the instance away.
 func (i *modelInstance) record(ctx context.Context, p failover.Promote) error {
 	if _, held := i.lease.Held(); !held {
--- a/fleet/model_test.go
+++ b/fleet/model_test.go
@@ -23,7 +23,7 @@
 	modelLaterFates   = []fate{orderAnswered, orderRunLate}
 	modelTriggers     = []string{"leaves", "crashes", "silent"}
 	modelSuccessors   = []string{"sound", "silent_short", "silent_long", "isolated_3300", "isolated_3500", "isolated_3700", "isolated_3900"}
-	modelCoordinators = []string{"sound", "killed_before_order", "killed_after_order", "frozen", "store_cut", "store_cut_killed"}
+	modelCoordinators = []string{"sound", "killed_before_order", "killed_after_order", "frozen", "store_cut", "store_cut_killed", "api_cut"}
 )
 
 // modelCase is one combination of choices.
