--- a/fleet/coordinator.go
+++ b/fleet/coordinator.go
@@ -92,8 +92,8 @@
 	return l.token, l.cfg.Clock().Before(l.heldUntil)
 }
 
-// RecordOrder records whether the promotion API answered an order; err is the error of Adapter.Promote.
-func (l *coordinatorLease) RecordOrder(err error) { l.reach.record(l.cfg.Clock(), err) }
+// OrderEnded records whether the promotion API answered an order; err is the error of Adapter.Promote.
+func (l *coordinatorLease) OrderEnded(err error) { l.reach.record(l.cfg.Clock(), err) }
 
 // HeldUntil returns the fencing token and the end of the lease on this instance's clock, and reports whether it is held now.
 func (l *coordinatorLease) HeldUntil() (token uint64, until time.Time, ok bool) {
--- a/fleet/export_test.go
+++ b/fleet/export_test.go
@@ -32,7 +32,7 @@
 }
 
 // OrderEnded records the result of an order.
-func (l *CoordinatorLease) OrderEnded(err error) { l.lease.RecordOrder(err) }
+func (l *CoordinatorLease) OrderEnded(err error) { l.lease.OrderEnded(err) }
 
 // Claim acquires or renews the lease.
 func (l *CoordinatorLease) Claim(ctx context.Context, name string, term group.Term) error {
--- a/fleet/orders.go
+++ b/fleet/orders.go
@@ -199,7 +199,7 @@
 	}
 	err = i.cfg.Adapter.Promote(ctx, Promotion{Group: o.name, Endpoint: p.Endpoint, Holder: i.cfg.Name, Token: token, Until: until})
 	if clock.Now().Before(until) {
-		i.coordinator.RecordOrder(err)
+		i.coordinator.OrderEnded(err)
 	}
 	return promotionOutcome(err), recordErr == nil, errors.Join(recordErr, err)
 }
