--- a/fleet/export_test.go
+++ b/fleet/export_test.go
@@ -25,15 +25,6 @@
 	return &CoordinatorLease{lease: newCoordinatorLease(coordinatorLeaseConfig{Store: s, Name: name, Clock: now})}
 }
 
-// WithOthers sets the number of the other instances, and returns the lease.
-func (l *CoordinatorLease) WithOthers(n int) *CoordinatorLease {
-	l.lease.cfg.Others = func() int { return n }
-	return l
-}
-
-// OrderEnded records the result of an order.
-func (l *CoordinatorLease) OrderEnded(err error) { l.lease.OrderEnded(err) }
-
 // Claim acquires or renews the lease.
 func (l *CoordinatorLease) Claim(ctx context.Context, name string, term group.Term) error {
 	_, err := l.lease.Claim(ctx, claimRequest{group: name, term: term, attempt: l.lease.cfg.Name})
