--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -22,6 +22,7 @@
 // cases holds the cases by name.
 var cases = map[string]func(ctx context.Context, w *world) (broken bool, err error){
 	"split-message": splitMessage,
+	"descriptors":   descriptors,
 	"moved-route":   movedRoute,
 	"stalled-log":   stalledLog,
 }
