--- a/review/harness/moved_route.go
+++ b/review/harness/moved_route.go
@@ -105,15 +105,15 @@
 	return g, nil
 }
 
-// writeRoute writes a desired state in which the database of sessions belongs to a service.
+// writeRoute writes a desired state whose only route leads the database of sessions to a service: it removes the route before it.
 func (w *world) writeRoute(version int, service string) {
 	var services []string
 	for _, name := range []string{serviceName, otherService} {
 		services = append(services, fmt.Sprintf(`{"Name":%q,"MaxConnections":%d,"SyncReplicas":0}`, name, connections))
 	}
 	text := fmt.Sprintf(
-		`{"Version":%d,"Routes":[{"Name":"r1","Host":%q,"Type":"read_your_writes","TimeoutMs":%d,"TargetLatencyMs":%d,"Priority":1,"Service":%q,"MaxStalenessMs":%d}],"Services":[%s],"Limits":{"TxIdleMs":%d}}`,
-		version, sessionDatabase, requestTimeout.Milliseconds(), targetLatency.Milliseconds(), service, maxStaleness.Milliseconds(),
+		`{"Version":%d,"Routes":[{"Name":"to-%[3]s","Host":%[2]q,"Type":"read_your_writes","TimeoutMs":%[4]d,"TargetLatencyMs":%[5]d,"Priority":1,"Service":%[3]q,"MaxStalenessMs":%[6]d}],"Services":[%[7]s],"Limits":{"TxIdleMs":%[8]d}}`,
+		version, sessionDatabase, service, requestTimeout.Milliseconds(), targetLatency.Milliseconds(), maxStaleness.Milliseconds(),
 		strings.Join(services, ","), txIdle.Milliseconds())
 	w.store.Rows.Put(platform.TableConfiguration, platform.KeyConfiguration, []byte(text))
 	w.record.line("the store confirmed version %d: %s belongs to %s", version, sessionDatabase, service)
