--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -23,7 +23,7 @@
 var cases = map[string]func(ctx context.Context, w *world) (broken bool, err error){
 	"split-message": splitMessage,
 	"descriptors":   descriptors,
-	"large-rows":    largeRows,
+	"late-order":    lateOrder,
 	"moved-route":   movedRoute,
 	"stalled-log":   stalledLog,
 }
--- a/review/harness/world.go
+++ b/review/harness/world.go
@@ -56,6 +56,8 @@
 	// prepare, if set, is called once the members exist, and proxies are the proxies before them.
 	prepare func() error
 	proxies []*darkProxy
+	// promoter, if set, wraps the call that promotes a member.
+	promoter func(next http.Handler) http.Handler
 	// quietRuns leaves the statements out of the record.
 	quietRuns atomic.Bool
 	// ownRoutes reports that the case writes the desired states.
@@ -86,7 +88,7 @@
 	}
 	w.serve(func() error { return w.store.Run(servingCtx) })
 	w.serve(func() error { return w.group.Run(servingCtx) })
-	w.serve(func() error { return servePromotions(servingCtx, promoter, w.group) })
+	w.serve(func() error { return servePromotions(servingCtx, promoter, w.promotions()) })
 	if w.prepare != nil {
 		if err := w.prepare(); err != nil {
 			return err
@@ -132,10 +134,18 @@
 	}()
 }
 
+// promotions returns the handler of the platform's call that promotes a member.
+func (w *world) promotions() http.Handler {
+	if w.promoter != nil {
+		return w.promoter(w.group.Promoter())
+	}
+	return w.group.Promoter()
+}
+
 // servePromotions serves the platform's call that promotes a member.
-func servePromotions(ctx context.Context, l net.Listener, g *platformtest.Group) error {
+func servePromotions(ctx context.Context, l net.Listener, promotions http.Handler) error {
 	mux := http.NewServeMux()
-	mux.Handle("POST /promote", g.Promoter())
+	mux.Handle("POST /promote", promotions)
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
 	stop := context.AfterFunc(ctx, func() { server.Close() })
 	defer stop()
@@ -151,12 +161,12 @@
 }
 
 func (w *world) recordRun(e platformtest.Execution) {
-	if w.quietRuns.Load() {
-		return
-	}
 	w.mu.Lock()
 	w.runs = append(w.runs, e)
 	w.mu.Unlock()
+	if w.quietRuns.Load() {
+		return
+	}
 	w.record.line("member %s got %s %q, answered %q", e.Member, e.ID, shorten(e.Text), e.Answer)
 }
 
