--- a/review/harness/instance.go
+++ b/review/harness/instance.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"os"
 	"os/exec"
@@ -11,9 +10,14 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/monsoontiller/monsoontiller/platform"
 )
 
+// pipeSize is the size of the pipe that takes the output of an instance, in bytes.
+const pipeSize = 64 << 10
+
 // program and its arguments are the command of the deploy file, which runs in the root of the repository.
 const program = "target/monsoontiller"
 
@@ -45,6 +49,10 @@
 	if err != nil {
 		return err
 	}
+	// The usual size, which is larger on machines with larger pages.
+	if _, err := unix.FcntlInt(write.Fd(), unix.F_SETPIPE_SZ, pipeSize); err != nil {
+		return err
+	}
 	command.Stdout, command.Stderr = write, write
 	if err := command.Start(); err != nil {
 		return err
@@ -73,9 +81,6 @@
 		if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
 			return
 		}
-		if err == io.EOF {
-			return
-		}
 		if err != nil {
 			return
 		}
--- a/review/harness/stalled_log.go
+++ b/review/harness/stalled_log.go
@@ -16,7 +16,7 @@
 	slowWork = 250 * time.Millisecond
 	slowTime = 6500 * time.Millisecond
 	// readers is the number of sessions that read one row after the other.
-	readers = 24
+	readers = 36
 	// configApply is ConfigApplyMs: a request sent later is handled as the newest desired state says.
 	configApply = 3 * time.Second
 )
