engine, platform: a session keeps a floor for each log

Cause: a session held one floor, the point of its newest commit, whichever group that belonged to. After the moves the floor 1.2 of the other service's log was compared with points of the first one, where the session had committed at 1.13. The record of the case shows it: the reads carry the floor by age, MINLSN 1.12. Ruled out by it: a replica that answers wrongly, and a sample of the primary that is taken too late, which would have left the session's own floor in force.

--- a/engine/fake_test.go
+++ b/engine/fake_test.go
@@ -235,12 +235,18 @@
 
 func (f *fixture) ContractTerms(string) (engine.ContractTerms[*fakeLink], error) { return f.terms, nil }
 
-// newFixture monitors a new cluster and returns once its primary and both replicas are usable.
+// newFixture monitors a new cluster, of the group "orders", and returns once its primary and both replicas are usable.
 func newFixture(t *testing.T, consistency contract.Consistency) *fixture {
+	t.Helper()
+	return newFixtureOf(t, "orders", consistency)
+}
+
+// newFixtureOf is newFixture for a group of the given name.
+func newFixtureOf(t *testing.T, name string, consistency contract.Consistency) *fixture {
 	t.Helper()
 	c := newCluster()
 	g := engine.NewGroup(engine.GroupConfig[*fakeLink]{
-		Name:          "orders",
+		Name:          name,
 		Members:       []engine.Address{{Endpoint: "a", Slots: 4}, {Endpoint: "b", Slots: 4, SameDataCentre: true}, {Endpoint: "c", Slots: 4}},
 		ProbeInterval: 5 * time.Millisecond,
 		ProbeTimeout:  time.Second,
@@ -273,7 +279,7 @@
 		return usable == 2
 	})
 	terms := contract.New(contract.Config{
-		Customer: "orders", Database: "orders", Group: "orders", Consistency: consistency,
+		Customer: "orders", Database: "orders", Group: name, Consistency: consistency,
 		MaxStaleness: 2 * time.Second, RequestTimeout: 5 * time.Second, TargetLatency: 2 * time.Second,
 	})
 	budget := retry.NewSharedBudget(retry.BudgetConfig{Ratio: 1, PerSecond: 100, Burst: 20})
--- a/engine/group.go
+++ b/engine/group.go
@@ -73,6 +73,7 @@
 // Group monitors one database group and shares the connections to its members; it is safe for concurrent use.
 type Group[L Link[L]] struct {
 	cfg     GroupConfig[L]
+	log     group.Log
 	mu      sync.Mutex
 	tracker *route.Tracker
 	// changed is closed and replaced on every change that may end a call of await.
@@ -123,6 +124,7 @@
 	}
 	g := &Group[L]{
 		cfg:     cfg,
+		log:     group.NewLog(cfg.Name),
 		changed: make(chan struct{}),
 		members: map[string]*member[L]{},
 		pacings: map[string]*pacing{},
@@ -237,6 +239,9 @@
 // Name returns the group's name.
 func (g *Group[L]) Name() string { return g.cfg.Name }
 
+// Log returns the identifier of the group's log, to which the points of its members belong.
+func (g *Group[L]) Log() group.Log { return g.log }
+
 // Members returns the addresses of the members, in the order in which they were set.
 func (g *Group[L]) Members() []Address {
 	g.mu.Lock()
--- a/engine/job.go
+++ b/engine/job.go
@@ -41,7 +41,7 @@
 		return primary, nil
 	}
 	// A commit of an earlier term is at or below the floor, or a failover has lost it.
-	if own := j.session.floor; own.Term() >= t.Term() && floor.Less(own) {
+	if own, ok := j.session.floors.Get(j.session.terms.Group.Log()); ok && own.Term() >= t.Term() && floor.Less(own) {
 		floor = own
 	}
 	return route.Request{Class: route.ClassRead, Floor: floor, FloorAt: at, WaitBudget: reads.ReplicaWait()}, nil
@@ -99,7 +99,7 @@
 		return Outcome{Attempt: retry.Attempt{Failure: retry.FailureLeaseLapsed, SentBytes: true}, Reusable: true}
 	}
 	if j.writes {
-		j.session.floor = a.Point
+		j.session.raiseFloor(a.Point)
 	}
 	j.answer = a
 	return Outcome{Answered: true}
--- a/engine/session.go
+++ b/engine/session.go
@@ -33,8 +33,8 @@
 type SessionConfig[L StatementLink[L]] struct {
 	ID       string
 	Database string
-	// Floor is the log point that the session has already reached through another instance, or zero.
-	Floor    group.Point
+	// Floors holds the log points that the session has already reached through another instance.
+	Floors   group.Floors
 	Source   ContractSource[L]
 	Policy   route.Policy
 	Recorder SessionRecorder
@@ -99,10 +99,10 @@
 	cfg      SessionConfig[L]
 	values   map[string]string
 	prepared map[string]*preparedStatement
-	// floor is the log point of the session's newest commit.
-	floor group.Point
-	terms ContractTerms[L]
-	tx    *transaction[L]
+	// floors holds the point of the session's newest commit in each log.
+	floors group.Floors
+	terms  ContractTerms[L]
+	tx     *transaction[L]
 	// commands and answers are buffers that are reused for each statement.
 	commands []Command
 	answers  []Answer
@@ -110,7 +110,7 @@
 
 // NewSession returns a session without values, prepared statements or transaction.
 func NewSession[L StatementLink[L]](cfg SessionConfig[L]) *Session[L] {
-	return &Session[L]{cfg: cfg, floor: cfg.Floor, values: map[string]string{}, prepared: map[string]*preparedStatement{}}
+	return &Session[L]{cfg: cfg, floors: cfg.Floors.Clone(), values: map[string]string{}, prepared: map[string]*preparedStatement{}}
 }
 
 // State returns the transaction state between two statements.
@@ -154,8 +154,23 @@
 	return refuse(reason, text, s.State())
 }
 
-// Floor returns the log point of the session's newest commit, or zero.
-func (s *Session[L]) Floor() group.Point { return s.floor }
+// Floors returns the point of the session's newest commit in each log.
+func (s *Session[L]) Floors() group.Floors { return s.floors.Clone() }
+
+// raiseFloor records the point of a commit in the log of the session's group; an answer without a point changes nothing.
+func (s *Session[L]) raiseFloor(p group.Point) {
+	if !p.IsZero() {
+		s.floors.Set(s.terms.Group.Log(), p)
+	}
+}
+
+// Log identifies the log to which the point of the last answer belongs.
+func (s *Session[L]) Log() group.Log {
+	if s.terms.Group == nil {
+		return group.Log{}
+	}
+	return s.terms.Group.Log()
+}
 
 // HoldsLink reports whether the session holds a link in an open transaction.
 func (s *Session[L]) HoldsLink() bool { return s.tx != nil && s.tx.open }
--- a/engine/transaction.go
+++ b/engine/transaction.go
@@ -227,7 +227,7 @@
 		return s.inDoubt()
 	}
 	if a.Refusal == nil && tx.wrote {
-		s.floor = a.Point
+		s.raiseFloor(a.Point)
 	}
 	s.release()
 	s.tx = nil
