caller, session: floors and tokens of PostgreSQL sessions belong to one log

What callers would see: after their database had moved to another group, sessions that had written to the first one got "a write up to 1/5 was lost in a failover" from their next read, although nothing was lost. Nobody reported it.

A session had one floor, and its token names only customer and database; both were looked up in the term history of the group to which the database belongs at the time.

Change: a session has a session.Session for each log, and a token contains a hash of the group's name. In another group, and from an earlier build, a token gives no floor, so that a probe supplies it.

--- a/caller/answer.go
+++ b/caller/answer.go
@@ -105,11 +105,11 @@
 
 // reportToken sends the caller a new token if the floor has risen.
 func (s *callerSession) reportToken() {
-	floor, _ := s.state.Floor()
+	floor, _ := s.state().Floor()
 	if floor.IsZero() {
 		return
 	}
-	token := s.server.cfg.Tokens.Encode(session.Scope{Customer: s.customer, Database: s.database}, floor)
+	token := s.server.cfg.Tokens.Encode(session.Scope{Customer: s.customer, Database: s.database}, s.binding.Group().Log(), floor)
 	if token == s.token {
 		return
 	}
--- a/caller/execute.go
+++ b/caller/execute.go
@@ -116,14 +116,14 @@
 // Prepare sets the floor of a session that has none, before a read, to a position of the primary probed since the session connected.
 func (o *operation) Prepare(ctx context.Context) error {
 	s := o.session
-	if s.state.HasFloor() || o.request.hints.class == route.ClassWrite {
+	if s.state().HasFloor() || o.request.hints.class == route.ClassWrite {
 		return nil
 	}
-	point, at, err := s.binding.Group().AwaitFloor(ctx, s.state.ConnectedAt(), o.request.acquireBy)
+	point, at, err := s.binding.Group().AwaitFloor(ctx, s.state().ConnectedAt(), o.request.acquireBy)
 	if err != nil {
 		return err
 	}
-	s.state.InitFloor(point, at)
+	s.state().InitFloor(point, at)
 	return nil
 }
 
@@ -132,13 +132,13 @@
 	s := o.session
 	budget := s.binding.Contract().Reads().ReplicaWait() - now.Sub(o.request.started)
 	floor := group.NewPoint(t.Term(), 0)
-	if s.state.HasFloor() {
+	if s.state().HasFloor() {
 		var err error
-		if floor, err = s.state.Resolve(t.History(), now); err != nil {
+		if floor, err = s.state().Resolve(t.History(), now); err != nil {
 			return route.Request{}, err
 		}
 	}
-	_, floorAt := s.state.Floor()
+	_, floorAt := s.state().Floor()
 	return s.routeRequest(o.request.hints, floor, floorAt, budget), nil
 }
 
--- a/caller/finish.go
+++ b/caller/finish.go
@@ -85,7 +85,7 @@
 	}
 	s.answerPoint = x.statusAfter.Point()
 	if s.mayHaveWritten(r, x) {
-		s.state.Raise(x.statusAfter.Point(), clock.Now())
+		s.state().Raise(x.statusAfter.Point(), clock.Now())
 		s.reportToken()
 	}
 	return nil
--- a/caller/handshake.go
+++ b/caller/handshake.go
@@ -253,7 +253,8 @@
 	if err != nil {
 		return nil, err
 	}
-	cs.state = session.New(session.Config{ConnectedAt: clock.Now(), Floor: floor})
+	cs.connectedAt = clock.Now()
+	cs.states.Set(b.Group().Log(), session.New(session.Config{ConnectedAt: cs.connectedAt, Floor: floor}))
 	return cs, nil
 }
 
@@ -271,7 +272,7 @@
 		hint, prefixed := strings.CutPrefix(name, parameterPrefix)
 		switch {
 		case prefixed && hint == hintToken:
-			floor, err = s.server.cfg.Tokens.Decode(session.Scope{Customer: s.customer, Database: s.database}, value)
+			floor, err = s.server.cfg.Tokens.Decode(session.Scope{Customer: s.customer, Database: s.database}, s.binding.Group().Log(), value)
 		case prefixed:
 			s.hints, err = s.hints.With(hint, value)
 			s.hasHints = true
--- a/caller/proxy_test.go
+++ b/caller/proxy_test.go
@@ -1,6 +1,7 @@
 package caller_test
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"errors"
@@ -33,18 +34,28 @@
 group = "candidates-1"
 `
 
-// directory is a fixed caller.Directory with one database.
+// directory is a caller.Directory with one database, which may move to another group.
 type directory struct {
+	mu      sync.Mutex
 	binding caller.Binding
 }
 
-func (d directory) Find(c, db string) (caller.Binding, error) {
+func (d *directory) Find(c, db string) (caller.Binding, error) {
 	if c != customer || db != database {
 		return caller.Binding{}, fault.New(fault.Config{Kind: fault.KindNotFound, Message: "no such database", Remedy: "check the contract"})
 	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	return d.binding, nil
 }
 
+// bind moves the database to another binding.
+func (d *directory) bind(b caller.Binding) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.binding = b
+}
+
 // recorder keeps the results of requests.
 type recorder struct {
 	mu      sync.Mutex
@@ -65,11 +76,12 @@
 
 // proxy is one instance under test.
 type proxy struct {
-	server   *caller.Server
-	group    *engine.Group[*endpoint.Conn]
-	recorder *recorder
-	stop     context.CancelFunc
-	ended    chan error
+	server    *caller.Server
+	group     *engine.Group[*endpoint.Conn]
+	directory *directory
+	recorder  *recorder
+	stop      context.CancelFunc
+	ended     chan error
 }
 
 // options configure the group and the proxy of a test.
@@ -77,13 +89,15 @@
 	lag      time.Duration
 	limit    int
 	contract string
-	delay    time.Duration
-	tls      *tls.Config
+	// group is the name of the database group; the default is that of the contract.
+	group string
+	delay time.Duration
+	tls   *tls.Config
 }
 
 func startGroup(t *testing.T, o options) *endpointtest.Group {
 	t.Helper()
-	g := endpointtest.NewGroup(endpointtest.GroupConfig{Name: "candidates-1", Lag: o.lag, ConnectDelay: o.delay})
+	g := endpointtest.NewGroup(endpointtest.GroupConfig{Name: cmp.Or(o.group, "candidates-1"), Lag: o.lag, ConnectDelay: o.delay})
 	ctx, cancel := context.WithCancel(context.Background())
 	done, err := g.Start(ctx)
 	if err != nil {
@@ -104,16 +118,55 @@
 	if o.limit == 0 {
 		o.limit = 4
 	}
+	g := startMonitoring(t, number, group, o)
+	directory := &directory{binding: newBinding(t, g, o)}
+	tokens, err := session.NewCodec(session.CodecConfig{Key: []byte("0123456789abcdef")})
+	if err != nil {
+		t.Fatal(err)
+	}
+	rec := &recorder{}
+	s, err := caller.NewServer(caller.Config{
+		Address:    "127.0.0.1:0",
+		SeatNumber: number,
+		Directory:  directory,
+		Recorder:   rec,
+		Tokens:     tokens,
+		TLS:        o.tls,
+		RequireTLS: o.tls != nil,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	p := &proxy{server: s, group: g, directory: directory, recorder: rec, stop: cancel, ended: make(chan error, 1)}
+	go func() { p.ended <- s.Run(ctx, directory.binding.Contract().DrainTimeout) }()
+	t.Cleanup(func() {
+		cancel()
+		<-p.ended
+	})
+	return p
+}
+
+// newBinding returns the binding of the database to a group.
+func newBinding(t *testing.T, g *engine.Group[*endpoint.Conn], o options) caller.Binding {
+	t.Helper()
 	c, err := contract.Parse([]byte(o.contract))
 	if err != nil {
 		t.Fatal(err)
 	}
+	d, _ := c.Database(database)
+	return caller.NewBinding(caller.BindingConfig{Contract: c, Database: d, Group: g, CustomerState: caller.NewCustomerState(c.Retries())})
+}
+
+// startMonitoring monitors a group until the test ends.
+func startMonitoring(t *testing.T, number uint16, group *endpointtest.Group, o options) *engine.Group[*endpoint.Conn] {
+	t.Helper()
 	var members []engine.Address
 	for _, m := range group.Members() {
 		members = append(members, engine.Address{Endpoint: m.Name(), Address: m.Address()})
 	}
 	g := engine.NewGroup(engine.GroupConfig[*endpoint.Conn]{
-		Name:          "candidates-1",
+		Name:          group.Name(),
 		Members:       members,
 		ProbeInterval: 50 * time.Millisecond,
 		ProbeTimeout:  200 * time.Millisecond,
@@ -126,39 +179,14 @@
 			})
 		},
 	})
-	tokens, err := session.NewCodec(session.CodecConfig{Key: []byte("0123456789abcdef")})
-	if err != nil {
-		t.Fatal(err)
-	}
-	d, _ := c.Database(database)
-	rec := &recorder{}
-	s, err := caller.NewServer(caller.Config{
-		Address:    "127.0.0.1:0",
-		SeatNumber: number,
-		Directory: directory{binding: caller.NewBinding(caller.BindingConfig{
-			Contract: c, Database: d, Group: g, CustomerState: caller.NewCustomerState(c.Retries()),
-		})},
-		Recorder:   rec,
-		Tokens:     tokens,
-		TLS:        o.tls,
-		RequireTLS: o.tls != nil,
-	})
-	if err != nil {
-		t.Fatal(err)
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	p := &proxy{server: s, group: g, recorder: rec, stop: cancel, ended: make(chan error, 1)}
 	groupCtx, stopGroup := context.WithCancel(context.Background())
 	groupEnd := make(chan error, 1)
 	go func() { groupEnd <- g.Run(groupCtx) }()
-	go func() { p.ended <- s.Run(ctx, c.DrainTimeout) }()
 	t.Cleanup(func() {
-		cancel()
-		<-p.ended
 		stopGroup()
 		<-groupEnd
 	})
-	return p
+	return g
 }
 
 func (p *proxy) url() string {
--- a/caller/session.go
+++ b/caller/session.go
@@ -21,21 +21,23 @@
 
 // callerSession serves one caller's connection.
 type callerSession struct {
-	server     *Server
-	nc         net.Conn
-	backend    *pgproto3.Backend
-	key        sessionKey
-	customer   string
-	database   string
-	binding    Binding
-	hints      Hints
-	hasHints   bool
-	state      *session.Session
-	settings   settings
-	statements map[string]*preparedStatement
-	batch      batch
-	answer     []byte
-	token      string
+	server   *Server
+	nc       net.Conn
+	backend  *pgproto3.Backend
+	key      sessionKey
+	customer string
+	database string
+	binding  Binding
+	hints    Hints
+	hasHints bool
+	states   group.PerLog[*session.Session]
+	// connectedAt is when the session connected.
+	connectedAt time.Time
+	settings    settings
+	statements  map[string]*preparedStatement
+	batch       batch
+	answer      []byte
+	token       string
 
 	conn      *endpoint.Conn
 	connPool  *engine.Connections[*endpoint.Conn]
@@ -192,6 +194,17 @@
 	}
 }
 
+// state returns the session's state in the log of the group to which it is bound.
+func (s *callerSession) state() *session.Session {
+	log := s.binding.Group().Log()
+	state, ok := s.states.Get(log)
+	if !ok {
+		state = session.New(session.Config{ConnectedAt: s.connectedAt})
+		s.states.Set(log, state)
+	}
+	return state
+}
+
 // requestHints returns the hints of the batch; comments take precedence over startup parameters, and these over the contract.
 func (s *callerSession) requestHints() (Hints, error) {
 	base := s.hints
--- a/session/session.go
+++ b/session/session.go
@@ -13,7 +13,9 @@
 	Floor       group.Point
 }
 
-// Session tracks the floor of one caller's session; it is not safe for concurrent use.
+// Session tracks the floor of one caller's session in one log; it is not safe for concurrent use.
+//
+// A session whose database moves to another group has a Session for each log.
 type Session struct {
 	connectedAt time.Time
 	floor       group.Point
--- a/session/session_test.go
+++ b/session/session_test.go
@@ -58,32 +58,51 @@
 		t.Fatal(err)
 	}
 	scope := session.Scope{Customer: "baird-lennox", Database: "candidates-1"}
-	token := codec.Encode(scope, group.NewPoint(3, 77))
-	got, err := codec.Decode(scope, token)
+	log := group.NewLog("candidates-1")
+	token := codec.Encode(scope, log, group.NewPoint(3, 77))
+	got, err := codec.Decode(scope, log, token)
 	if err != nil || got != group.NewPoint(3, 77) {
 		t.Fatalf("Decode = %v, %v", got, err)
 	}
 	other := session.Scope{Customer: "lellu", Database: "candidates-1"}
-	if _, err := codec.Decode(other, token); fault.KindOf(err) != fault.KindUnauthorized {
+	if _, err := codec.Decode(other, log, token); fault.KindOf(err) != fault.KindUnauthorized {
 		t.Errorf("a token of another customer was not rejected as unauthorized: %v", err)
 	}
 	forged := []byte(token)
 	forged[5] ^= 1
-	if _, err := codec.Decode(scope, string(forged)); err == nil {
+	if _, err := codec.Decode(scope, log, string(forged)); err == nil {
 		t.Error("a forged token was accepted")
 	}
 }
 
+// Guards against a floor that is taken over into another group's log; the first version's token names no log.
+func TestTokenOfAnotherLogGivesNoFloor(t *testing.T) {
+	codec, err := session.NewCodec(session.CodecConfig{Key: []byte("0123456789abcdef")})
+	if err != nil {
+		t.Fatal(err)
+	}
+	scope := session.Scope{Customer: "baird-lennox", Database: "candidates-1"}
+	for _, test := range []struct{ name, token string }{
+		{"another group", codec.Encode(scope, group.NewLog("candidates-2"), group.NewPoint(3, 77))},
+		{"first version", "AQAAAAAAAAADAAAAAAAAAE1sDbacMp-cGNWCtUet5xBN"},
+	} {
+		got, err := codec.Decode(scope, group.NewLog("candidates-1"), test.token)
+		if err != nil || !got.IsZero() {
+			t.Errorf("%s: Decode = %v, %v, want no floor", test.name, got, err)
+		}
+	}
+}
+
 func FuzzTokenDecode(f *testing.F) {
 	codec, err := session.NewCodec(session.CodecConfig{Key: []byte("0123456789abcdef")})
 	if err != nil {
 		f.Fatal(err)
 	}
-	scope := session.Scope{Customer: "c", Database: "d"}
-	f.Add(codec.Encode(scope, group.NewPoint(1, 2)))
+	scope, log := session.Scope{Customer: "c", Database: "d"}, group.NewLog("g")
+	f.Add(codec.Encode(scope, log, group.NewPoint(1, 2)))
 	f.Fuzz(func(t *testing.T, token string) {
-		point, err := codec.Decode(scope, token)
-		if err == nil && codec.Encode(scope, point) != token {
+		point, err := codec.Decode(scope, log, token)
+		if err == nil && codec.Encode(scope, log, point) != token {
 			t.Fatalf("token %q decodes to %v but is not its encoding", token, point)
 		}
 	})
