--- a/fleet/instance.go
+++ b/fleet/instance.go
@@ -34,6 +34,7 @@
 	coordinator *coordinatorLease
 	recorder    *recorder
 	meters      meters
+	invalid     invalidEntries
 	era         *storeEra
 	// freshness is the proof that the keys of the client accounts are the newest.
 	freshness        *account.Freshness
@@ -274,6 +275,7 @@
 	text := string(row.Value)
 	if row.Deleted {
 		text = ""
+		i.invalid.Remove(row.Key)
 	}
 	i.node.ApplyWithoutDelta(newEndpointItem(row.Key, at, text))
 	return !row.Deleted && i.putEntry(row.Key, row.Value, at)
@@ -282,13 +284,23 @@
 func (i *Instance[L]) putEntry(key string, value []byte, at store.Position) bool {
 	e, err := i.cfg.Adapter.ParseEntry(key, value)
 	if err != nil {
-		logLine(i.cfg.Logger, "level", "warn", "msg", "endpoint_entry_left_out", "endpoint", key, "position", at.String(), "error", err.Error())
+		i.leaveOut(key, at, err)
 		return false
 	}
+	i.invalid.Remove(key)
 	i.members.Put(e, at)
 	return true
 }
 
+// leaveOut logs and counts an entry that names no usable endpoint, once for each reason: entries are read again by each check of
+// the store, and from each peer.
+func (i *Instance[L]) leaveOut(key string, at store.Position, err error) {
+	if i.invalid.Add(key, err.Error()) {
+		i.meters.invalid.Inc(1)
+		logLine(i.cfg.Logger, "level", "warn", "msg", "endpoint_entry_left_out", "endpoint", key, "position", at.String(), "error", err.Error())
+	}
+}
+
 // Keys of the items that instances exchange.
 const (
 	configurationItem = "configuration"
@@ -318,6 +330,7 @@
 	case item.Key() == listedItem:
 		i.endpointsListed.Store(true)
 	case isEndpoint && text == "":
+		i.invalid.Remove(name)
 		i.members.Remove(name, at)
 	case isEndpoint && !i.putEntry(name, []byte(text), at):
 		i.members.Remove(name, at)
--- a/fleet/meters.go
+++ b/fleet/meters.go
@@ -12,6 +12,8 @@
 	restored   tally.Counter
 	tablesRead tally.Counter
 	older      tally.Counter
+	// invalid counts the entries that name no usable endpoint.
+	invalid tally.Counter
 	// accounts is the number of client accounts of the configuration in force, and keyProofAge the age in ms of the proof that
 	// their keys are the newest: since the start without a proof, and 0 if none is needed.
 	accounts    tally.Gauge
@@ -25,6 +27,7 @@
 		restored:      scope.Counter("store_restored_total"),
 		tablesRead:    scope.Counter("tables_read_total"),
 		older:         scope.Counter("older_entries_total"),
+		invalid:       scope.Counter("invalid_entries_total"),
 		accounts:      scope.Gauge("accounts"),
 		keyProofAge:   scope.Gauge("key_proof_age_ms"),
 	}
