fleet: the slots of a group follow the entries of its members

What callers would see: after one entry with too large a capacity, sessions move to other homes, and stay there after the entry was corrected, until each instance is restarted; an instance that starts meanwhile computes other homes than the rest.

Cause: an instance kept the largest capacity that any entry of a group ever had.

Change: the capacity of each endpoint is kept as of its newest entry, and dropped with the endpoint, but for the last one of a group.

Test: TestSlotsOfGroupFollowItsEntries, with a stand-in of the former code: 1,048,576 slots in place of 6, and 10 homes of 6 connections in place of 6 of 10, in a fleet of 75, in three of six cases.

--- a/fleet/export_test.go
+++ b/fleet/export_test.go
@@ -396,3 +396,9 @@
 
 // RevocationTime is how long a revoked lease cannot be renewed.
 const RevocationTime = revocationTime
+
+// GroupSlots gives tests access to the slots of the members of groups.
+type GroupSlots = groupSlots
+
+// NewGroupSlots returns a GroupSlots without members.
+var NewGroupSlots = newGroupSlots
--- a/fleet/homes.go
+++ b/fleet/homes.go
@@ -61,7 +61,7 @@
 func (i *Instance[L]) homes(group string) []membership.Identity {
 	alive, digest := i.node.LiveInstances()
 	settings, _ := i.directory.Group(group)
-	slots := i.members.slots(group)
+	slots := i.members.slots.Of(group)
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	i.invalidateHomesLocked(digest)
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -48,16 +48,13 @@
 	position store.Position
 	ctx      context.Context
 	loops    sync.WaitGroup
-	// slotsByGroup is the largest number of slots that a member of each group has reported. It has a lock of its own,
-	// because the homes, which are also computed while mu is held, depend on it.
-	slotsMu      sync.Mutex
-	slotsByGroup map[string]int
+	slots    *groupSlots
 	// changed is signalled when the set of live instances may have changed.
 	changed *coalescer
 }
 
 func newMembers[L Link[L]](i *Instance[L]) *members[L] {
-	return &members[L]{instance: i, logger: i.cfg.Logger, entries: map[string]*listedEndpoint{}, groups: map[string]*watchedGroup[L]{}, missing: missingEndpoints{}, slotsByGroup: map[string]int{}, changed: newCoalescer(minUpdatePause)}
+	return &members[L]{instance: i, logger: i.cfg.Logger, entries: map[string]*listedEndpoint{}, groups: map[string]*watchedGroup[L]{}, missing: missingEndpoints{}, slots: newGroupSlots(), changed: newCoalescer(minUpdatePause)}
 }
 
 // Name returns the service's name.
@@ -210,6 +207,7 @@
 			continue
 		}
 		delete(m.entries, name)
+		m.slots.Drop(name)
 		m.missing.Dropped(ep.entry, ep.leaving(now))
 		m.logLocked("endpoint_dropped", ep.entry, ep.position)
 		m.updateGroupLocked(ep.entry.Group)
--- a/fleet/shares.go
+++ b/fleet/shares.go
@@ -6,10 +6,8 @@
 	"github.com/monsoontiller/monsoontiller/store"
 )
 
-// Put records an endpoint's entry as of a position in the store; of an entry that is not newer than the known one it records
-// only the slots.
+// Put records an endpoint's entry as of a position in the store, unless a newer one is known.
 func (m *members[L]) Put(e Entry, at store.Position) {
-	m.recordSlots(e)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.advanceLocked(at)
@@ -19,6 +17,7 @@
 		return
 	}
 	m.entries[e.Endpoint] = current.replacedBy(e, at, clock.Now())
+	m.slots.Put(e)
 	m.missing.Listed(e)
 	if current == nil || current.entry != e || !current.removedAt.IsZero() {
 		m.logLocked("endpoint_listed", e, at)
@@ -38,19 +37,6 @@
 	m.logLocked("older_entry_left_out", e, at)
 }
 
-func (m *members[L]) recordSlots(e Entry) {
-	m.slotsMu.Lock()
-	defer m.slotsMu.Unlock()
-	m.slotsByGroup[e.Group] = max(m.slotsByGroup[e.Group], e.Slots)
-}
-
-// slots returns how many requests a member of a group runs at once, or 0 if that is not known.
-func (m *members[L]) slots(group string) int {
-	m.slotsMu.Lock()
-	defer m.slotsMu.Unlock()
-	return m.slotsByGroup[group]
-}
-
 // share returns how many connections to each member of a group this instance may hold.
 func (m *members[L]) share(name string) int {
 	settings, ok := m.instance.directory.Group(name)
@@ -59,7 +45,7 @@
 	}
 	_, recentlyDead := m.instance.counts()
 	presumed := len(m.instance.presumedAlive())
-	_, share := homeCount(settings.Connections, m.slots(name), presumed+recentlyDead, 0)
+	_, share := homeCount(settings.Connections, m.slots.Of(name), presumed+recentlyDead, 0)
 	return max(engine.MinConnections, share)
 }
 
@@ -70,7 +56,7 @@
 		return 1
 	}
 	presumed, dead := m.instance.presumedCounts()
-	homes, _ := homeCount(settings.Connections, m.slots(name), presumed, dead)
+	homes, _ := homeCount(settings.Connections, m.slots.Of(name), presumed, dead)
 	return homes
 }
 
