platform, fleet: an odd part of a configuration is left out, and the others hold

What callers would see: a version with one route, service or account of another type is applied by no instance, so that routes which it adds are refused and keys which it removes stay valid.

Change: routes, services and accounts are decoded one by one; those that cannot be decoded are left out, and logged by kind and number.

--- a/fleet/adapter.go
+++ b/fleet/adapter.go
@@ -33,6 +33,8 @@
 	Accounts *account.Registry
 	// Public holds the databases that callers reach without a key.
 	Public map[string]bool
+	// LeftOut describes the parts of the version that could not be decoded.
+	LeftOut []string
 }
 
 // AccountNames returns the names of the client accounts.
--- a/fleet/instance.go
+++ b/fleet/instance.go
@@ -242,6 +242,9 @@
 	i.meters.accounts.Update(float64(len(d.AccountNames())))
 	logLine(i.cfg.Logger, "level", "info", "msg", "configuration_applied", "version", d.Version, "before", before,
 		"source", source, "contracts", len(d.Contracts), "groups", len(d.Groups), "accounts", len(d.AccountNames()))
+	if len(d.LeftOut) > 0 {
+		logLine(i.cfg.Logger, "level", "error", "msg", "configuration_parts_left_out", "version", d.Version, "parts", strings.Join(d.LeftOut, ", "))
+	}
 	i.members.UpdateGroups()
 	return d.Version, true
 }
