--- a/soak/client.go
+++ b/soak/client.go
@@ -4,13 +4,14 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"time"
 
 	"github.com/monsoontiller/monsoontiller/platform/platformtest"
 )
 
-// databases lists the databases of the configuration; all of them belong to one group.
+// databases lists the databases of the configuration; all of them belong to the first group.
 var databases = []platformtest.Database{
 	{Name: "orders", Kind: platformtest.KindPrimary},
 	{Name: "stock", Kind: platformtest.KindSession},
@@ -39,16 +40,22 @@
 	session     *platformtest.Caller
 	values      map[string]string
 	prepared    map[string]string
-	// lastWrite is the data of the session's newest acknowledged write, or "".
-	lastWrite string
+	// lastWrites holds the data of the session's newest acknowledged write in each group.
+	lastWrites map[string]string
+	// cuts decides which messages are sent in two pieces, or is nil if none is.
+	cuts *rand.Rand
 }
 
 // newClient returns a caller that connects each session to a random one of the addresses, with a key if there are accounts.
-func newClient(number int, seed uint64, oracle *Oracle, addresses []string, a *accounts) *Client {
-	return &Client{
-		number: number, oracle: oracle, addresses: addresses, accounts: a, database: databases[number%len(databases)],
-		random: rand.New(rand.NewPCG(seed, uint64(number))),
+func newClient(number int, cfg Config, oracle *Oracle, addresses []string, a *accounts) *Client {
+	c := &Client{
+		number: number, oracle: oracle, addresses: addresses, accounts: a, database: cfg.database(number),
+		random: rand.New(rand.NewPCG(cfg.Seed, uint64(number))),
 	}
+	if cfg.CutMessages {
+		c.cuts = rand.New(rand.NewPCG(cfg.Seed, 0xc07+uint64(number)))
+	}
+	return c
 }
 
 // errSessionEnded is returned by an operation after which the session must be closed.
@@ -118,7 +125,7 @@
 		return false
 	}
 	c.session = session
-	c.values, c.prepared, c.lastWrite = map[string]string{}, map[string]string{}, ""
+	c.values, c.prepared, c.lastWrites = map[string]string{}, map[string]string{}, map[string]string{}
 	return true
 }
 
@@ -174,21 +181,25 @@
 
 // requiredWrites returns the data of the writes that a read started now must see.
 //
-// These are the newest acknowledged write or, where the contract permits reads on replicas, the newest that was
-// acknowledged more than maxStaleness ago; and with session consistency also the session's last write.
+// These are the newest acknowledged write of the first group or, where the contract permits reads on replicas, the newest that was
+// acknowledged more than maxStaleness ago.
 func (c *Client) requiredWrites() []string {
 	before := time.Now()
 	if c.database.Kind != platformtest.KindPrimary {
 		before = before.Add(-maxStaleness)
 	}
-	var out []string
-	if newest := c.oracle.NewestAcked(before); newest != "" {
-		out = append(out, newest)
+	if newest := c.oracle.NewestAcked(before); newest != "" && c.database.Name != movingDatabase {
+		return []string{newest}
 	}
-	if c.database.Kind == platformtest.KindSession && c.lastWrite != "" {
-		out = append(out, c.lastWrite)
+	return nil
+}
+
+// ownWrites returns the data of the session's newest acknowledged write in each group, if its reads must see them.
+func (c *Client) ownWrites() map[string]string {
+	if c.database.Kind != platformtest.KindSession {
+		return nil
 	}
-	return out
+	return maps.Clone(c.lastWrites)
 }
 
 // randomRead returns the expectation of a read of a random item, as plain text or through a prepared statement.
@@ -206,10 +217,10 @@
 
 func (c *Client) read() error {
 	e := c.randomRead()
-	e.MustSee = c.requiredWrites()
+	e.MustSee, e.MustSeeIn = c.requiredWrites(), c.ownWrites()
 	id := c.nextID()
 	c.oracle.Expect(id, e)
-	a, err := c.session.Exec(id, e.Text)
+	a, err := c.exec(id, e.Text)
 	if err != nil {
 		return err
 	}
@@ -231,10 +242,10 @@
 
 func (c *Client) write() error {
 	id := c.nextID()
-	data := "d" + id
+	data := c.data(id)
 	text := platformtest.TextWrite(c.randomItem(), data)
 	c.oracle.Expect(id, Expectation{Text: text, Values: c.values})
-	a, err := c.session.Exec(id, text)
+	a, err := c.exec(id, text)
 	if err != nil {
 		return err
 	}
@@ -250,8 +261,9 @@
 	}
 	switch {
 	case a.Succeeded():
-		c.oracle.RecordAcked(data...)
-		c.lastWrite = data[len(data)-1]
+		group := a.Group()
+		c.oracle.RecordAckedIn(group, data...)
+		c.lastWrites[group] = data[len(data)-1]
 	case a.NotApplied():
 		c.oracle.RecordRejected(data...)
 	}
@@ -259,7 +271,7 @@
 
 // transaction runs random reads and writes in a transaction and ends it with endTransaction.
 func (c *Client) transaction() error {
-	mustSee := c.requiredWrites()
+	mustSee, own := c.requiredWrites(), c.ownWrites()
 	readOnly := c.random.IntN(3) == 0
 	begin := platformtest.TextBegin
 	if readOnly {
@@ -277,15 +289,15 @@
 			firstID = id
 		}
 		e := c.randomRead()
-		e.MustSee = mustSee
+		e.MustSee, e.MustSeeIn = mustSee, own
 		data := ""
 		if !readOnly && c.random.IntN(2) == 0 {
-			data = "d" + id
+			data = c.data(id)
 			e = Expectation{Text: platformtest.TextWrite(c.randomItem(), data), Values: c.values}
 		}
 		e.Transaction = firstID
 		c.oracle.Expect(id, e)
-		if a, err = c.session.Exec(id, e.Text); err != nil {
+		if a, err = c.exec(id, e.Text); err != nil {
 			return err
 		}
 		if !a.Succeeded() {
--- a/soak/fixture.go
+++ b/soak/fixture.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 
@@ -14,7 +15,7 @@
 	"github.com/monsoontiller/monsoontiller/platform/platformtest"
 )
 
-// groupName is the name of the only database group.
+// groupName is the name of the database group to which all databases belong, but for movingDatabase.
 const groupName = "g1"
 
 // fixture holds the fake platform, the fake endpoints and the instances of one run.
@@ -94,6 +95,9 @@
 		f.background(ctx, f.heartbeat)
 	}
 	f.background(ctx, f.group.Run)
+	if err := f.startOtherGroup(ctx, oracle); err != nil {
+		return nil, err
+	}
 	f.background(ctx, func(ctx context.Context) error { return servePromotions(ctx, promoter, f.group) })
 	for _, m := range f.members {
 		p, err := f.startProxy(ctx, m.ID, m.Address())
@@ -183,11 +187,12 @@
 		VersionStep: 3, Accounts: f.accounts.oracleOrNil(),
 		Configuration: platformtest.Configuration{
 			Group: groupName, Connections: f.cfg.Connections, SyncReplica: f.cfg.SyncReplica, Tenants: f.accounts.tenants(),
+			Databases: f.cfg.movingDatabases(groupName), OtherGroups: f.cfg.otherGroups(),
 			Timeout: requestTimeout, TargetLatency: targetLatency, MaxStaleness: maxStaleness, TransactionIdle: transactionIdle,
 		},
 		Write: func(c platformtest.Configuration) {
 			extra := platformtest.Database{Name: extraDatabase(c.Version), Kind: platformtest.KindPrimary}
-			c.Databases = append([]platformtest.Database{extra}, databases...)
+			c.Databases = slices.Concat([]platformtest.Database{extra}, databases, c.Databases)
 			f.mu.Lock()
 			defer f.mu.Unlock()
 			f.putLocked(platform.TableConfiguration, platform.KeyConfiguration, c.Text())
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -30,6 +30,10 @@
 			p.Linger(deadPeerTime)
 		}
 		f.killAll(ctx, fault)
+	case kindRouteMove:
+		f.moveRoute(ctx, fault)
+	case kindOddEntry:
+		f.writeOddEntry(ctx, fault)
 	case kindSever:
 		f.sever(fault)
 	case kindPromotion:
--- a/soak/oracle.go
+++ b/soak/oracle.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -23,8 +24,10 @@
 	Values map[string]string
 	// Shape is the shape of the prepared statement, or "".
 	Shape string
-	// MustSee lists the data of the writes that the member's log must contain, unless a promotion rolled them back.
-	MustSee []string
+	// MustSee lists the data of the writes that the member's log must contain, unless a promotion rolled them back, and
+	// MustSeeIn those that it must contain if the member belongs to the group that is the key.
+	MustSee   []string
+	MustSeeIn map[string]string
 }
 
 // writeRecord holds the observed outcome of one write.
@@ -93,7 +96,7 @@
 func (o *Oracle) Expect(id string, e Expectation) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	e.Values = maps.Clone(e.Values)
+	e.Values, e.MustSeeIn = maps.Clone(e.Values), maps.Clone(e.MustSeeIn)
 	o.expected[id] = e
 }
 
@@ -134,13 +137,23 @@
 	if e.Transaction != "" && r.Transaction != e.Transaction && r.Transaction != r.ID {
 		o.addViolation("pinned", "%s ran %s in the transaction of %s, its own transaction began with %s", r.Member, r.ID, r.Transaction, e.Transaction)
 	}
-	for _, data := range e.MustSee {
+	mustSee := e.MustSee
+	if own := e.MustSeeIn[groupOf(r.Member)]; own != "" {
+		mustSee = append(slices.Clone(mustSee), own)
+	}
+	for _, data := range mustSee {
 		if !r.InLog(data) && !r.RolledBack(data) {
 			o.addViolation("stale", "%s ran %s without the required write %s", r.Member, r.ID, data)
 		}
 	}
 }
 
+// groupOf returns the group of a member, or of a member's signature.
+func groupOf(member string) string {
+	group, _, _ := strings.Cut(member, "-")
+	return group
+}
+
 func (o *Oracle) recordCommit(r platformtest.Execution, data string) {
 	w := o.writeRecordOf(data)
 	if w.committed {
@@ -171,7 +184,14 @@
 	}
 }
 
-// RecordAcked records the data of writes whose commit was acknowledged to their caller.
+// RecordAckedIn records the data of writes in a group whose commit was acknowledged to their caller.
+func (o *Oracle) RecordAckedIn(group string, writes ...string) {
+	if group == groupName {
+		o.RecordAcked(writes...)
+	}
+}
+
+// RecordAcked records the data of writes in the first group whose commit was acknowledged to their caller.
 func (o *Oracle) RecordAcked(writes ...string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/soak/run.go
+++ b/soak/run.go
@@ -32,6 +32,12 @@
 	StoreRestores int
 	// Promotions is the number of replacements of the primary under failures, in addition to the faults of the schedule.
 	Promotions int
+	// RouteMoves is the number of times that the route of a database leads to another group for a while, OddEntries that of entries
+	// of another writer among those of the members, both in addition to the faults of the schedule.
+	RouteMoves int
+	OddEntries int
+	// CutMessages makes callers send some messages in two pieces, of which the second looks like a request.
+	CutMessages bool
 	// SyncReplica makes the members acknowledge a write only once a replica has received it.
 	SyncReplica bool
 	// Case, if set, names the series of faults that replaces those of the schedule, one of CaseNames.
@@ -61,7 +67,8 @@
 		return nil, err
 	}
 	faults = slices.Concat(faults, PowerLosses(c.Seed, c.Length, c.PowerLosses), StoreRestores(c.Seed, c.Length, c.StoreRestores),
-		Severances(c.Seed, c.Length, c.Severances), Promotions(c.Seed, c.Length, c.Promotions))
+		Severances(c.Seed, c.Length, c.Severances), Promotions(c.Seed, c.Length, c.Promotions),
+		RouteMoves(c.Seed, c.Length, c.RouteMoves), OddEntries(c.Seed, c.Length, c.OddEntries))
 	if c.Accounts > 0 {
 		faults = append(faults, AccountFaults(c.Seed, c.Length)...)
 	}
@@ -201,7 +208,7 @@
 }
 
 func (f *fixture) newClient(number int, oracle *Oracle, addresses []string) *Client {
-	return newClient(number, f.cfg.Seed, oracle, addresses, f.accounts)
+	return newClient(number, f.cfg, oracle, addresses, f.accounts)
 }
 
 func (f *fixture) addresses() []string {
--- a/soak/run_test.go
+++ b/soak/run_test.go
@@ -1,6 +1,7 @@
 package soak_test
 
 import (
+	"fmt"
 	"os/exec"
 	"path/filepath"
 	"testing"
@@ -36,15 +37,35 @@
 	{7101, 40, 0, 4, 32 * time.Second, 0, 0, 0, "replacement", true, "none: writes need a replica, and one receives nothing"},
 }
 
-// TestShortSoak runs the real program as separate processes under faults for a few seconds; cmd/monsoonsoak does longer
-// runs.
-func TestShortSoak(t *testing.T) {
-	directory := t.TempDir()
-	binary := filepath.Join(directory, "monsoontiller")
+// buildProgram builds the program and returns its path.
+func buildProgram(t *testing.T) string {
+	t.Helper()
+	binary := filepath.Join(t.TempDir(), "monsoontiller")
 	build := exec.Command("go", "build", "-o", binary, "../cmd/monsoontiller")
 	if out, err := build.CombinedOutput(); err != nil {
 		t.Fatalf("%v: %s", err, out)
 	}
+	return binary
+}
+
+// checkReport reports the violations of a run, and fails the test if nothing was written.
+func checkReport(t *testing.T, r soak.Report, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, v := range r.Violations() {
+		t.Error(v)
+	}
+	if r.Acked() == 0 {
+		t.Error("no write was acknowledged")
+	}
+}
+
+// TestShortSoak runs the real program as separate processes under faults for a few seconds; cmd/monsoonsoak does longer
+// runs.
+func TestShortSoak(t *testing.T) {
+	binary := buildProgram(t)
 	for i, regression := range regressions {
 		t.Run(regression.cause, func(t *testing.T) {
 			t.Parallel()
@@ -52,15 +73,23 @@
 				Seed: regression.seed, Length: regression.length, Instances: regression.instances, Clients: 16, Connections: regression.connections, Accounts: regression.accounts, PowerLosses: regression.powerLosses, StoreRestores: regression.restores, Severances: regression.severances, Case: regression.series, SyncReplica: regression.syncReplica,
 				Network: 100 + i, Binary: binary, Directory: t.TempDir(), Output: t.Output(),
 			})
-			if err != nil {
-				t.Fatal(err)
-			}
-			for _, v := range r.Violations() {
-				t.Error(v)
-			}
-			if r.Acked() == 0 {
-				t.Error("no write was acknowledged")
-			}
+			checkReport(t, r, err)
+		})
+	}
+}
+
+// Guards against sessions that miss their own writes after a route moved, messages that run in part, and odd entries that
+// count as members: seeds with which these faults were seen.
+func TestShortSoakOfMovedRoutesAndCutMessages(t *testing.T) {
+	binary := buildProgram(t)
+	for i, seed := range []uint64{2, 5} {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
+			r, err := soak.Run(t.Context(), soak.Config{
+				Seed: seed, Length: 20 * time.Second, Instances: 4, Clients: 24, Connections: 40, Accounts: soak.DrawAccounts(seed),
+				RouteMoves: 15, OddEntries: 4, CutMessages: true, Network: 150 + i, Binary: binary, Directory: t.TempDir(), Output: t.Output(),
+			})
+			checkReport(t, r, err)
 		})
 	}
 }
