transport: one loop accepts connections, and a temporary error ends no service

Cause: the service for tunnels returned the error of Accept, "accept4: too many open files", and a service that ends ends the process.

Change: transport.Listener waits and tries again after a temporary error of accept(2), and transport.Serve is the only accept loop.

--- a/caller/server.go
+++ b/caller/server.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/tls"
-	"errors"
 	"fmt"
 	"net"
 	"runtime/debug"
@@ -16,6 +15,7 @@
 	"github.com/monsoontiller/monsoontiller/engine"
 	"github.com/monsoontiller/monsoontiller/route"
 	"github.com/monsoontiller/monsoontiller/session"
+	"github.com/monsoontiller/monsoontiller/transport"
 )
 
 // Config describes the listener for callers.
@@ -73,7 +73,7 @@
 	if cfg.Logger == nil {
 		cfg.Logger = log.NewNopLogger()
 	}
-	l, err := net.Listen("tcp", cfg.Address)
+	l, err := transport.Listen(cfg.Address)
 	if err != nil {
 		return nil, err
 	}
@@ -145,20 +145,13 @@
 }
 
 func (s *Server) accept(ctx context.Context) error {
-	for {
-		nc, err := s.listener.Accept()
-		if err != nil {
-			if s.draining() || errors.Is(err, net.ErrClosed) {
-				return nil
-			}
-			return err
-		}
+	return transport.Serve(s.listener, func(nc net.Conn) {
 		s.serving.Add(1)
 		go func() {
 			defer s.serving.Done()
 			s.serve(ctx, nc)
 		}()
-	}
+	})
 }
 
 // serve runs one connection from its startup to its end.
--- a/cmd/monsoontiller/node.go
+++ b/cmd/monsoontiller/node.go
@@ -44,7 +44,9 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	logger := newLogger(n.Instance)
-	peerListener, err := net.Listen("tcp", n.PeerAddress)
+	scope, metrics := newScope()
+	listeners := &listeners{logger: logger, scope: scope}
+	peerListener, err := listeners.named("peer")(n.PeerAddress)
 	if err != nil {
 		return err
 	}
@@ -56,7 +58,6 @@
 	if err != nil {
 		return err
 	}
-	scope, metrics := newScope()
 	i := fleet.New(fleet.Config[*platform.Link]{
 		Name:          n.Instance,
 		DataCentre:    n.DataCentre,
@@ -64,6 +65,7 @@
 		Seeds:         n.Seeds,
 		TunnelAddress: n.TunnelAddress,
 		TunnelPort:    tunnelPort,
+		Listen:        listeners.named("tunnel"),
 		ForwardPort:   forwardPort,
 		Capacity:      n.Capacity,
 		KeyBound:      n.KeyBound,
@@ -89,12 +91,13 @@
 		Recorder:       i,
 		Logger:         logger,
 		Grace:          n.Grace,
+		Listen:         listeners.named("caller"),
 	})
 	if err != nil {
 		return err
 	}
 	ready, err := platform.NewReadyServer(platform.ReadyConfig{
-		Address: n.ReadinessAddress, Ready: i.Ready, Metrics: metrics, MetricsAddress: c.metricsAddress(n),
+		Address: n.ReadinessAddress, Ready: i.Ready, Metrics: metrics, MetricsAddress: c.metricsAddress(n), Listen: listeners.named("readiness"),
 	})
 	if err != nil {
 		return err
--- a/cmd/monsoontiller/serve.go
+++ b/cmd/monsoontiller/serve.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"os"
 	"os/signal"
@@ -19,6 +18,7 @@
 	"github.com/monsoontiller/monsoontiller/session"
 	"github.com/monsoontiller/monsoontiller/settings"
 	"github.com/monsoontiller/monsoontiller/table"
+	"github.com/monsoontiller/monsoontiller/transport"
 )
 
 // serveCommand runs one instance until SIGTERM or an order to leave.
@@ -97,10 +97,10 @@
 	cfg.PeerServerTLS = server
 	cfg.OperatorTLS = server
 	cfg.PeerClient = peer.NewClient(client)
-	if cfg.PeerListener, err = net.Listen("tcp", s.PeerAddress()); err != nil {
+	if cfg.PeerListener, err = transport.Listen(s.PeerAddress()); err != nil {
 		return cfg, err
 	}
-	if cfg.OperatorListener, err = net.Listen("tcp", s.OperatorAddress()); err != nil {
+	if cfg.OperatorListener, err = transport.Listen(s.OperatorAddress()); err != nil {
 		return cfg, err
 	}
 	cfg.Scope, cfg.Metrics = newScope()
--- a/fleet/config.go
+++ b/fleet/config.go
@@ -34,10 +34,12 @@
 	QuotaTolerance quota.Tolerance
 	// TunnelPort is the port of TunnelAddress.
 	TunnelPort string
-	Store      store.Store
-	Adapter    Adapter[L]
-	Logger     log.Logger
-	Scope      tally.Scope
+	// Listen listens on TunnelAddress; the default is transport.Listen.
+	Listen  func(address string) (net.Listener, error)
+	Store   store.Store
+	Adapter Adapter[L]
+	Logger  log.Logger
+	Scope   tally.Scope
 	// Pace limits the requests at an endpoint that has started, come back or become primary, as its answers allow.
 	Pace bool
 }
--- a/fleet/instance.go
+++ b/fleet/instance.go
@@ -145,7 +145,7 @@
 func (i *Instance[L]) Run(ctx context.Context, callerServices ...kernel.Service) error {
 	k := kernel.New()
 	tunnels, err := tunnel.NewServer(tunnel.ServerConfig{
-		Address: i.cfg.TunnelAddress, Allow: i.members.hasAddress, Dial: i.cfg.Adapter.Dialer,
+		Address: i.cfg.TunnelAddress, Allow: i.members.hasAddress, Dial: i.cfg.Adapter.Dialer, Listen: i.cfg.Listen,
 	})
 	if err != nil {
 		return err
--- a/tunnel/server.go
+++ b/tunnel/server.go
@@ -3,12 +3,13 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"io"
 	"net"
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/monsoontiller/monsoontiller/transport"
 )
 
 // Texts of the request for a tunnel and its replies.
@@ -39,6 +40,8 @@
 	Dial        func(ctx context.Context, network, address string) (net.Conn, error)
 	DialTimeout time.Duration
 	Limit       int
+	// Listen listens on Address; the default is transport.Listen.
+	Listen func(address string) (net.Listener, error)
 }
 
 // Server carries tunnels for its peers; it is safe for concurrent use.
@@ -58,7 +61,10 @@
 	if cfg.Limit == 0 {
 		cfg.Limit = defaultLimit
 	}
-	l, err := net.Listen("tcp", cfg.Address)
+	if cfg.Listen == nil {
+		cfg.Listen = transport.Listen
+	}
+	l, err := cfg.Listen(cfg.Address)
 	if err != nil {
 		return nil, err
 	}
@@ -75,18 +81,11 @@
 func (s *Server) Run(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, s.close)
 	defer stop()
-	for {
-		nc, err := s.listener.Accept()
-		if err != nil {
-			s.serving.Wait()
-			if errors.Is(err, net.ErrClosed) {
-				return nil
-			}
-			return err
-		}
+	defer s.serving.Wait()
+	return transport.Serve(s.listener, func(nc net.Conn) {
 		if !s.add(nc) {
 			nc.Close()
-			continue
+			return
 		}
 		s.serving.Add(1)
 		go func() {
@@ -94,7 +93,7 @@
 			defer s.remove(nc)
 			s.relay(ctx, nc)
 		}()
-	}
+	})
 }
 
 func (s *Server) close() {
