--- a/engine/session.go
+++ b/engine/session.go
@@ -33,8 +33,8 @@
 type SessionConfig[L StatementLink[L]] struct {
 	ID       string
 	Database string
-	// Floors holds the log points that the session has already reached through another instance.
-	Floors   group.Floors
+	// Floors holds the log points that the session has already reached through another instance, or is nil.
+	Floors   *group.Floors
 	Source   ContractSource[L]
 	Policy   route.Policy
 	Recorder SessionRecorder
@@ -99,8 +99,8 @@
 	cfg      SessionConfig[L]
 	values   map[string]string
 	prepared map[string]*preparedStatement
-	// floors holds the point of the session's newest commit in each log.
-	floors group.Floors
+	// floors holds the point of the session's newest commit in each log, or is nil before the first one.
+	floors *group.Floors
 	terms  ContractTerms[L]
 	tx     *transaction[L]
 	// commands and answers are buffers that are reused for each statement.
@@ -154,14 +154,18 @@
 	return refuse(reason, text, s.State())
 }
 
-// Floors returns the point of the session's newest commit in each log.
-func (s *Session[L]) Floors() group.Floors { return s.floors.Clone() }
+// Floors returns a copy of the points of the session's newest commit in each log, or nil if it has committed nothing.
+func (s *Session[L]) Floors() *group.Floors { return s.floors.Clone() }
 
 // raiseFloor records the point of a commit in the log of the session's group; an answer without a point changes nothing.
 func (s *Session[L]) raiseFloor(p group.Point) {
-	if !p.IsZero() {
-		s.floors.Set(s.terms.Group.Log(), p)
+	if p.IsZero() {
+		return
 	}
+	if s.floors == nil {
+		s.floors = &group.Floors{}
+	}
+	s.floors.Set(s.terms.Group.Log(), p)
 }
 
 // Log identifies the log to which the point of the last answer belongs.
--- a/group/log.go
+++ b/group/log.go
@@ -30,7 +30,7 @@
 
 // PerLog holds a value for each of several logs, such as the point that a session has reached there.
 //
-// The value of one log allocates nothing. The zero value is empty; a copy shares its state with the original until Clone.
+// A second log needs a map. The zero value and nil are empty; only Set needs a PerLog that is not nil.
 type PerLog[T any] struct {
 	log    Log
 	value  T
@@ -39,7 +39,10 @@
 
 // Get returns the value for a log; ok is false if there is none.
 func (p *PerLog[T]) Get(l Log) (value T, ok bool) {
-	if p.log == l {
+	switch {
+	case p == nil:
+		return value, false
+	case p.log == l:
 		return p.value, !l.IsZero()
 	}
 	value, ok = p.others[l]
@@ -74,7 +77,7 @@
 // All iterates over the logs and their values, in no particular order.
 func (p *PerLog[T]) All() iter.Seq2[Log, T] {
 	return func(yield func(Log, T) bool) {
-		if !p.log.IsZero() && !yield(p.log, p.value) {
+		if p == nil || !p.log.IsZero() && !yield(p.log, p.value) {
 			return
 		}
 		for l, value := range p.others {
@@ -85,9 +88,12 @@
 	}
 }
 
-// Clone returns a copy that shares no state with p.
-func (p *PerLog[T]) Clone() PerLog[T] {
-	return PerLog[T]{log: p.log, value: p.value, others: maps.Clone(p.others)}
+// Clone returns a copy that shares no state with p, or nil for nil.
+func (p *PerLog[T]) Clone() *PerLog[T] {
+	if p == nil {
+		return nil
+	}
+	return &PerLog[T]{log: p.log, value: p.value, others: maps.Clone(p.others)}
 }
 
 // Floors holds the log point that a session has reached in each log; without an entry, the session has reached none.
--- a/group/log_test.go
+++ b/group/log_test.go
@@ -27,7 +27,7 @@
 		want   map[group.Log]group.Point
 	}{
 		{"original", &f, map[group.Log]group.Point{archive: group.NewPoint(1, 3), notes: group.NewPoint(2, 1)}},
-		{"clone", &copied, map[group.Log]group.Point{orders: group.NewPoint(1, 14), archive: group.NewPoint(1, 1)}},
+		{"clone", copied, map[group.Log]group.Point{orders: group.NewPoint(1, 14), archive: group.NewPoint(1, 1)}},
 	} {
 		got := maps.Collect(test.floors.All())
 		if diff := cmp.Diff(test.want, got, cmp.Comparer(func(a, b group.Point) bool { return a == b }), cmp.Comparer(func(a, b group.Log) bool { return a == b })); diff != "" {
@@ -42,6 +42,10 @@
 	if p, ok := f.Get(orders); ok {
 		t.Errorf("a deleted log still has point %v", p)
 	}
+	var none *group.Floors
+	if _, ok := none.Get(orders); ok || none.Clone() != nil || len(maps.Collect(none.All())) != 0 {
+		t.Error("nil is not empty")
+	}
 	if p, ok := f.Get(group.Log{}); ok {
 		t.Errorf("the zero log has point %v", p)
 	}
