transport, platform: a budget of descriptors; callers beyond it are refused at once

It could open no link to a member, a peer or the store either, while it stayed in the balancer's rotation.

Change: callers get BUSY at once when fewer than a 64th of the process's descriptors are free (16 at least), and the instance is not ready until a second has passed without such a caller. The soak lowers the limit of running instances (--descriptor-limits).

Tests: TestDescriptorBudgetKeepsReserve, TestCallersBeyondDescriptorBudgetAreRefusedAtOnce; there was no budget before.

--- a/cmd/monsoontiller/node.go
+++ b/cmd/monsoontiller/node.go
@@ -11,10 +11,12 @@
 
 	"github.com/go-kit/log"
 
+	"github.com/monsoontiller/monsoontiller/clock"
 	"github.com/monsoontiller/monsoontiller/fleet"
 	"github.com/monsoontiller/monsoontiller/platform"
 	"github.com/monsoontiller/monsoontiller/quota"
 	"github.com/monsoontiller/monsoontiller/route"
+	"github.com/monsoontiller/monsoontiller/transport"
 )
 
 // nodeCommand runs one instance on a machine of the platform until SIGTERM.
@@ -79,6 +81,12 @@
 		Logger:  logger,
 		Scope:   scope,
 	})
+	descriptors := transport.NewDescriptorBudget(transport.DescriptorBudgetConfig{Clock: clock.Now})
+	limit, reserve, err := descriptors.Limit()
+	if err != nil {
+		return err
+	}
+	_ = logger.Log("level", "info", "msg", "descriptors", "limit", limit, "reserved", reserve)
 	callers, err := platform.NewServer(platform.ServerConfig{
 		Address:        n.CallerAddress,
 		ForwardAddress: n.ForwardAddress,
@@ -92,12 +100,13 @@
 		Logger:         logger,
 		Grace:          n.Grace,
 		Listen:         listeners.named("caller"),
+		Descriptors:    descriptors,
 	})
 	if err != nil {
 		return err
 	}
 	ready, err := platform.NewReadyServer(platform.ReadyConfig{
-		Address: n.ReadinessAddress, Ready: i.Ready, Metrics: metrics, MetricsAddress: c.metricsAddress(n), Listen: listeners.named("readiness"),
+		Address: n.ReadinessAddress, Ready: func() bool { return i.Ready() && !callers.Full() }, Metrics: metrics, MetricsAddress: c.metricsAddress(n), Listen: listeners.named("readiness"),
 	})
 	if err != nil {
 		return err
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -32,6 +32,10 @@
 		f.killAll(ctx, fault)
 	case kindRouteMove:
 		f.moveRoute(ctx, fault)
+	case kindDescriptors:
+		if err := f.limitDescriptors(ctx, fault, instance); err != nil {
+			fmt.Fprintln(f.cfg.Output, "cannot limit the descriptors of", instance.Name(), err)
+		}
 	case kindOddEntry:
 		f.writeOddEntry(ctx, fault)
 	case kindSever:
--- a/soak/run.go
+++ b/soak/run.go
@@ -36,6 +36,8 @@
 	// of another writer among those of the members, both in addition to the faults of the schedule.
 	RouteMoves int
 	OddEntries int
+	// DescriptorLimits is the number of times that an instance has hardly a descriptor left for a while, in addition, too.
+	DescriptorLimits int
 	// CutMessages makes callers send some messages in two pieces, of which the second looks like a request.
 	CutMessages bool
 	// SyncReplica makes the members acknowledge a write only once a replica has received it.
@@ -68,7 +70,7 @@
 	}
 	faults = slices.Concat(faults, PowerLosses(c.Seed, c.Length, c.PowerLosses), StoreRestores(c.Seed, c.Length, c.StoreRestores),
 		Severances(c.Seed, c.Length, c.Severances), Promotions(c.Seed, c.Length, c.Promotions),
-		RouteMoves(c.Seed, c.Length, c.RouteMoves), OddEntries(c.Seed, c.Length, c.OddEntries))
+		RouteMoves(c.Seed, c.Length, c.RouteMoves), OddEntries(c.Seed, c.Length, c.OddEntries), DescriptorLimits(c.Seed, c.Length, c.DescriptorLimits))
 	if c.Accounts > 0 {
 		faults = append(faults, AccountFaults(c.Seed, c.Length)...)
 	}
