logbuffer: log lines never wait for their reader

Cause: each line was written to the standard output under a lock, and the write of a full pipe blocks. Ruled out: the store and the members, which answered all the while; everything went on when the reader was back.

Change: lines go to two bounded buffers (zerolog's diode), lines about statements to one of their own, which goroutines write. The oldest lines are dropped, counted, and told of as soon as the reader is back. A stop waits at most 0.3 s.

--- a/cmd/monsoontiller/dev.go
+++ b/cmd/monsoontiller/dev.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"os"
 	"os/signal"
 	"syscall"
 	"time"
@@ -52,7 +53,7 @@
 
 func (c *devCommand) logger(name string) log.Logger {
 	if c.Verbose {
-		return newLogger(name)
+		return newLogger(log.NewJSONLogger(log.NewSyncWriter(os.Stdout)), name)
 	}
 	return log.NewNopLogger()
 }
--- a/cmd/monsoontiller/node.go
+++ b/cmd/monsoontiller/node.go
@@ -45,8 +45,10 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	logger := newLogger(n.Instance)
 	scope, metrics := newScope()
+	output, closeLog := openLog(scope)
+	defer closeLog()
+	logger := newLogger(output, n.Instance)
 	listeners := &listeners{logger: logger, scope: scope}
 	peerListener, err := listeners.named("peer")(n.PeerAddress)
 	if err != nil {
--- a/cmd/monsoontiller/serve.go
+++ b/cmd/monsoontiller/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"os"
 	"os/signal"
@@ -14,6 +15,7 @@
 	"github.com/uber-go/tally/v4/prometheus"
 
 	"github.com/monsoontiller/monsoontiller/instance"
+	"github.com/monsoontiller/monsoontiller/logbuffer"
 	"github.com/monsoontiller/monsoontiller/peer"
 	"github.com/monsoontiller/monsoontiller/session"
 	"github.com/monsoontiller/monsoontiller/settings"
@@ -34,7 +36,9 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	cfg, err := instanceConfig(s, newLogger(s.Instance()))
+	output, closeLog := openLog(tally.NoopScope)
+	defer closeLog()
+	cfg, err := instanceConfig(s, newLogger(output, s.Instance()))
 	if err != nil {
 		return err
 	}
@@ -45,12 +49,29 @@
 	return i.Run(ctx)
 }
 
-// newLogger returns a logger that writes JSON lines to standard output.
-func newLogger(name string) log.Logger {
-	l := log.NewJSONLogger(log.NewSyncWriter(os.Stdout))
+// newLogger returns a logger that adds the time and the name of an instance to each line.
+func newLogger(l log.Logger, name string) log.Logger {
 	return log.With(l, "ts", log.DefaultTimestampUTC, "instance", name)
 }
 
+// openLog opens the log on the standard output, which never waits for its reader; closeLog writes what is buffered.
+func openLog(scope tally.Scope) (l log.Logger, closeLog func()) {
+	buffered := logbuffer.New(logbuffer.Config{
+		Writer: os.Stdout,
+		Dropped: func(class string, lines int) {
+			scope.Tagged(map[string]string{"class": class}).Counter("log_lines_dropped_total").Inc(int64(lines))
+		},
+	})
+	return buffered, func() {
+		if err := buffered.Close(logFlushTimeout); err != nil {
+			fmt.Fprintln(os.Stderr, "monsoontiller: the log cannot be written:", err)
+		}
+	}
+}
+
+// logFlushTimeout bounds the wait for the reader of the log at the end of the process.
+const logFlushTimeout = 300 * time.Millisecond
+
 // metricsInterval is the interval at which counters are published on the metrics page.
 const metricsInterval = time.Second
 
