transport: a budget whose count fails for lack of a descriptor admits nobody

With all descriptors in use, the count of those that are open fails, too, and Admit took that for not knowing: it admitted the caller whose connection had just used the last one. Found on reading the change.

TestDescriptorBudgetAdmitsIfNothingIsKnown, before: "a connection was admitted though no descriptor was left to count the open ones".

--- a/transport/descriptors.go
+++ b/transport/descriptors.go
@@ -59,7 +59,8 @@
 // Admit reports whether one more connection, which is open already, leaves the reserve free; held is the number of connections
 // that were admitted and are open.
 //
-// It counts the open descriptors only if held is a large part of the limit. If the limit or the count cannot be read, it admits.
+// It counts the open descriptors only if held is a large part of the limit. If the limit or the count cannot be read, it admits,
+// unless the count fails for lack of a descriptor.
 func (b *DescriptorBudget) Admit(held int) bool {
 	limit, reserve, err := b.Limit()
 	if err != nil || held < limit/4 {
@@ -70,7 +71,7 @@
 	if now := b.cfg.Clock(); b.countedAt.IsZero() || now.Sub(b.countedAt) >= countInterval {
 		open, err := b.cfg.Open()
 		if err != nil {
-			return true
+			return !isTemporary(err)
 		}
 		b.counted, b.countedAt = open, now
 	} else {
--- a/transport/descriptors_test.go
+++ b/transport/descriptors_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -67,6 +69,13 @@
 			t.Error("a connection was refused")
 		}
 	}
+	full := transport.DescriptorBudgetConfig{
+		Limit: func() (int, error) { return 100, nil },
+		Open:  func() (int, error) { return 0, &os.PathError{Op: "open", Path: "/proc/self/fd", Err: syscall.EMFILE} },
+	}
+	if transport.NewDescriptorBudget(full).Admit(99) {
+		t.Error("a connection was admitted though no descriptor was left to count the open ones")
+	}
 	limit, reserve, err := transport.NewDescriptorBudget(transport.DescriptorBudgetConfig{}).Limit()
 	if err != nil || limit <= 0 || reserve < 16 {
 		t.Errorf("the limit of the process is %d with a reserve of %d, %v", limit, reserve, err)
