engine: tests of moving routes wait until a group knows its term

The test had set the members of a group to term 2 and gone on at once. The transaction began while the group knew term 1, and a probe told it of term 2 before the commit, which is refused as it must be. The test now waits until the group knows the term that it has set; its checks are the same.

--- a/engine/moved_route_test.go
+++ b/engine/moved_route_test.go
@@ -19,6 +19,25 @@
 	return s.at.ContractTerms(database)
 }
 
+// setLog gives all members of a fixture the same log, and returns once the group knows its term.
+func (f *fixture) setLog(t *testing.T, term group.Term, position group.Position) {
+	t.Helper()
+	for _, name := range []string{"a", "b", "c"} {
+		f.cluster.with(name, func(m *member) { m.term, m.position = term, position })
+	}
+	waitUntil(t, func() bool {
+		usable := 0
+		f.group.View(func(tr *route.Tracker) {
+			for _, r := range tr.Replicas() {
+				if tr.Term() == term && r.Usable() {
+					usable++
+				}
+			}
+		})
+		return usable == 2 && f.group.LeaseValid()
+	})
+}
+
 // write writes with a single statement, or in a transaction, and returns the last answer.
 func write(t *testing.T, s *session, inTransaction bool) {
 	t.Helper()
@@ -61,9 +80,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			home := newFixtureOf(t, "orders", contract.ConsistencySession)
 			other := newFixtureOf(t, "archive", contract.ConsistencySession)
-			for _, name := range []string{"a", "b", "c"} {
-				other.cluster.with(name, func(m *member) { m.term, m.position = test.otherTerm, test.otherPosition })
-			}
+			other.setLog(t, test.otherTerm, test.otherPosition)
 			source := &movingSource{at: home}
 			es := engine.NewSession(engine.SessionConfig[*fakeLink]{ID: "1", Database: "orders", Source: source, Policy: route.EarliestAnswer{}, Clock: clock.Now})
 			t.Cleanup(es.Close)
@@ -95,10 +112,7 @@
 			var fixtures []*fixture
 			for n := range groups {
 				f := newFixtureOf(t, fmt.Sprintf("group-%d", n), contract.ConsistencySession)
-				term, position := group.Term(1+rng.IntN(2)), group.Position(rng.IntN(30))
-				for _, name := range []string{"a", "b", "c"} {
-					f.cluster.with(name, func(m *member) { m.term, m.position = term, position })
-				}
+				f.setLog(t, group.Term(1+rng.IntN(2)), group.Position(rng.IntN(30)))
 				fixtures = append(fixtures, f)
 			}
 			current := 0
