fleet: a coordinator's row without a fencing token is unreadable

What would be seen: after another program has overwritten the row of the promotion coordinator by a value without a token, two holders of the lease order promotions under the same number.

Cause: fields that are missing from the row were taken for zeros, so that the next token was 1 again.

Change: such a row, and one with a token of 2^63 or more, counts as unreadable, like one that is no JSON. The remedy in the error said to remove the row, with the same effect; it now says to restore it.

--- a/fleet/coordinator_record.go
+++ b/fleet/coordinator_record.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"time"
 
 	"github.com/monsoontiller/monsoontiller/failover"
@@ -156,9 +157,19 @@
 			return r, undecodableError(part.key, err)
 		}
 	}
+	if len(r.row.Value) > 0 && (r.current.Token == 0 || r.current.Token >= maxToken) {
+		return r, undecodableError(coordinatorKey, errTokenOutOfRange)
+	}
 	return r, nil
 }
 
+// maxToken is above every fencing token that a holder can have used; the next one after it would not be higher.
+const maxToken = 1 << 63
+
+// errTokenOutOfRange means that the row of the lease holds no fencing token: it is not a row that a holder has written, and the
+// newest token is not known.
+var errTokenOutOfRange = errors.New("its fencing token is out of range")
+
 // lastsFor reports whether the store's era has certainly lasted for d, or is the only one.
 func (r coordinatorRecord) lastsFor(d time.Duration) bool {
 	since := time.Duration(r.era.SinceMs) * time.Millisecond
@@ -229,7 +240,7 @@
 	return fault.New(fault.Config{
 		Kind:    fault.KindUnavailable,
 		Message: "a row of the promotion coordinator cannot be decoded",
-		Remedy:  "remove the row " + key + " of the table " + coordinatorTable,
+		Remedy:  "restore the row " + key + " of the table " + coordinatorTable + "; a fencing token must be above those in the log (duty_claimed)",
 		Cause:   cause,
 	})
 }
--- a/fleet/export_test.go
+++ b/fleet/export_test.go
@@ -402,3 +402,10 @@
 
 // NewGroupSlots returns a GroupSlots without members.
 var NewGroupSlots = newGroupSlots
+
+// Keys of the coordinator's rows.
+const (
+	CoordinatorKey  = coordinatorKey
+	IntentKeyPrefix = intentKeyPrefix
+	EraKey          = eraKey
+)
