--- a/engine/group.go
+++ b/engine/group.go
@@ -239,9 +239,6 @@
 // Name returns the group's name.
 func (g *Group[L]) Name() string { return g.cfg.Name }
 
-// Log returns the identifier of the group's log, to which the points of its members belong.
-func (g *Group[L]) Log() group.Log { return g.log }
-
 // Members returns the addresses of the members, in the order in which they were set.
 func (g *Group[L]) Members() []Address {
 	g.mu.Lock()
--- a/engine/lease.go
+++ b/engine/lease.go
@@ -93,6 +93,9 @@
 	})
 }
 
+// Log returns the identifier of the group's log, to which the points of its members belong.
+func (g *Group[L]) Log() group.Log { return g.log }
+
 // AwaitFloor waits for a log point of the primary that was requested at or after since, under a valid lease, and
 // returns it with the time of that request; it fails with KindNoPrimary at the deadline.
 func (g *Group[L]) AwaitFloor(ctx context.Context, since, deadline time.Time) (group.Point, time.Time, error) {
--- a/fleet/export_test.go
+++ b/fleet/export_test.go
@@ -396,16 +396,3 @@
 
 // RevocationTime is how long a revoked lease cannot be renewed.
 const RevocationTime = revocationTime
-
-// GroupSlots gives tests access to the slots of the members of groups.
-type GroupSlots = groupSlots
-
-// NewGroupSlots returns a GroupSlots without members.
-var NewGroupSlots = newGroupSlots
-
-// Keys of the coordinator's rows.
-const (
-	CoordinatorKey  = coordinatorKey
-	IntentKeyPrefix = intentKeyPrefix
-	EraKey          = eraKey
-)
--- a/fleet/instance.go
+++ b/fleet/instance.go
@@ -295,15 +295,6 @@
 	return true
 }
 
-// leaveOut logs and counts an entry that names no usable endpoint, once for each reason: entries are read again by each check of
-// the store, and from each peer.
-func (i *Instance[L]) leaveOut(key string, at store.Position, err error) {
-	if i.invalid.Add(key, err.Error()) {
-		i.meters.invalid.Inc(1)
-		logLine(i.cfg.Logger, "level", "warn", "msg", "endpoint_entry_left_out", "endpoint", key, "position", at.String(), "error", err.Error())
-	}
-}
-
 // Keys of the items that instances exchange.
 const (
 	configurationItem = "configuration"
--- a/fleet/invalid_entries.go
+++ b/fleet/invalid_entries.go
@@ -1,6 +1,10 @@
 package fleet
 
-import "sync"
+import (
+	"sync"
+
+	"github.com/monsoontiller/monsoontiller/store"
+)
 
 // maxInvalidEntries bounds invalidEntries, which is cleared at this size, so that every entry counts as new again.
 const maxInvalidEntries = 4096
@@ -31,3 +35,12 @@
 	defer i.mu.Unlock()
 	delete(i.reasons, endpoint)
 }
+
+// leaveOut logs and counts an entry that names no usable endpoint, once for each reason: entries are read again by each check of
+// the store, and from each peer.
+func (i *Instance[L]) leaveOut(key string, at store.Position, err error) {
+	if i.invalid.Add(key, err.Error()) {
+		i.meters.invalid.Inc(1)
+		logLine(i.cfg.Logger, "level", "warn", "msg", "endpoint_entry_left_out", "endpoint", key, "position", at.String(), "error", err.Error())
+	}
+}
