fleet: a group that the configuration does not name has no home

What callers would see: a service that leaves after a promotion, and returns under its name with new members and a new log, has no primary until the instances are restarted.

Cause: an instance goes on watching a group that the configuration does not name any more, and keeps the term of its former log, so that members in a lower term count as behind. Ruled out: the links to the new members, which answered.

Change: the watch of such a group ends like that of a former home, and with it what was known of the log.

Test: TestServiceThatReturnsWithNewLogIsServed, before: "the condition is still false after 30s", the watch never ends.

--- a/fleet/members.go
+++ b/fleet/members.go
@@ -96,12 +96,16 @@
 
 // stopFormerHomes stops the watch of groups that this instance has not been a home of for homeWatchGrace, or for idleHomeGrace
 // if none of their links is in use.
+//
+// A group that the configuration does not name has no home. What is known of its log ends with the watch, as it may return with
+// another log, whose terms begin again.
 func (m *members[L]) stopFormerHomes(now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for name, w := range m.groups {
+		_, configured := m.instance.directory.Group(name)
 		switch {
-		case m.instance.isHome(name):
+		case configured && m.instance.isHome(name):
 			w.notHomeSince = time.Time{}
 		case w.notHomeSince.IsZero():
 			w.notHomeSince = now
