--- a/soak/oracle.go
+++ b/soak/oracle.go
@@ -184,9 +184,9 @@
 	}
 }
 
-// RecordAckedIn records the data of writes in a group whose commit was acknowledged to their caller.
+// RecordAckedIn records the data of writes whose commit was acknowledged to their caller, unless the second group signed them.
 func (o *Oracle) RecordAckedIn(group string, writes ...string) {
-	if group == groupName {
+	if group != otherGroupName {
 		o.RecordAcked(writes...)
 	}
 }
