--- a/review/cases3/main.go
+++ b/review/cases3/main.go
@@ -32,6 +32,7 @@
 
 var cases = map[string]caseFunc{
 	"forgotten-promotion": forgottenPromotion,
+	"lost-primary":        lostPrimary,
 }
 
 func main() { os.Exit(run()) }
