--- a/review/cases3/lost_primary.go
+++ b/review/cases3/lost_primary.go
@@ -34,7 +34,7 @@
 		Databases: []platformtest.Database{{Name: database, Kind: platformtest.KindPrimary}},
 	}.Text())
 	for i, zone := range []string{"perth", "stirling", "falkirk"} {
-		if _, err := s.addMachine("frontend-"+zone+"-1", zone, 10+i, "", s.controlOf(10), s.controlOf(11), s.controlOf(12)); err != nil {
+		if _, err := s.addMachine("frontend-"+zone+"-1", zone, 10+i, s.controlOf(10), s.controlOf(11), s.controlOf(12)); err != nil {
 			return nil, err
 		}
 	}
--- a/review/cases3/machine.go
+++ b/review/cases3/machine.go
@@ -21,6 +21,9 @@
 	portLast      = 7455
 )
 
+// memoryMb is the memory of a machine, beyond which its process is killed.
+const memoryMb = 284
+
 // machine is one machine with one process of the system.
 type machine struct {
 	name     string
@@ -36,8 +39,6 @@
 	seeds            []string
 	store, cloud     string
 	directory        string
-	// bounds are further lines of the table Bounds.
-	bounds string
 }
 
 func newMachine(cfg machineConfig) (*machine, error) {
@@ -63,7 +64,7 @@
 [Limits]
 CpuQuota = 0.4
 Cores = 1
-MemoryMb = 284
+MemoryMb = %[12]d
 MaxFds = 4200
 [Bounds]
 ContactMs = 4000
@@ -74,14 +75,14 @@
 DowngradeSlackMs = 250
 FencingRequired = false
 ThawSlackMs = 300
-%[10]s[platform]
-Address = %[11]q
+[platform]
+Address = %[10]q
 form = "table"
 [CloudApi]
-Address = %[12]q
+Address = %[11]q
 Duties = ["promotion"]
 `, cfg.name, cfg.host, cfg.zone, portFirst, portLast, strings.Join(seeds, ","), portFrontend, portReadiness, portControl,
-		cfg.bounds, cfg.store, cfg.cloud)
+		cfg.store, cfg.cloud, memoryMb)
 	m := &machine{name: cfg.name, host: cfg.host, settings: filepath.Join(cfg.directory, cfg.name+".toml")}
 	if err := os.WriteFile(m.settings, []byte(text), 0o600); err != nil {
 		return nil, err
@@ -110,9 +111,22 @@
 	m.command = nil
 }
 
-func (m *machine) frontend() string { return fmt.Sprintf("%s:%d", m.host, portFrontend) }
+// privateMemory returns the anonymous memory of the process in MiB, or 0 if it is not known.
+func (m *machine) privateMemory() float64 {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", m.command.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	for _, line := range strings.Split(string(text), "\n") {
+		var kib float64
+		if n, err := fmt.Sscanf(line, "RssAnon: %f kB", &kib); n == 1 && err == nil {
+			return kib / 1024
+		}
+	}
+	return 0
+}
 
-func (m *machine) control() string { return fmt.Sprintf("%s:%d", m.host, portControl) }
+func (m *machine) frontend() string { return fmt.Sprintf("%s:%d", m.host, portFrontend) }
 
 // ready reports whether the readiness probe succeeds.
 func (m *machine) ready(ctx context.Context) bool {
--- a/review/cases3/main.go
+++ b/review/cases3/main.go
@@ -33,6 +33,7 @@
 var cases = map[string]caseFunc{
 	"forgotten-promotion": forgottenPromotion,
 	"lost-primary":        lostPrimary,
+	"idle-sessions":       idleSessions,
 }
 
 func main() { os.Exit(run()) }
--- a/review/cases3/site.go
+++ b/review/cases3/site.go
@@ -112,12 +112,9 @@
 }
 
 // addMachine writes the settings of a machine, which is not started.
-func (s *site) addMachine(name, zone string, host int, storeAddress string, seeds ...string) (*machine, error) {
-	if storeAddress == "" {
-		storeAddress = s.store.Address()
-	}
+func (s *site) addMachine(name, zone string, host int, seeds ...string) (*machine, error) {
 	m, err := newMachine(machineConfig{
-		name: name, zone: zone, host: fmt.Sprintf("%s%d", s.network, host), seeds: seeds, store: storeAddress, cloud: s.cloud, directory: s.directory,
+		name: name, zone: zone, host: fmt.Sprintf("%s%d", s.network, host), seeds: seeds, store: s.store.Address(), cloud: s.cloud, directory: s.directory,
 	})
 	if err == nil {
 		s.machines = append(s.machines, m)
