--- a/review/cases3/idle_sessions.go
+++ b/review/cases3/idle_sessions.go
@@ -27,18 +27,13 @@
 //
 // A process that exceeds the memory of its machine is killed and started again, as the platform does.
 func idleSessions(ctx context.Context, e environment, trouble bool) (broken []string, err error) {
-	const group, database = "candidate-records", "bookings"
-	s, err := newSite(ctx, e.binary, e.directory, e.record, groupConfig{name: group, connections: 34, zones: []string{"perth", "stirling", "falkirk"}})
+	s, err := newSite(ctx, e)
 	if err != nil {
 		return nil, err
 	}
 	defer s.killAll()
-	s.store.Rows.Put("op", "config", platformtest.Configuration{
-		Version: 3, Group: group, Connections: 34, Timeout: time.Second, TargetLatency: 200 * time.Millisecond,
-		MaxStaleness: 1500 * time.Millisecond, TransactionIdle: 5 * time.Second,
-		Databases: []platformtest.Database{{Name: database, Kind: platformtest.KindPrimary}},
-	}.Text())
-	for i, zone := range []string{"perth", "stirling"} {
+	s.writeConfig(false)
+	for i, zone := range memberZones[:2] {
 		if _, err := s.addMachine("frontend-"+zone+"-1", zone, 10+i, s.controlOf(10), s.controlOf(11)); err != nil {
 			return nil, err
 		}
@@ -56,7 +51,7 @@
 	served := 0
 	for round := range rounds {
 		e.record.printf("round %d: %d sessions, values of %d bytes", round+1, openSessions, size)
-		n, err := m.round(ctx, database, data)
+		n, err := m.round(ctx, data)
 		if err != nil {
 			return nil, err
 		}
@@ -104,7 +99,7 @@
 }
 
 // round opens the sessions in turn, lets them rest for a moment, and closes them; it returns the number of served statements.
-func (w *memoryWatch) round(ctx context.Context, database, data string) (served int, err error) {
+func (w *memoryWatch) round(ctx context.Context, data string) (served int, err error) {
 	var sessions []*platformtest.Caller
 	defer func() {
 		for _, c := range sessions {
--- a/review/cases3/lost_primary.go
+++ b/review/cases3/lost_primary.go
@@ -19,21 +19,15 @@
 
 // lostPrimary kills all processes of the system at the moment at which a primary crashes for good, and starts them again.
 func lostPrimary(ctx context.Context, e environment, trouble bool) (broken []string, err error) {
-	const group, database = "candidate-records", "bookings"
-	s, err := newSite(ctx, e.binary, e.directory, e.record, groupConfig{name: group, connections: 34, zones: []string{"perth", "stirling", "falkirk"}})
+	s, err := newSite(ctx, e)
 	if err != nil {
 		return nil, err
 	}
 	defer s.killAll()
-	g := s.groups[group]
-	g.SetSyncReplica(true)
+	g := s.group
 	newRuns(e.record, g)
-	s.store.Rows.Put("op", "config", platformtest.Configuration{
-		Version: 3, Group: group, Connections: 34, SyncReplica: true, Timeout: time.Second, TargetLatency: 200 * time.Millisecond,
-		MaxStaleness: 1500 * time.Millisecond, TransactionIdle: 5 * time.Second,
-		Databases: []platformtest.Database{{Name: database, Kind: platformtest.KindPrimary}},
-	}.Text())
-	for i, zone := range []string{"perth", "stirling", "falkirk"} {
+	s.writeConfig(true)
+	for i, zone := range memberZones {
 		if _, err := s.addMachine("frontend-"+zone+"-1", zone, 10+i, s.controlOf(10), s.controlOf(11), s.controlOf(12)); err != nil {
 			return nil, err
 		}
@@ -42,7 +36,7 @@
 		return nil, err
 	}
 	time.Sleep(2 * time.Second)
-	before := s.serve(ctx, database, 4*time.Second)
+	before := s.serve(ctx, 4*time.Second)
 	e.record.printf("before: %v", before)
 	primary := g.Primary()
 	if trouble {
@@ -65,7 +59,7 @@
 	}
 	e.record.printf("the processes are started again")
 	time.Sleep(recovery)
-	after := s.serve(ctx, database, observed)
+	after := s.serve(ctx, observed)
 	e.record.printf("later than %v after the machines are back: %v", recovery, after)
 	if 4*before.served >= before.sent && 4*after.served < after.sent {
 		broken = append(broken, fmt.Sprintf("RECOVER: %d of %d requests served, sent later than %v after the machines were back; before %d of %d",
@@ -78,7 +72,7 @@
 type served struct{ sent, served int }
 
 // serve sends writes to all machines for a time, and counts those that are served.
-func (s *site) serve(ctx context.Context, database string, length time.Duration) (n served) {
+func (s *site) serve(ctx context.Context, length time.Duration) (n served) {
 	var mu sync.Mutex
 	var wait sync.WaitGroup
 	until := time.Now().Add(length)
--- a/review/cases3/promotion_check.go
+++ b/review/cases3/promotion_check.go
@@ -137,23 +137,16 @@
 	machineInFalkirk  = "frontend-falkirk-1"
 )
 
-const promotionDatabase = "bookings"
-
 // newPromotionRun starts the machines.
 func newPromotionRun(ctx context.Context, e environment) (*promotionRun, error) {
-	const group = "candidate-records"
-	s, err := newSite(ctx, e.binary, e.directory, e.record, groupConfig{name: group, connections: 34, zones: []string{"perth", "stirling", "falkirk"}})
+	s, err := newSite(ctx, e)
 	if err != nil {
 		return nil, err
 	}
-	g := s.groups[group]
+	g := s.group
 	members := g.Members()
 	p := &promotionRun{site: s, group: g, primary: members[0], replicas: members[1:], check: &promotionCheck{runs: newRuns(e.record, g)}, stopped: make(chan struct{})}
-	s.store.Rows.Put("op", "config", platformtest.Configuration{
-		Version: 3, Group: group, Connections: 34, Timeout: time.Second, TargetLatency: 200 * time.Millisecond,
-		MaxStaleness: 1500 * time.Millisecond, TransactionIdle: 5 * time.Second,
-		Databases: []platformtest.Database{{Name: promotionDatabase, Kind: platformtest.KindPrimary}},
-	}.Text())
+	s.writeConfig(false)
 	// The seeds of the machine in perth are stale, as the pages allow; it registers in the store like the others.
 	if _, err := s.addMachine(machineInPerth, "perth", 10, s.controlOf(18), s.controlOf(19)); err != nil {
 		return nil, err
@@ -192,9 +185,9 @@
 	const pause = 8 * time.Millisecond
 	perth, stirling := p.site.machines[0].frontend(), p.site.machines[1].frontend()
 	r := p.site.record
-	writer := &client{name: "client of " + machineInStirling, address: stirling, database: promotionDatabase, record: r}
-	reader := &client{name: "reader of " + machineInPerth, address: perth, database: promotionDatabase, record: r}
-	other := &client{name: "writer of " + machineInPerth, address: perth, database: promotionDatabase, record: r}
+	writer := &client{name: "client of " + machineInStirling, address: stirling, database: database, record: r}
+	reader := &client{name: "reader of " + machineInPerth, address: perth, database: database, record: r}
+	other := &client{name: "writer of " + machineInPerth, address: perth, database: database, record: r}
 	p.loop(pause, func() { p.check.write(ctx, writer, "seat") })
 	p.loop(pause, func() { p.check.read(ctx, reader, "seat") })
 	p.loop(pause, func() { p.check.writeOther(ctx, other) })
--- a/review/cases3/site.go
+++ b/review/cases3/site.go
@@ -13,13 +13,13 @@
 	"github.com/monsoontiller/monsoontiller/platform/platformtest"
 )
 
-// site is a small deployment: the platform, groups of members behind gates, and machines.
+// site is a small deployment: the platform, a group of members behind gates, and machines.
 type site struct {
 	binary    string
 	directory string
 	network   string
 	store     *platformtest.StoreServer
-	groups    map[string]*platformtest.Group
+	group     *platformtest.Group
 	gates     map[string]*gate
 	cloud     string
 	machines  []*machine
@@ -39,15 +39,28 @@
 	fmt.Fprintf(r.file, "%9.4f %s\n", time.Since(r.started).Seconds(), fmt.Sprintf(format, args...))
 }
 
-// groupConfig describes a group of the site.
-type groupConfig struct {
-	name        string
-	connections int
-	zones       []string
+// The group of the site and its database.
+const (
+	groupName   = "candidate-records"
+	database    = "bookings"
+	connections = 34
+)
+
+// memberZones are the zones of the members.
+var memberZones = []string{"perth", "stirling", "falkirk"}
+
+// writeConfig writes the desired state, with one route of the kind primary.
+func (s *site) writeConfig(syncReplica bool) {
+	s.group.SetSyncReplica(syncReplica)
+	s.store.Rows.Put("op", "config", platformtest.Configuration{
+		Version: 3, Group: groupName, Connections: connections, SyncReplica: syncReplica, Timeout: time.Second,
+		TargetLatency: 200 * time.Millisecond, MaxStaleness: 1500 * time.Millisecond, TransactionIdle: 5 * time.Second,
+		Databases: []platformtest.Database{{Name: database, Kind: platformtest.KindPrimary}},
+	}.Text())
 }
 
-func newSite(ctx context.Context, binary, directory string, r *record, groups ...groupConfig) (*site, error) {
-	s := &site{binary: binary, directory: directory, record: r, groups: map[string]*platformtest.Group{}, gates: map[string]*gate{}}
+func newSite(ctx context.Context, e environment) (*site, error) {
+	s := &site{binary: e.binary, directory: e.directory, record: e.record, gates: map[string]*gate{}}
 	var err error
 	if s.network, err = freeNetwork(); err != nil {
 		return nil, err
@@ -56,24 +69,22 @@
 		return nil, err
 	}
 	go func() { _ = s.store.Run(ctx) }()
-	for _, cfg := range groups {
-		if err := s.addGroup(ctx, cfg); err != nil {
-			return nil, err
-		}
+	if err := s.startGroup(ctx); err != nil {
+		return nil, err
 	}
 	return s, s.serveCloud(ctx)
 }
 
-// addGroup starts the members of a group and lists them; its promotions take 600 ms, and a replaced primary continues for a
+// startGroup starts the members of the group and lists them; its promotions take 600 ms, and a replaced primary continues for a
 // second after it reaches its successor.
-func (s *site) addGroup(ctx context.Context, cfg groupConfig) error {
-	g, err := platformtest.NewGroup(cfg.name, len(cfg.zones))
+func (s *site) startGroup(ctx context.Context) error {
+	g, err := platformtest.NewGroup(groupName, len(memberZones))
 	if err != nil {
 		return err
 	}
-	g.SetConnectionLimit(cfg.connections)
+	g.SetConnectionLimit(connections)
 	g.SetTimes(600*time.Millisecond, time.Second)
-	s.groups[cfg.name] = g
+	s.group = g
 	go func() { _ = g.Run(ctx) }()
 	for i, m := range g.Members() {
 		gate, err := newGate(m.Address())
@@ -83,7 +94,7 @@
 		go gate.run(ctx)
 		s.gates[m.ID] = gate
 		m.SetListedAddress(gate.address())
-		s.store.Rows.Put("servers", m.ID, m.Entry(cfg.zones[i], platformtest.StateReady))
+		s.store.Rows.Put("servers", m.ID, m.Entry(memberZones[i], platformtest.StateReady))
 	}
 	return nil
 }
@@ -96,10 +107,7 @@
 	}
 	s.cloud = l.Addr().String()
 	mux := http.NewServeMux()
-	for _, g := range s.groups {
-		mux.Handle("POST /promote", g.Promoter())
-		break
-	}
+	mux.Handle("POST /promote", s.group.Promoter())
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
 	stop := context.AfterFunc(ctx, func() { server.Close() })
 	go func() {
