--- a/review/cases3/main.go
+++ b/review/cases3/main.go
@@ -34,6 +34,7 @@
 	"forgotten-promotion": forgottenPromotion,
 	"lost-primary":        lostPrimary,
 	"idle-sessions":       idleSessions,
+	"grey-member":         greyMember,
 }
 
 func main() { os.Exit(run()) }
--- a/review/cases3/site.go
+++ b/review/cases3/site.go
@@ -20,10 +20,12 @@
 	network   string
 	store     *platformtest.StoreServer
 	group     *platformtest.Group
-	gates     map[string]*gate
-	cloud     string
-	machines  []*machine
-	record    *record
+	// otherGroups are the names of groups that no client uses.
+	otherGroups []string
+	gates       map[string]*gate
+	cloud       string
+	machines    []*machine
+	record      *record
 }
 
 // record writes what happened to the file of the case.
@@ -55,7 +57,7 @@
 	s.store.Rows.Put("op", "config", platformtest.Configuration{
 		Version: 3, Group: groupName, Connections: connections, SyncReplica: syncReplica, Timeout: time.Second,
 		TargetLatency: 200 * time.Millisecond, MaxStaleness: 1500 * time.Millisecond, TransactionIdle: 5 * time.Second,
-		Databases: []platformtest.Database{{Name: database, Kind: platformtest.KindPrimary}},
+		Databases: []platformtest.Database{{Name: database, Kind: platformtest.KindPrimary}}, OtherGroups: s.otherGroups,
 	}.Text())
 }
 
@@ -99,6 +101,20 @@
 	return nil
 }
 
+// addOtherGroup starts and lists the members of a group that no client uses.
+func (s *site) addOtherGroup(ctx context.Context, name string) error {
+	g, err := platformtest.NewGroup(name, len(memberZones))
+	if err != nil {
+		return err
+	}
+	go func() { _ = g.Run(ctx) }()
+	for i, m := range g.Members() {
+		s.store.Rows.Put("servers", m.ID, m.Entry(memberZones[i], platformtest.StateReady))
+	}
+	s.otherGroups = append(s.otherGroups, name)
+	return nil
+}
+
 // serveCloud serves the duty of promotions.
 func (s *site) serveCloud(ctx context.Context) error {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
