--- a/review/cases3/main.go
+++ b/review/cases3/main.go
@@ -35,6 +35,7 @@
 	"lost-primary":        lostPrimary,
 	"idle-sessions":       idleSessions,
 	"grey-member":         greyMember,
+	"demoted-primary":     demotedPrimary,
 }
 
 func main() { os.Exit(run()) }
