--- a/review/cases3/grey_member.go
+++ b/review/cases3/grey_member.go
@@ -37,7 +37,7 @@
 	s.store.Rows.Put("servers", primary.ID, primary.Entry(memberZones[0], platformtest.StateReady))
 	// One of nine members is within the share of srv_grey.
 	for _, name := range []string{"course-records", "sponsor-records"} {
-		if err := s.addOtherGroup(ctx, name); err != nil {
+		if _, err := s.addOtherGroup(ctx, name); err != nil {
 			return nil, err
 		}
 	}
--- a/review/cases3/main.go
+++ b/review/cases3/main.go
@@ -36,6 +36,7 @@
 	"idle-sessions":       idleSessions,
 	"grey-member":         greyMember,
 	"demoted-primary":     demotedPrimary,
+	"silent-store":        silentStore,
 }
 
 func main() { os.Exit(run()) }
--- a/review/cases3/site.go
+++ b/review/cases3/site.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -22,6 +23,11 @@
 	group     *platformtest.Group
 	// otherGroups are the names of groups that no client uses.
 	otherGroups []string
+	// storeAddress is how the machines that are added next reach the store, or "" for directly.
+	storeAddress string
+	// version is that of the newest desired state.
+	version     int
+	syncReplica bool
 	gates       map[string]*gate
 	cloud       string
 	machines    []*machine
@@ -51,13 +57,20 @@
 // memberZones are the zones of the members.
 var memberZones = []string{"perth", "stirling", "falkirk"}
 
-// writeConfig writes the desired state, with one route of the kind primary.
+// writeConfig writes the first desired state, with one route of the kind primary.
 func (s *site) writeConfig(syncReplica bool) {
 	s.group.SetSyncReplica(syncReplica)
+	s.syncReplica = syncReplica
+	s.writeRoute(groupName, time.Second)
+}
+
+// writeRoute writes the next desired state, in which the route leads to a group.
+func (s *site) writeRoute(group string, timeout time.Duration) {
+	s.version += 3
 	s.store.Rows.Put("op", "config", platformtest.Configuration{
-		Version: 3, Group: groupName, Connections: connections, SyncReplica: syncReplica, Timeout: time.Second,
+		Version: s.version, Group: groupName, Connections: connections, SyncReplica: s.syncReplica, Timeout: timeout,
 		TargetLatency: 200 * time.Millisecond, MaxStaleness: 1500 * time.Millisecond, TransactionIdle: 5 * time.Second,
-		Databases: []platformtest.Database{{Name: database, Kind: platformtest.KindPrimary}}, OtherGroups: s.otherGroups,
+		Databases: []platformtest.Database{{Name: database, Kind: platformtest.KindPrimary, Group: group}}, OtherGroups: s.otherGroups,
 	}.Text())
 }
 
@@ -102,17 +115,17 @@
 }
 
 // addOtherGroup starts and lists the members of a group that no client uses.
-func (s *site) addOtherGroup(ctx context.Context, name string) error {
+func (s *site) addOtherGroup(ctx context.Context, name string) (*platformtest.Group, error) {
 	g, err := platformtest.NewGroup(name, len(memberZones))
 	if err != nil {
-		return err
+		return nil, err
 	}
 	go func() { _ = g.Run(ctx) }()
 	for i, m := range g.Members() {
 		s.store.Rows.Put("servers", m.ID, m.Entry(memberZones[i], platformtest.StateReady))
 	}
 	s.otherGroups = append(s.otherGroups, name)
-	return nil
+	return g, nil
 }
 
 // serveCloud serves the duty of promotions.
@@ -138,7 +151,7 @@
 // addMachine writes the settings of a machine, which is not started.
 func (s *site) addMachine(name, zone string, host int, seeds ...string) (*machine, error) {
 	m, err := newMachine(machineConfig{
-		name: name, zone: zone, host: fmt.Sprintf("%s%d", s.network, host), seeds: seeds, store: s.store.Address(), cloud: s.cloud, directory: s.directory,
+		name: name, zone: zone, host: fmt.Sprintf("%s%d", s.network, host), seeds: seeds, store: cmp.Or(s.storeAddress, s.store.Address()), cloud: s.cloud, directory: s.directory,
 	})
 	if err == nil {
 		s.machines = append(s.machines, m)
