--- a/review/cases3/demoted_primary.go
+++ b/review/cases3/demoted_primary.go
@@ -10,7 +10,7 @@
 // Times of demotedPrimary, from the crash of the primary.
 const (
 	primaryDownLength = 2 * time.Second
-	replicaDarkAfter  = 500 * time.Millisecond
+	replicaDarkAfter  = 700 * time.Millisecond
 	replicaDarkLength = 7500 * time.Millisecond
 	killAfter         = 4500 * time.Millisecond
 	// receiveDelay is how long a replica takes to receive a commit: the way between two areas.
