--- a/review/cases3/forgotten_promotion.go
+++ b/review/cases3/forgotten_promotion.go
@@ -17,7 +17,7 @@
 // forgottenPromotion partitions the primary and one machine from the replicas and the other machines, and lets the store be
 // down for some seconds while a replica is promoted.
 func forgottenPromotion(ctx context.Context, e environment, trouble bool) (broken []string, err error) {
-	p, err := newPromotionRun(ctx, e)
+	p, err := newPromotionRun(ctx, e, false)
 	if err != nil {
 		return nil, err
 	}
--- a/review/cases3/main.go
+++ b/review/cases3/main.go
@@ -37,6 +37,7 @@
 	"grey-member":         greyMember,
 	"demoted-primary":     demotedPrimary,
 	"silent-store":        silentStore,
+	"unregistered":        unregistered,
 }
 
 func main() { os.Exit(run()) }
--- a/review/cases3/promotion_check.go
+++ b/review/cases3/promotion_check.go
@@ -126,8 +126,10 @@
 	primary  *platformtest.Member
 	replicas []*platformtest.Member
 	check    *promotionCheck
-	stopped  chan struct{}
-	wait     sync.WaitGroup
+	// late is the way of the machine in perth to the store, if it is added later.
+	late    *lateFront
+	stopped chan struct{}
+	wait    sync.WaitGroup
 }
 
 // Names of the machines of a promotionRun.
@@ -137,8 +139,8 @@
 	machineInFalkirk  = "frontend-falkirk-1"
 )
 
-// newPromotionRun starts the machines.
-func newPromotionRun(ctx context.Context, e environment) (*promotionRun, error) {
+// newPromotionRun starts the machines; with added set, the one in perth is left to be started.
+func newPromotionRun(ctx context.Context, e environment, added bool) (*promotionRun, error) {
 	s, err := newSite(ctx, e)
 	if err != nil {
 		return nil, err
@@ -147,17 +149,28 @@
 	members := g.Members()
 	p := &promotionRun{site: s, group: g, primary: members[0], replicas: members[1:], check: &promotionCheck{runs: newRuns(e.record, g)}, stopped: make(chan struct{})}
 	s.writeConfig(false)
+	if added {
+		if p.late, err = newLateFront(ctx, s.store.Address(), e.record); err != nil {
+			return nil, err
+		}
+		s.storeAddress = p.late.address()
+	}
 	// The seeds of the machine in perth are stale, as the pages allow; it registers in the store like the others.
 	if _, err := s.addMachine(machineInPerth, "perth", 10, s.controlOf(18), s.controlOf(19)); err != nil {
 		return nil, err
 	}
+	s.storeAddress = ""
 	if _, err := s.addMachine(machineInStirling, "stirling", 11, s.controlOf(12), s.controlOf(11)); err != nil {
 		return nil, err
 	}
 	if _, err := s.addMachine(machineInFalkirk, "falkirk", 12, s.controlOf(12), s.controlOf(11)); err != nil {
 		return nil, err
 	}
-	if err := s.startAll(ctx); err != nil {
+	first := 0
+	if added {
+		first = 1
+	}
+	if err := s.startFrom(ctx, first); err != nil {
 		s.killAll()
 		return nil, err
 	}
--- a/review/cases3/site.go
+++ b/review/cases3/site.go
@@ -164,13 +164,16 @@
 	return fmt.Sprintf("%s%d:%d", s.network, host, portControl)
 }
 
-func (s *site) startAll(ctx context.Context) error {
-	for _, m := range s.machines {
+func (s *site) startAll(ctx context.Context) error { return s.startFrom(ctx, 0) }
+
+// startFrom starts all machines but the first ones.
+func (s *site) startFrom(ctx context.Context, first int) error {
+	for _, m := range s.machines[first:] {
 		if err := m.start(s.binary); err != nil {
 			return err
 		}
 	}
-	return awaitReady(ctx, s.machines, 15*time.Second)
+	return awaitReady(ctx, s.machines[first:], 15*time.Second)
 }
 
 func (s *site) killAll() {
