--- a/review/cases3/unregistered.go
+++ b/review/cases3/unregistered.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/monsoontiller/monsoontiller/platform/platformtest"
 )
 
 // Times of unregistered.
@@ -14,6 +16,8 @@
 	// cutAfter is when the primary is partitioned, from the start of the machine.
 	cutAfter  = 2 * time.Second
 	cutLength = 5 * time.Second
+	// heartbeat is the interval at which the members write their entries.
+	heartbeat = 1200 * time.Millisecond
 	// promoteTime is the time of a promote on the sheets of pmrsu-plans-grown and bairdlennox-pool-large.
 	promoteTime = 300 * time.Millisecond
 )
@@ -28,6 +32,12 @@
 	s := p.site
 	defer s.killAll()
 	p.group.SetTimes(promoteTime, time.Second)
+	// The members write their entries, so that the lost answers are within the share of platform_lost.
+	p.loop(heartbeat, func() {
+		for i, m := range p.group.Members() {
+			s.store.Rows.Put("servers", m.ID, m.Entry(memberZones[i], platformtest.StateReady))
+		}
+	})
 	time.Sleep(3 * time.Second)
 	if trouble {
 		p.late.loseNext(lostWrites, lateWrite)
