engine, caller: a statement runs only under confirmed session values

Cause: DISCARD, SET and the statement went out in one write, and their answers were looked at only afterwards; an endpoint runs each command whatever it answered to the one before. The link's state counted as changed when the commands were queued. The PostgreSQL side had the same path: each restoring query ends with its own Sync.

Change: a statement is sent once the endpoint has confirmed the values, and the link's state changes with the answers. A refused or lost value closes the link; the statement is tried again, or refused as not run. In a transaction the caller is told that it was rolled back.

--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -57,6 +57,8 @@
 	failure          retry.Failure
 	commandTags      []string
 	callerErr        error
+	// unrestorable reports that the endpoint refused a query that restores the caller's settings.
+	unrestorable bool
 	// rejected reports that another endpoint can run the request, so that this answer is discarded.
 	rejected bool
 	// stillSkipping reports that the endpoint skips messages of the next batch too, up to Sync.
@@ -82,37 +84,80 @@
 // It reports whether the answer is complete; otherwise failure holds the reason,
 // and the connection is reusable only if a rejected answer was read to its end.
 func (x *exchange) run() (complete bool) {
-	if err := x.send(); err != nil {
+	if err := x.restore(); err != nil {
 		x.failure = retry.FailureLost
+		if x.unrestorable {
+			x.failure = retry.FailureSession
+		}
 		return false
 	}
-	for len(x.plan.steps) > 0 {
-		s := x.plan.steps[0]
-		x.plan.steps = x.plan.steps[1:]
-		if err := x.readStep(s); err != nil {
-			x.failure = retry.FailureLost
-			return false
-		}
+	if err := x.relay(); err != nil {
+		x.failure = retry.FailureLost
+		return false
 	}
 	x.conn.SetAnsweredAt(clock.Now())
 	return !x.rejected
 }
 
-// send sends the batch and, if a query could be put first, waits for the first byte of its answer.
-func (x *exchange) send() error {
+// restore gives the connection the caller's settings and waits until the endpoint has confirmed them.
+//
+// The batch is sent only then: each query ends with its own Sync, so that the endpoint would run the batch whatever it
+// answered to the queries before it.
+func (x *exchange) restore() error {
+	if x.pinned || x.conn.StateKey() == x.settings.key {
+		return nil
+	}
+	if err := x.plan.queueRestore(x.settings); err != nil {
+		return err
+	}
+	if _, err := x.send(); err != nil {
+		return err
+	}
+	if err := x.readSteps(); err != nil {
+		return err
+	}
+	x.conn.ClearPrepared()
+	x.conn.SetStateKey(x.settings.key)
+	return nil
+}
+
+// relay sends the batch and reads its answer.
+func (x *exchange) relay() error {
 	if err := x.queue(); err != nil {
 		return err
 	}
-	if err := x.conn.SetDeadline(clock.Wall(x.deadline)); err != nil {
+	sent, err := x.send()
+	x.sent = sent
+	if err != nil {
 		return err
 	}
+	return x.readSteps()
+}
+
+// readSteps reads the answers to all steps of the plan.
+func (x *exchange) readSteps() error {
+	for len(x.plan.steps) > 0 {
+		s := x.plan.steps[0]
+		x.plan.steps = x.plan.steps[1:]
+		if err := x.readStep(s); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// send sends what is queued and, if a query could be put first, waits for the first byte of its answer; sent reports whether
+// a byte may have been sent.
+func (x *exchange) send() (sent bool, err error) {
+	if err := x.conn.SetDeadline(clock.Wall(x.deadline)); err != nil {
+		return false, err
+	}
 	x.sentAt = clock.Now()
-	sent, err := x.conn.Flush()
-	x.sent = sent
+	sent, err = x.conn.Flush()
 	if err != nil || x.awaitsSync {
-		return err
+		return sent, err
 	}
-	return x.awaitPing()
+	return sent, x.awaitPing()
 }
 
 // pingTimeout is how long a connection may take to answer before a probe is triggered, and again before its result is checked.
@@ -160,11 +205,6 @@
 // covers the batch. A ping comes first where no replica's status does. Between Flush
 // and Sync, no query can be added.
 func (x *exchange) queue() error {
-	if !x.pinned {
-		if err := x.plan.restore(x.settings); err != nil {
-			return err
-		}
-	}
 	if x.onReplica && !x.pinned {
 		x.plan.queueStatus(stepStatusBefore)
 	}
@@ -313,6 +353,7 @@
 		switch m := msg.(type) {
 		case *pgproto3.ErrorResponse:
 			if restores {
+				x.unrestorable = true
 				return errUnrestorable(m)
 			}
 		case *pgproto3.ReadyForQuery:
--- a/caller/steps.go
+++ b/caller/steps.go
@@ -60,21 +60,16 @@
 
 func (p *plan) expect(s step) { p.steps = append(p.steps, s) }
 
-// restore brings the connection's session settings to those of the caller.
-func (p *plan) restore(s *settings) error {
-	if p.conn.StateKey() == s.key {
-		return nil
-	}
+// queueRestore queues the queries that bring the connection's session settings to those of the caller.
+func (p *plan) queueRestore(s *settings) error {
 	if err := p.queueInternal("DISCARD ALL"); err != nil {
 		return err
 	}
-	p.conn.ClearPrepared()
 	for _, sql := range s.statements {
 		if err := p.queueInternal(sql); err != nil {
 			return err
 		}
 	}
-	p.conn.SetStateKey(s.key)
 	return nil
 }
 
--- a/endpoint/endpointtest/conn.go
+++ b/endpoint/endpointtest/conn.go
@@ -209,6 +209,9 @@
 		defer func() { <-c.server.slots }()
 		time.Sleep(duration)
 	}
+	if (s.verb == verbSet || s.verb == verbDiscard) && c.server.takeFailedSetting() {
+		return result{err: &sqlError{code: codeInternal, message: "the setting cannot be changed"}}
+	}
 	r := c.engine.run(s, params)
 	if s.usesSlot() && c.server.takeLostAnswer() {
 		c.nc.Close()
--- a/endpoint/endpointtest/engine.go
+++ b/endpoint/endpointtest/engine.go
@@ -39,6 +39,7 @@
 	codeAborted            = "25P02"
 	codeTooManyConnections = "53300"
 	codeCanceled           = "57014"
+	codeInternal           = "XX000"
 	codeNoSuchStatement    = "26000"
 )
 
--- a/endpoint/endpointtest/server.go
+++ b/endpoint/endpointtest/server.go
@@ -10,16 +10,17 @@
 
 // server accepts connections for one member and simulates the member's network faults.
 type server struct {
-	member        *Member
-	mu            sync.Mutex
-	listener      net.Listener
-	conns         map[*conn]struct{}
-	blocked       map[string]bool
-	slots         chan struct{}
-	nextPID       atomic.Uint32
-	peak          int
-	refused       int
-	answersToLose int
+	member         *Member
+	mu             sync.Mutex
+	listener       net.Listener
+	conns          map[*conn]struct{}
+	blocked        map[string]bool
+	slots          chan struct{}
+	nextPID        atomic.Uint32
+	peak           int
+	refused        int
+	answersToLose  int
+	settingsToFail int
 }
 
 func newServer(m *Member) *server {
@@ -179,6 +180,24 @@
 	m.server.answersToLose = n
 }
 
+// FailSettings makes the member refuse the next n statements that set or clear settings.
+func (m *Member) FailSettings(n int) {
+	m.server.mu.Lock()
+	defer m.server.mu.Unlock()
+	m.server.settingsToFail = n
+}
+
+// takeFailedSetting reports whether to refuse the next change of a setting, and decrements the count of FailSettings if so.
+func (s *server) takeFailedSetting() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.settingsToFail == 0 {
+		return false
+	}
+	s.settingsToFail--
+	return true
+}
+
 // takeLostAnswer reports whether to drop the next answer, and decrements the count of LoseAnswers if so.
 func (s *server) takeLostAnswer() bool {
 	s.mu.Lock()
--- a/engine/execution.go
+++ b/engine/execution.go
@@ -108,7 +108,7 @@
 		}
 		e.releaseFailed(h, o)
 		e.failures = append(e.failures, describeFailure(h, o))
-		if o.Attempt.Failure == retry.FailureLost {
+		if failedAtEndpoint(o.Attempt.Failure) {
 			e.failed = append(e.failed, h.Endpoint)
 		}
 		if o.Err != nil {
@@ -196,7 +196,7 @@
 			t.RecordServiceTime(h.Endpoint, now.Sub(started))
 		case o.Attempt.Failure == retry.FailureBehind:
 			t.RecordBehind(h.Endpoint, now, h.Request.Floor)
-		case o.Failed, o.Attempt.Failure == retry.FailureLost && o.Err == nil:
+		case o.Failed, failedAtEndpoint(o.Attempt.Failure) && o.Err == nil:
 			t.RecordFailure(h.Endpoint, now)
 		}
 		g.recordPaceLocked(h.Endpoint, o, h.Request.Class, now.Sub(started))
@@ -204,6 +204,11 @@
 	return o
 }
 
+// failedAtEndpoint reports whether a failure counts against the endpoint to which the request was sent.
+func failedAtEndpoint(f retry.Failure) bool {
+	return f == retry.FailureLost || f == retry.FailureSession
+}
+
 // acquireFailed turns a failed Acquire into a failed attempt; a timeout or a refusal of the queue ends the request.
 func (e *Execution[L]) acquireFailed(h HeldLink[L], err error) (HeldLink[L], Outcome, error) {
 	kind := fault.KindOf(err)
--- a/engine/fake_test.go
+++ b/engine/fake_test.go
@@ -33,6 +33,8 @@
 	refuse map[engine.Op][]engine.Reason
 	// lose is the number of statements of an operation that lose their link after they have run.
 	lose map[engine.Op]int
+	// loseBefore is the number of statements of an operation that lose their link before they run.
+	loseBefore map[engine.Op]int
 	// down makes dials and requests fail.
 	down bool
 	// dialsToRefuse is the number of dials that the member will still refuse because of its connection limit.
@@ -59,7 +61,7 @@
 		if i == 0 {
 			role = group.RolePrimary
 		}
-		c.members[name] = &member{name: name, role: role, term: 1, position: 10, refuse: map[engine.Op][]engine.Reason{}, lose: map[engine.Op]int{}}
+		c.members[name] = &member{name: name, role: role, term: 1, position: 10, refuse: map[engine.Op][]engine.Reason{}, lose: map[engine.Op]int{}, loseBefore: map[engine.Op]int{}}
 	}
 	return c
 }
@@ -153,6 +155,11 @@
 		if l.member.down || l.closed {
 			return answers, true, errDown
 		}
+		if l.member.loseBefore[c.Statement.Op] > 0 {
+			l.member.loseBefore[c.Statement.Op]--
+			l.closed = true
+			return answers, true, errDown
+		}
 		a := l.answer(c)
 		if l.member.lose[c.Statement.Op] > 0 {
 			l.member.lose[c.Statement.Op]--
--- a/engine/job.go
+++ b/engine/job.go
@@ -76,9 +76,9 @@
 	if h.OnReplica {
 		floor = h.Request.Floor
 	}
-	a, sent, ok := j.session.exec(h, j.deadline, Command{Statement: j.statement, Floor: floor}, j.preparedStmt, false)
-	if !ok {
-		return Outcome{Attempt: retry.Attempt{Failure: retry.FailureLost, SentBytes: sent}}
+	a, failed := j.session.exec(h, j.deadline, Command{Statement: j.statement, Floor: floor}, j.preparedStmt, false)
+	if failed != nil {
+		return Outcome{Attempt: *failed}
 	}
 	if a.State != TxNone {
 		return Outcome{Attempt: retry.Attempt{Failure: retry.FailureLost, SentBytes: true}}
@@ -131,40 +131,6 @@
 	return o, true
 }
 
-// exec sends a command, preceded by those that restore the session's state on the link, and returns its answer.
-//
-// sent reports whether a byte may have been sent. ok is false when the link was lost,
-// or when the endpoint refused one of the preceding commands.
-func (s *Session[L]) exec(h HeldLink[L], deadline time.Time, c Command, stmt *preparedStatement, inTx bool) (a Answer, sent, ok bool) {
-	state := h.Link.State()
-	s.commands = state.restore(s.commands[:0], s.values, stmt, inTx)
-	if stmt != nil {
-		c.Alias = stmt.alias
-	}
-	s.commands = append(s.commands, c)
-	sentAt := s.cfg.Clock()
-	answers, sent, err := h.Link.Exec(deadline, s.commands, s.answers[:0])
-	s.answers = answers
-	if err != nil {
-		return a, sent, false
-	}
-	last := len(answers) - 1
-	for _, preceding := range answers[:last] {
-		if preceding.Refusal != nil {
-			return a, true, false
-		}
-	}
-	a = answers[last]
-	h.Link.SetAnsweredAt(s.cfg.Clock())
-	if !a.Point.IsZero() {
-		s.terms.Group.ObservePoint(h.Endpoint, sentAt, a.Point)
-	}
-	if a.Refusal == nil && !h.OnReplica && requiresPrimary(c.Statement, stmt) {
-		s.terms.Group.ObservePrimary(h.Endpoint, sentAt, a.Point)
-	}
-	return a, true, true
-}
-
 // requiresPrimary reports whether only a primary accepts the statement.
 func requiresPrimary(st Statement, stmt *preparedStatement) bool {
 	switch st.Op {
--- a/engine/pacing.go
+++ b/engine/pacing.go
@@ -178,7 +178,7 @@
 		p.controller.Answered(now, took, g.expectedTimeLocked(endpoint, c))
 		p.reference(c).add(took, p.controller.Limit() < p.ceiling)
 	case o.Err != nil:
-	case o.Attempt.Failure == retry.FailureLost, o.Attempt.Failure == retry.FailureBusy, o.Attempt.Failure == retry.FailureConnect:
+	case failedAtEndpoint(o.Attempt.Failure), o.Attempt.Failure == retry.FailureBusy, o.Attempt.Failure == retry.FailureConnect:
 		p.controller.Failed(now)
 	}
 	g.updatePaceLocked()
--- a/engine/statement.go
+++ b/engine/statement.go
@@ -159,61 +159,6 @@
 	State() *LinkState
 }
 
-// LinkState holds the session values and prepared statements that earlier sessions left on a link.
-type LinkState struct {
-	values   map[string]string
-	prepared map[string]bool
-}
-
-// NewLinkState returns the state of a link that was just opened.
-func NewLinkState() *LinkState {
-	return &LinkState{values: map[string]string{}, prepared: map[string]bool{}}
-}
-
-// maxPrepared bounds the prepared statements of a link; at this number the link is reset before its next statement
-// outside a transaction.
-const maxPrepared = 256
-
-// restore appends the commands that set a session's values and a required prepared statement on a link.
-//
-// A link with values that the session does not have is reset first, unless it is in
-// a transaction, during which a session can only add values.
-func (s *LinkState) restore(commands []Command, values map[string]string, needed *preparedStatement, inTx bool) []Command {
-	if !inTx && (s.hasExtraValue(values) || len(s.prepared) >= maxPrepared) {
-		commands = append(commands, Command{Statement: Statement{ID: ProxyStatementID, Op: OpReset}})
-		clear(s.values)
-		clear(s.prepared)
-	}
-	for name, value := range values {
-		if held, ok := s.values[name]; ok && held == value {
-			continue
-		}
-		commands = append(commands, Command{Statement: Statement{ID: ProxyStatementID, Op: OpSet, Name: name, Argument: value}})
-		s.values[name] = value
-	}
-	if needed != nil && !s.prepared[needed.alias] {
-		commands = append(commands, Command{
-			Statement: Statement{ID: ProxyStatementID, Op: OpPrepare, Argument: needed.shape, Writes: needed.writes},
-			Alias:     needed.alias,
-		})
-		s.prepared[needed.alias] = true
-	}
-	return commands
-}
-
-// hasExtraValue reports whether the link has a value whose name the session has not set.
-func (s *LinkState) hasExtraValue(values map[string]string) bool {
-	for name := range s.values {
-		if _, ok := values[name]; !ok {
-			return true
-		}
-	}
-	return false
-}
-
-// clearPrepared marks all prepared statements of the link as missing, so that they are prepared again.
-func (s *LinkState) clearPrepared() { clear(s.prepared) }
-
 // preparedStatement is a statement prepared by a caller.
 type preparedStatement struct {
 	shape  string
--- a/engine/transaction.go
+++ b/engine/transaction.go
@@ -111,9 +111,9 @@
 	if h.OnReplica {
 		begin.Floor = h.Request.Floor
 	}
-	a, _, ok := s.exec(h, j.deadline, begin, nil, false)
-	if !ok {
-		return Outcome{Attempt: retry.Attempt{Failure: retry.FailureLost, SentBytes: true}}
+	a, failed := s.exec(h, j.deadline, begin, nil, false)
+	if failed != nil {
+		return Outcome{Attempt: *failed}
 	}
 	if a.Refusal != nil || a.State != TxOpen {
 		return j.beginFailed(h, a)
@@ -122,9 +122,9 @@
 		return Outcome{Attempt: retry.Attempt{Failure: retry.FailureNoLease}}
 	}
 	s.tx.term = s.currentTerm()
-	a, _, ok = s.exec(h, j.deadline, Command{Statement: j.statement}, j.preparedStmt, true)
-	if !ok {
-		return Outcome{Attempt: retry.Attempt{Failure: retry.FailureLost, SentBytes: true}}
+	a, failed = s.exec(h, j.deadline, Command{Statement: j.statement}, j.preparedStmt, true)
+	if failed != nil {
+		return Outcome{Attempt: *failed}
 	}
 	if a.Refusal != nil {
 		if o, mayRetry := j.retryable(h, a.Refusal); mayRetry {
@@ -168,12 +168,12 @@
 	if !tx.held.OnReplica && !s.remainsPrimaryInTerm(j.deadline) {
 		return s.record(j, nil, tx.held, s.abort(j, "the primary was replaced, or its lease could not be confirmed, during the transaction"))
 	}
-	a, sent, ok := s.exec(tx.held, j.deadline, Command{Statement: j.statement}, j.preparedStmt, true)
-	if !ok {
-		if j.statement.Op == OpCommit && sent && tx.wrote {
+	a, failed := s.exec(tx.held, j.deadline, Command{Statement: j.statement}, j.preparedStmt, true)
+	if failed != nil {
+		if j.statement.Op == OpCommit && failed.SentBytes && tx.wrote {
 			return s.record(j, nil, tx.held, s.inDoubt())
 		}
-		return s.record(j, nil, tx.held, s.abort(j, "the connection to the endpoint was lost; the transaction was rolled back"))
+		return s.record(j, nil, tx.held, s.abort(j, failed.Failure.String()+"; the transaction was rolled back"))
 	}
 	return s.record(j, nil, tx.held, s.applyAnswer(j, a))
 }
@@ -267,8 +267,8 @@
 		return
 	}
 	command := Command{Statement: Statement{ID: ProxyStatementID, Op: OpRollback}}
-	a, _, ok := s.exec(s.tx.held, s.cfg.Clock().Add(rollbackTimeout), command, nil, true)
-	if !ok || a.State != TxNone {
+	a, failed := s.exec(s.tx.held, s.cfg.Clock().Add(rollbackTimeout), command, nil, true)
+	if failed != nil || a.State != TxNone {
 		s.tx.held.Discard()
 		s.tx.open = false
 		return
--- a/retry/classify.go
+++ b/retry/classify.go
@@ -25,6 +25,9 @@
 	FailureLeaseLapsed
 	// FailureBusy means that the endpoint had no capacity for the request and did not run it.
 	FailureBusy
+	// FailureSession means that the endpoint refused a value or a prepared statement of the session, without which the
+	// request did not run.
+	FailureSession
 )
 
 // Request holds the properties of a request on which a verdict depends.
@@ -83,7 +86,7 @@
 // mayHaveRun reports whether the endpoint may have run the request.
 func mayHaveRun(a Attempt) bool {
 	switch a.Failure {
-	case FailureConnect, FailureNoLease, FailureReadOnly, FailureBehind, FailureBusy:
+	case FailureConnect, FailureNoLease, FailureReadOnly, FailureBehind, FailureBusy, FailureSession:
 		return false
 	}
 	return a.SentBytes
@@ -127,6 +130,7 @@
 		"no primary is confirmed",
 		"the primary's lease lapsed",
 		"the endpoint is busy",
+		"the session's values could not be set at the endpoint",
 	}
 	return names[f]
 }
