failover: who holds every acknowledged write is counted, not remembered

Both replicas ran and held every acknowledged write, and no write was served any more.

Cause: everybody but the old primary had to be heard, and after a start no instance knows who that was. The lost member was awaited without end.

Change: with k required replicas an acknowledged write is in k+1 logs, so a member lacks none if at most k members were not heard or are ahead of it, whoever was primary. The number of required replicas is passed on as configured. While no member qualifies, the log says who was not heard, how many could be left out, and what to start.

--- a/engine/monitor.go
+++ b/engine/monitor.go
@@ -211,10 +211,10 @@
 	m.mu.Unlock()
 }
 
-// SetReplicationRequired states whether a write is acknowledged only once a replica has received it.
-func (m *Monitor[L]) SetReplicationRequired(required bool) {
+// SetRequiredReplicas sets the number of replicas that receive a write before it is acknowledged.
+func (m *Monitor[L]) SetRequiredReplicas(n int) {
 	m.mu.Lock()
-	m.machine.SetReplicationRequired(required)
+	m.machine.SetRequiredReplicas(n)
 	m.mu.Unlock()
 }
 
--- a/failover/event.go
+++ b/failover/event.go
@@ -248,9 +248,9 @@
 	// ReleaseAbandoned makes an abandoned attempt release the replicas while the old primary is not demoted, for
 	// platforms on which members do not keep a promise themselves.
 	ReleaseAbandoned bool
-	// ReplicationRequired means that a write is acknowledged only once a replica has received it: a member is then promoted
+	// RequiredReplicas is the number of replicas that receive a write before it is acknowledged. Above 0, a member is promoted
 	// only if it is known to hold all acknowledged writes.
-	ReplicationRequired bool
+	RequiredReplicas int
 	// AnsweredPromotions means that a PromotionAnswered event follows every Promote action; the machine then has one
 	// promotion order in flight at a time.
 	AnsweredPromotions bool
--- a/failover/holder.go
+++ b/failover/holder.go
@@ -13,9 +13,9 @@
 	point group.Point
 }
 
-// SetReplicationRequired states whether a write is acknowledged only once a replica has received it, so that a member that
-// is promoted must be known to hold all acknowledged writes.
-func (m *Machine) SetReplicationRequired(required bool) { m.cfg.ReplicationRequired = required }
+// SetRequiredReplicas sets the number of replicas that receive a write before it is acknowledged; above 0, a member that is
+// promoted must be known to hold all acknowledged writes.
+func (m *Machine) SetRequiredReplicas(n int) { m.cfg.RequiredReplicas = n }
 
 // SetMissing replaces the list of members that are not listed any more though they have not left: they may come back, and may
 // be the only ones that received an acknowledged write.
@@ -58,48 +58,14 @@
 	clear(m.missing)
 }
 
-// holdsAcknowledged reports whether a fenced member is known to hold every acknowledged write.
-//
-// If a write is acknowledged once a replica has received it, it is in the log of the
-// primary and of one replica. A member holds it that has as much as the primary had when
-// it was demoted, or the longest log of all members that may have received it.
+// holdsAcknowledged reports whether a fenced member is known to hold every acknowledged write: by the number of members whose
+// logs it has, or because it has as much as the old primary had when it was demoted.
 func (m *Machine) holdsAcknowledged(name string) bool {
-	if !m.cfg.ReplicationRequired {
-		return true
-	}
-	received := m.attempt.fenced[name].Received()
-	if old, demoted := m.attempt.fenced[m.attempt.oldPrimary]; demoted && len(m.orders) == 0 && !received.Less(old.Received()) {
+	if m.holders().holdsAll(name) {
 		return true
 	}
-	return len(m.unheard()) == 0 && !received.Less(m.longestReplica())
-}
-
-// longestReplica returns the end of the longest log of the fenced members other than the old primary.
-func (m *Machine) longestReplica() group.Point {
-	var longest group.Point
-	for name, s := range m.attempt.fenced {
-		if name != m.attempt.oldPrimary && longest.Less(s.Received()) {
-			longest = s.Received()
-		}
-	}
-	return longest
-}
-
-// unheard returns the members, other than the old primary, that may have received an acknowledged write and have not promised
-// the attempt's term.
-func (m *Machine) unheard() []string {
-	var names []string
-	for _, name := range m.cfg.Members {
-		if _, fenced := m.attempt.fenced[name]; !fenced && name != m.attempt.oldPrimary {
-			names = append(names, name)
-		}
-	}
-	for name := range m.missing {
-		if name != m.attempt.oldPrimary {
-			names = append(names, name)
-		}
-	}
-	return names
+	old, demoted := m.attempt.fenced[m.attempt.oldPrimary]
+	return demoted && len(m.orders) == 0 && !m.attempt.fenced[name].Received().Less(old.Received())
 }
 
 // betterMember returns a member that is not fenced yet, answers, and has received more than the chosen one, or "".
@@ -141,16 +107,20 @@
 
 // noHolderReason describes why no fenced member may be promoted, or returns "" if one may become eligible by no answer.
 func (m *Machine) noHolderReason() string {
-	if !m.cfg.ReplicationRequired || m.chooseWhere(func(string) bool { return true }) == "" {
+	best := m.chooseWhere(func(string) bool { return true })
+	if m.cfg.RequiredReplicas <= 0 || best == "" {
 		return ""
 	}
-	return fmt.Sprintf("no fenced member is known to hold all acknowledged writes; not heard: %v", m.unheard())
+	h := m.holders()
+	return fmt.Sprintf("no fenced member is known to hold all acknowledged writes: %s has the longest log of those that may lead; "+
+		"not heard: %v, ahead of it: %v, and at most %d of these could be left out; start one that was not heard with its log",
+		best, h.unheard, h.ahead(best), h.replicas)
 }
 
 // replicaKeepsUp reports whether a replica that stays has received what the primary had received a step ago, so that a
 // switchover can be expected to find all acknowledged writes.
 func (m *Machine) replicaKeepsUp() bool {
-	if !m.cfg.ReplicationRequired {
+	if m.cfg.RequiredReplicas <= 0 {
 		return true
 	}
 	for name, s := range m.members {
--- a/failover/holder_test.go
+++ b/failover/holder_test.go
@@ -8,7 +8,15 @@
 	"github.com/monsoontiller/monsoontiller/group"
 )
 
-func replicationRequired(cfg *failover.Config) { cfg.ReplicationRequired = true }
+func replicationRequired(cfg *failover.Config) { cfg.RequiredReplicas = 1 }
+
+// requiredReplicas returns 1 if writes need a replica, or 0.
+func requiredReplicas(required bool) int {
+	if required {
+		return 1
+	}
+	return 0
+}
 
 func withMembers(names ...string) func(*failover.Config) {
 	return func(cfg *failover.Config) { cfg.Members = names }
@@ -46,7 +54,7 @@
 // received nothing is no evidence that the replica may be promoted.
 func TestSwitchoverPromotesReplicaThatHoldsAcknowledgedWrites(t *testing.T) {
 	for _, required := range []bool{true, false} {
-		s := newAnsweredFixture(func(cfg *failover.Config) { cfg.ReplicationRequired = required })
+		s := newAnsweredFixture(func(cfg *failover.Config) { cfg.RequiredReplicas = requiredReplicas(required) })
 		claim := s.startSwitchover(t)
 		if early, ok := s.demote(t, claim); ok {
 			t.Errorf("replication required %v: promoted %s although c has the whole log", required, early.Endpoint)
@@ -62,7 +70,7 @@
 // replica, and the decision is explained once an attempt.
 func TestPromotionWaitsForReplicaThatMayHoldAcknowledgedWrites(t *testing.T) {
 	for _, required := range []bool{true, false} {
-		s := newAnsweredFixture(func(cfg *failover.Config) { cfg.ReplicationRequired = required })
+		s := newAnsweredFixture(func(cfg *failover.Config) { cfg.RequiredReplicas = requiredReplicas(required) })
 		claim := s.startSwitchover(t)
 		s.demote(t, claim)
 		promoted, explained := false, 0
--- a/failover/promote.go
+++ b/failover/promote.go
@@ -121,7 +121,7 @@
 // order. A member whose promotion had no effect before comes last: it may be the
 // demoted primary, which an instance that has just started cannot know.
 //
-// If ReplicationRequired, only members are eligible that are known to hold all acknowledged writes.
+// With RequiredReplicas, only members are eligible that are known to hold all acknowledged writes.
 func (m *Machine) chooseCandidate() string {
 	if best := m.chooseWhere(func(name string) bool { return !m.ineffective[name] && m.holdsAcknowledged(name) }); best != "" {
 		return best
--- a/fleet/adapter.go
+++ b/fleet/adapter.go
@@ -49,8 +49,8 @@
 type GroupSettings struct {
 	// Connections is the most connections that one member accepts from all instances together.
 	Connections int
-	// ReplicationRequired means that a member acknowledges a write only once a replica has received it.
-	ReplicationRequired bool
+	// RequiredReplicas is the number of replicas that receive a write before a member acknowledges it.
+	RequiredReplicas int
 }
 
 // Entry is an endpoint's own entry in the store.
--- a/fleet/model_instance_test.go
+++ b/fleet/model_instance_test.go
@@ -39,7 +39,9 @@
 func (i *modelInstance) start() {
 	cfg := fleet.FailoverConfig("g", i.name)
 	cfg.Members = []string{"a", "b", "c"}
-	cfg.ReplicationRequired = i.model.choices.sync
+	if i.model.choices.sync {
+		cfg.RequiredReplicas = 1
+	}
 	i.machine, i.attempt, i.own, i.waiting = failover.New(cfg), engine.Attempt{}, 0, nil
 	i.tracker = route.NewTracker(route.TrackerConfig{Group: "g", Endpoints: cfg.Members, Lease: fleet.LeaseDuration, RequireAllReplicas: true})
 	i.lease = i.model.sim.lease(i.name).WithOthers(1)
--- a/fleet/shares.go
+++ b/fleet/shares.go
@@ -68,7 +68,7 @@
 		g.SetSharers(m.sharers(g.Name()))
 		if w := m.find(g.Name()); w != nil {
 			settings, _ := m.instance.directory.Group(g.Name())
-			w.monitor.SetReplicationRequired(settings.ReplicationRequired)
+			w.monitor.SetRequiredReplicas(settings.RequiredReplicas)
 		}
 	}
 }
--- a/instance/directory.go
+++ b/instance/directory.go
@@ -108,17 +108,17 @@
 // updateReplicationLocked passes on which groups have a contract that acknowledges writes only once a replica has received
 // them; i.mu must be held.
 func (i *Instance) updateReplicationLocked() {
-	required := map[string]bool{}
+	required := map[string]int{}
 	for _, e := range i.contracts.List() {
 		if e.Contract().Writes().Replication() != contract.ReplicationRequired {
 			continue
 		}
 		for _, d := range e.Contract().Databases() {
-			required[d.Group()] = true
+			required[d.Group()] = 1
 		}
 	}
 	for name, w := range i.groups {
-		w.monitor.SetReplicationRequired(required[name])
+		w.monitor.SetRequiredReplicas(required[name])
 	}
 }
 
