failover: a member whose promotion had no effect waits for the others

Afterwards the restarted instances order the demoted primary without end; the platform answers 200 and changes nothing.

Cause: the demoted primary has the longest log, and no other member counted as holding all acknowledged writes. With the counting rule the next longest log does, once all others were heard; but as long as one was not, the ineffective member was the only candidate, and was ordered at once.

Change: an attempt with no other candidate waits for the members that were not heard, as long as for a longer log, before it orders that member again.

--- a/failover/holders_test.go
+++ b/failover/holders_test.go
@@ -139,3 +139,13 @@
 		})
 	}
 }
+
+// Guards against a demoted primary with the longest log that is ordered without end: the platform answers the order for the present
+// primary, and changes nothing.
+func TestMemberWhosePromotionHasNoEffectIsPassedOver(t *testing.T) {
+	s := newAnsweredFixture(replicationRequired)
+	promoted, _ := promotedAfterStart(s, map[string]group.Position{"a": 14, "b": 10, "c": 12}, "a")
+	if got := strings.Join(promoted, " "); got != "a c" {
+		t.Errorf("promoted %q, want a, which has the longest log, and c after that had no effect", got)
+	}
+}
--- a/failover/promote.go
+++ b/failover/promote.go
@@ -168,6 +168,9 @@
 	if better := m.betterMember(now, chosen); better != "" {
 		return m.awaitHolder(now, better+" has a longer log than the fenced members")
 	}
+	if m.ineffective[chosen] && len(m.holders().unheard) > 0 && now.Sub(m.phaseSince) < m.cfg.CatchUpTimeout {
+		return m.awaitHolder(now, "the promotion of "+chosen+" had no effect, and another member may still be heard")
+	}
 	if now.Before(m.unsettledUntil) {
 		return m.awaitHolder(now, "an unanswered order for "+m.primary+" may still take effect")
 	}
