failover: missing members count until the successor's log is replicated

What would be seen, with SyncReplicas: a primary is lost for good, and its successor before the last replica has received its log; that replica is promoted, and lacks acknowledged writes.

Cause: members whose entries have lapsed were forgotten at the beginning of a term, though its primary may be the only one that has what they had. One replica was enough to drop them, also where writes need two.

Change: they count again in each term until as many replicas as writes need have received what the new primary had.

Measured: TestMissingMemberCountsUntilSuccessorIsReplicated fails on ("b, which had caught up: false, was promoted: true") and passes now.

--- a/failover/holder.go
+++ b/failover/holder.go
@@ -9,8 +9,10 @@
 
 // missingMember is a member that is not listed any more though it has not left.
 type missingMember struct {
-	// point is what the primary had received after the member went missing, or zero until that is known.
+	// point is what the primary had received after the member went missing, or zero until that is known in the present term.
 	point group.Point
+	// replicas are those that have received that much.
+	replicas map[string]bool
 }
 
 // SetRequiredReplicas sets the number of replicas that receive a write before it is acknowledged; above 0, a member that is
@@ -31,7 +33,7 @@
 	m.missing, m.passed = missing, passed
 }
 
-// recordMissing drops the missing members whose part of the log another replica has received.
+// recordMissing drops the missing members whose part of the log the required replicas have received.
 //
 // What a member received before it went missing is in the primary's log as of a later
 // time, and so in that of a replica which has received that much.
@@ -42,20 +44,27 @@
 	for name, missing := range m.missing {
 		switch {
 		case s.Endpoint() == m.primary && s.Role() == group.RolePrimary && missing.point.IsZero():
-			m.missing[name] = missingMember{point: s.Received()}
+			m.missing[name] = missingMember{point: s.Received(), replicas: map[string]bool{}}
 		case s.Endpoint() != m.primary && !missing.point.IsZero() && !s.Received().Less(missing.point):
-			m.passed[name] = m.term
-			delete(m.missing, name)
+			missing.replicas[s.Endpoint()] = true
+			if len(missing.replicas) >= m.cfg.RequiredReplicas {
+				m.passed[name] = m.term
+				delete(m.missing, name)
+			}
 		}
 	}
 }
 
-// forgetMissing drops all missing members at the beginning of a term: its primary holds what was acknowledged before.
-func (m *Machine) forgetMissing() {
+// resetMissing counts all missing members again at the beginning of a term: its primary holds what was acknowledged before, but
+// the replicas may have to receive it yet.
+func (m *Machine) resetMissing() {
+	for name := range m.passed {
+		m.missing[name] = missingMember{}
+	}
+	clear(m.passed)
 	for name := range m.missing {
-		m.passed[name] = m.term
+		m.missing[name] = missingMember{}
 	}
-	clear(m.missing)
 }
 
 // holdsAcknowledged reports whether a fenced member is known to hold every acknowledged write: by the number of members whose
--- a/failover/holder_test.go
+++ b/failover/holder_test.go
@@ -155,6 +155,44 @@
 	}
 }
 
+// Guards against the loss of acknowledged writes in two losses in a row: the primary of the new term may be the only listed member
+// that has what was acknowledged in the term before, until a replica has received it.
+func TestMissingMemberCountsUntilSuccessorIsReplicated(t *testing.T) {
+	for _, caughtUp := range []bool{false, true} {
+		s := newAnsweredFixture(replicationRequired)
+		report := func(term group.Term, name string, role group.Role, position group.Position, promised group.Term, attempt string) []failover.Action {
+			return s.step(failover.Probed{Status: group.NewStatus(group.StatusConfig{
+				Endpoint: name, Role: role, Point: group.NewPoint(term, position), Promised: promised, Attempt: attempt,
+			})})
+		}
+		report(1, "a", group.RolePrimary, 20, 1, "")
+		s.machine.SetMembers([]string{"b", "c"})
+		s.machine.SetMissing([]string{"a"})
+		report(2, "c", group.RolePrimary, 21, 2, "")
+		report(2, "c", group.RolePrimary, 22, 2, "")
+		received, replicaTerm := group.Position(10), group.Term(1)
+		if caughtUp {
+			received, replicaTerm = 22, 2
+		}
+		report(replicaTerm, "b", group.RoleReplica, received, 2, "")
+		s.machine.SetMembers([]string{"b"})
+		s.machine.SetMissing([]string{"a", "c"})
+		promoted := false
+		for range 60 {
+			report(replicaTerm, "b", group.RoleReplica, received, 2, "")
+			if claim, ok := find[failover.Claim](s.advance(sequentialStep)); ok {
+				s.step(failover.ClaimResult{Attempt: claim.Attempt, Outcome: failover.ClaimWon, Term: claim.Term})
+				report(replicaTerm, "b", group.RoleReplica, received, claim.Term, claim.Attempt)
+				_, promoted = find[failover.Promote](s.step(failover.Revoked{Attempt: claim.Attempt}))
+				break
+			}
+		}
+		if promoted != caughtUp {
+			t.Errorf("b, which had caught up: %v, was promoted: %v", caughtUp, promoted)
+		}
+	}
+}
+
 // Guards against a planned replacement that cannot be completed: the primary is not demoted while no replica that stays keeps up.
 func TestSwitchoverWaitsForReplicaThatKeepsUp(t *testing.T) {
 	s := newAnsweredFixture(replicationRequired)
--- a/failover/machine.go
+++ b/failover/machine.go
@@ -251,7 +251,7 @@
 		m.unsettledUntil = now.Add(m.cfg.TakeOverAfter)
 	}
 	m.settleOrders()
-	m.forgetMissing()
+	m.resetMissing()
 	m.primaryMark, m.newestMark = group.Point{}, group.Point{}
 	m.competingSeenAt = time.Time{}
 	m.demotedSince = time.Time{}
