fleet: instances that follow the store check whether they missed a change

Up to 9.4 s after the bound, the writes of its callers were run by the service of an older version, and acknowledged; after a silence of 1.5 s, up to 15.8 s.

Cause: an instance that follows the store waits up to 20 s for the next change in one call, and took no answer for no change. Nothing else asked: the checks of the store ran only on instances that do not follow it.

On an instance that follows the store, a check reads what has changed since its last answer, once its call has waited for a tick; what it finds is applied, spreads, and ends the call that missed it. A metric counts the calls ended, and the log names them.

--- a/fleet/follow.go
+++ b/fleet/follow.go
@@ -8,6 +8,7 @@
 	"github.com/go-kit/log"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/monsoontiller/monsoontiller/clock"
 	"github.com/monsoontiller/monsoontiller/engine"
 	"github.com/monsoontiller/monsoontiller/fault"
 	"github.com/monsoontiller/monsoontiller/store"
@@ -39,7 +40,8 @@
 	// failures counts the calls that failed since the last answer with changes.
 	failures int
 	// lost reports that the last request to the store failed.
-	lost bool
+	lost     bool
+	progress tableProgress
 }
 
 // Name returns the service's name.
@@ -58,6 +60,13 @@
 		if ctx.Err() != nil {
 			return nil
 		}
+		if err == nil {
+			f.progress.applied(f.position, f.loaded)
+		}
+		if err != nil && f.progress.takeInterrupted() {
+			f.loaded = false
+			continue
+		}
 		f.logState(err)
 		if err == nil {
 			continue
@@ -94,7 +103,9 @@
 		f.loaded, f.unconfirmed = true, true
 		return nil
 	}
+	ctx, end := f.progress.begin(ctx, clock.Now())
 	s, err := f.store.Changes(ctx, f.table, f.position.Version(), f.wait)
+	end()
 	if err != nil {
 		// The store may have returned from an older copy since; a call that waits for a change would not show its era.
 		f.loaded = f.wait == 0 && fault.KindOf(err) != fault.KindStale
--- a/fleet/instance.go
+++ b/fleet/instance.go
@@ -148,6 +148,7 @@
 	if err != nil {
 		return err
 	}
+	configuration, endpoints := i.configurationFollower(followWait), i.endpointFollower(followWait)
 	services := []kernel.Service{
 		i.node,
 		tunnels,
@@ -157,12 +158,12 @@
 		&witness[L]{instance: i},
 		&registration[L]{instance: i},
 		&leaseRestorer[L]{instance: i},
-		newStoreCheck(i),
+		newStoreCheck(i, configuration, endpoints),
 		&eraCheck[L]{instance: i},
 		&keyProof[L]{instance: i},
 		i.quotas,
-		i.configurationFollower(followWait),
-		i.endpointFollower(followWait),
+		configuration,
+		endpoints,
 	}
 	for _, s := range append(services, callerServices...) {
 		if err := k.Register(s); err != nil {
--- a/fleet/meters.go
+++ b/fleet/meters.go
@@ -12,6 +12,8 @@
 	restored   tally.Counter
 	tablesRead tally.Counter
 	older      tally.Counter
+	// missed counts the calls waiting for changes that were ended because their answer was lost.
+	missed tally.Counter
 	// registered is 1 while this instance is known to be registered, so that it may hold leases, and 0 otherwise.
 	registered tally.Gauge
 	// invalid counts the entries that name no usable endpoint.
@@ -28,6 +30,7 @@
 		configuration: scope.Gauge("configuration_version"),
 		restored:      scope.Counter("store_restored_total"),
 		tablesRead:    scope.Counter("tables_read_total"),
+		missed:        scope.Counter("store_answers_missed_total"),
 		older:         scope.Counter("older_entries_total"),
 		registered:    scope.Gauge("registered"),
 		invalid:       scope.Counter("invalid_entries_total"),
