--- a/cmd/monsoonsoak/main.go
+++ b/cmd/monsoonsoak/main.go
@@ -34,6 +34,8 @@
 	OddEntries    int           `long:"odd-entries" description:"entries of another writer among those of the members, besides the other faults"`
 	Descriptors   int           `long:"descriptor-limits" description:"times that an instance has hardly a descriptor left for a while, besides the other faults"`
 	Partitions    int           `long:"partitions" description:"times that the primary and the last instance, which starts without knowing the others, are cut off from the others, while the store is down or loses answers, besides the other faults"`
+	RefusedValues int           `long:"refused-values" description:"times that the endpoints refuse values and prepared statements for a while, besides the other faults"`
+	MissedAnswers int           `long:"missed-answers" description:"versions that are written after the last fault while the store's answers to waiting calls are lost"`
 	CutMessages   bool          `long:"cut-messages" description:"callers send some messages in two pieces, of which the second looks like a request"`
 	SyncReplica   bool          `long:"sync-replica" description:"endpoints acknowledge a write only once a replica has received it"`
 	Case          string        `long:"case" description:"a series of faults that replaces the drawn ones, around a return of the store or, replacement, of the primary; its name"`
@@ -107,7 +109,7 @@
 	}
 	defer faults.Close()
 	report, err := soak.Run(ctx, soak.Config{
-		Seed: seed, Length: o.Length, Instances: o.Instances, Clients: o.Clients, Connections: o.Connections, Accounts: o.accounts(seed), PowerLosses: o.PowerLosses, Severances: o.Severances, StoreRestores: o.StoreRestores, Promotions: o.Promotions, RouteMoves: o.RouteMoves, OddEntries: o.OddEntries, DescriptorLimits: o.Descriptors, Partitions: o.Partitions, CutMessages: o.CutMessages, SyncReplica: o.SyncReplica, Case: o.Case,
+		Seed: seed, Length: o.Length, Instances: o.Instances, Clients: o.Clients, Connections: o.Connections, Accounts: o.accounts(seed), PowerLosses: o.PowerLosses, Severances: o.Severances, StoreRestores: o.StoreRestores, Promotions: o.Promotions, RouteMoves: o.RouteMoves, OddEntries: o.OddEntries, DescriptorLimits: o.Descriptors, Partitions: o.Partitions, RefusedValues: o.RefusedValues, MissedAnswers: o.MissedAnswers, CutMessages: o.CutMessages, SyncReplica: o.SyncReplica, Case: o.Case,
 		Network: 1 + int(seed%networkCount), Binary: o.Binary, Directory: directory, Output: io.Writer(faults),
 	})
 	if err != nil {
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -38,6 +38,8 @@
 		}
 	case kindOddEntry:
 		f.writeOddEntry(ctx, fault)
+	case kindRefusedValues:
+		f.refuseValues(ctx, fault)
 	case kindSever:
 		f.sever(fault)
 	case kindPromotion:
--- a/soak/run.go
+++ b/soak/run.go
@@ -41,6 +41,11 @@
 	// Partitions is the number of times that the primary and the last instance, which starts without knowing the others, are cut off
 	// from the others, in addition, too.
 	Partitions int
+	// RefusedValues is the number of times that the members refuse values and prepared statements for a while, in addition, too.
+	RefusedValues int
+	// MissedAnswers is the number of versions that are written, after the last fault, while the store's answers to the calls that
+	// wait for changes are lost.
+	MissedAnswers int
 	// CutMessages makes callers send some messages in two pieces, of which the second looks like a request.
 	CutMessages bool
 	// SyncReplica makes the members acknowledge a write only once a replica has received it.
@@ -79,7 +84,7 @@
 	faults = slices.Concat(faults, PowerLosses(c.Seed, c.Length, c.PowerLosses), StoreRestores(c.Seed, c.Length, c.StoreRestores),
 		Severances(c.Seed, c.Length, c.Severances), Promotions(c.Seed, c.Length, c.Promotions),
 		RouteMoves(c.Seed, c.Length, c.RouteMoves), OddEntries(c.Seed, c.Length, c.OddEntries), DescriptorLimits(c.Seed, c.Length, c.DescriptorLimits),
-		Partitions(c.Seed, c.Length, c.Partitions))
+		Partitions(c.Seed, c.Length, c.Partitions), RefusedValues(c.Seed, c.Length, c.RefusedValues))
 	if c.Accounts > 0 {
 		faults = append(faults, AccountFaults(c.Seed, c.Length)...)
 	}
@@ -153,6 +158,7 @@
 		f.restoreStore(ctx, lastRestore)
 	}
 	failures := f.checkRecovery(ctx, oracle)
+	failures = append(failures, f.checkMissedAnswers(ctx, oracle)...)
 	if ctx.Err() != nil {
 		return report, errors.New("the run was interrupted and its result is incomplete; run the seed again")
 	}
--- a/soak/run_test.go
+++ b/soak/run_test.go
@@ -79,6 +79,21 @@
 	}
 }
 
+// Guards against statements under values that were refused, and against instances that take no answer of the store for no change.
+func TestShortSoakOfRefusedValuesAndMissedAnswers(t *testing.T) {
+	binary := buildProgram(t)
+	for i, seed := range []uint64{1, 2} {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
+			r, err := soak.Run(t.Context(), soak.Config{
+				Seed: seed, Length: 12 * time.Second, Instances: 3, Clients: 24, Connections: 40,
+				RefusedValues: 5, MissedAnswers: 2, Network: 160 + i, Binary: binary, Directory: t.TempDir(), Output: t.Output(),
+			})
+			checkReport(t, r, err)
+		})
+	}
+}
+
 // Guards against sessions that miss their own writes after a route moved, messages that run in part, and odd entries that
 // count as members: seeds with which these faults were seen.
 func TestShortSoakOfMovedRoutesAndCutMessages(t *testing.T) {
