--- a/failover/holders_test.go
+++ b/failover/holders_test.go
@@ -74,8 +74,9 @@
 	}
 }
 
-// promotedAfterStart lets a machine that has just started find replicas without a primary, and returns the member that it
-// promotes first, or "" if it promotes none within a minute; ineffective is answered by the platform without any effect.
+// promotedAfterStart lets a machine that has just started find replicas without a primary, and returns the members that it
+// promotes within a minute, up to the first other than ineffective, whose promotion is answered and has no effect; reason is
+// that of a wait.
 func promotedAfterStart(s *sequentialFixture, received map[string]group.Position, ineffective string) (promoted []string, reason string) {
 	var attempt failover.Claim
 	promised := group.Term(1)
