fleet: test of the checks while the waiting calls of all instances are lost

Fleets of 1 to 300 instances: a new configuration is found within 2 s and a leaving endpoint within 7 s in all but 0.2% of the trials.

--- a/fleet/export_test.go
+++ b/fleet/export_test.go
@@ -45,6 +45,9 @@
 // StoreCheckChance returns the chance that one of n instances checks the store at a tick.
 func StoreCheckChance(n int) float64 { return storeCheckChance(n) }
 
+// EndpointCheckChance returns the chance that a check of one of n instances includes the list of endpoints.
+func EndpointCheckChance(n int) float64 { return endpointCheckChance(n) }
+
 // StoreCheckDue reports whether one of n instances checks the store.
 func StoreCheckDue(sinceLast time.Duration, sourceLost bool, n int, random float64) bool {
 	return storeCheckDue(sinceLast, sourceLost, n, random)
--- a/fleet/store_check_test.go
+++ b/fleet/store_check_test.go
@@ -44,6 +44,37 @@
 	}
 }
 
+// Load: the answers to all calls that wait for changes are lost at once, in fleets of every size. One of the instances must find a
+// new configuration early enough to spread within three seconds, and a leaving endpoint within the seven for which it serves.
+func TestStoreChecksFindChangesThatAllInstancesMiss(t *testing.T) {
+	const trials = 5000
+	for _, n := range []int{1, 2, 3, 4, 5, 9, 13, 16, 17, 31, 102, 300} {
+		r := rand.New(rand.NewPCG(uint64(n), 2))
+		for _, table := range []struct {
+			name   string
+			bound  time.Duration
+			chance float64
+		}{
+			{"configuration", 2 * time.Second, fleet.StoreCheckChance(n)},
+			{"endpoints", 7 * time.Second, fleet.StoreCheckChance(n) * fleet.EndpointCheckChance(n)},
+		} {
+			late := 0
+			for range trials {
+				found := false
+				for range int(table.bound/fleet.StoreCheckTick) * n {
+					found = found || r.Float64() < table.chance
+				}
+				if !found {
+					late++
+				}
+			}
+			if share := float64(late) / trials; share > 0.002 {
+				t.Errorf("%d instances: no check of the %s within %v in %.2f%% of the trials", n, table.name, table.bound, 100*share)
+			}
+		}
+	}
+}
+
 // Load: a partition separates an instance from its source of evidence and from the instances that it exchanges heartbeats
 // with, but not from the store. It must not wait for its turn among hundreds, nor check more than once a tick.
 func TestInstanceWithoutSourceChecksTheStore(t *testing.T) {
