--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -99,28 +99,6 @@
 	return !x.rejected
 }
 
-// restore gives the connection the caller's settings and waits until the endpoint has confirmed them.
-//
-// The batch is sent only then: each query ends with its own Sync, so that the endpoint would run the batch whatever it
-// answered to the queries before it.
-func (x *exchange) restore() error {
-	if x.pinned || x.conn.StateKey() == x.settings.key {
-		return nil
-	}
-	if err := x.plan.queueRestore(x.settings); err != nil {
-		return err
-	}
-	if _, err := x.send(); err != nil {
-		return err
-	}
-	if err := x.readSteps(); err != nil {
-		return err
-	}
-	x.conn.ClearPrepared()
-	x.conn.SetStateKey(x.settings.key)
-	return nil
-}
-
 // relay sends the batch and reads its answer.
 func (x *exchange) relay() error {
 	if err := x.queue(); err != nil {
@@ -343,33 +321,6 @@
 	return err
 }
 
-// readInternal discards the answer to a query added by the proxy; it fails if a query that restores settings failed.
-func (x *exchange) readInternal(restores bool) error {
-	for {
-		msg, err := x.conn.Receive()
-		if err != nil {
-			return err
-		}
-		switch m := msg.(type) {
-		case *pgproto3.ErrorResponse:
-			if restores {
-				x.unrestorable = true
-				return errUnrestorable(m)
-			}
-		case *pgproto3.ReadyForQuery:
-			return nil
-		}
-	}
-}
-
-func errUnrestorable(m *pgproto3.ErrorResponse) error {
-	return fault.New(fault.Config{
-		Kind:    fault.KindUnavailable,
-		Message: "session settings cannot be restored: " + m.Code + " " + m.Message,
-		Remedy:  "check the SET statements and startup parameters of the session",
-	})
-}
-
 // readStatus reads the answer to a status query; ok is false when the endpoint returned no status.
 func (x *exchange) readStatus() (s group.Status, ok bool, err error) {
 	for {
