--- a/engine/restore_test.go
+++ b/engine/restore_test.go
@@ -120,7 +120,8 @@
 	outcomes map[string]engine.Answer
 	// prepareLost means that a link was lost with a PREPARE, and so perhaps with the EXECUTE sent behind it.
 	prepareLost bool
-	executes    map[string]bool
+	// executes tells which statements run a prepared one.
+	executes map[string]bool
 }
 
 // fail makes the primary refuse or lose the next command of an operation, as b says.
--- a/fleet/store_check.go
+++ b/fleet/store_check.go
@@ -20,8 +20,8 @@
 	// configuration: a leaving endpoint serves for several seconds. In a fleet of a few instances it is higher, so that all of
 	// them together include it in as many checks.
 	endpointCheckShare = 0.25
-	// storeCheckTimeout bounds a call of a check: a store that is a hundred times slower than usual answers within it, and two
-	// checks with a lost answer between them fit into the shortest bound on how late a configuration may come into force.
+	// storeCheckTimeout bounds a call of a check: a store that is a hundred times slower than usual answers within it. If the
+	// answer of one check is lost, the next one still ends within the bound that counts from the end of the outage.
 	storeCheckTimeout = time.Second
 	// sourceLostInterval is the least time between two checks of an instance whose source of evidence fails: several fit
 	// into the bound on how late a configuration may come into force, and in a partition such instances are many.
